--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -14,6 +14,9 @@
 # Declares a CUnit program that CTest runs; exits non-zero on a failure.
 function(aq_test name)
   cmake_parse_arguments(T "" "" "SOURCES;DEPENDS;ARGS" ${ARGN})
+  if(NOT AQ_TESTS)
+    return()
+  endif()
   add_executable(test_${name} ${T_SOURCES})
   target_include_directories(test_${name} PRIVATE
                              ${CMAKE_CURRENT_SOURCE_DIR})
--- a/packages/base/Include/aq_log.h
+++ b/packages/base/Include/aq_log.h
@@ -17,6 +17,12 @@
 /* Installs the writer.  "process" is copied and printed in every line. */
 void AqLog_Start(const char *process, AqLogLevel level);
 void AqLog_SetLevel(AqLogLevel level);
+/* Writes to standard output from now on, without ever waiting for its reader:
+ * a line that does not fit is dropped, and the next one that does says how
+ * many were. */
+void AqLog_UseStandardOutput(void);
+/* Lines dropped since the start. */
+unsigned long AqLog_Dropped(void);
 /* Reads "error", "warning", "info" or "debug"; false for anything else. */
 bool AqLog_ParseLevel(const char *text, AqLogLevel *level);
 
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -4,6 +4,8 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include "aq_buffer.h"
 #include "aq_clock.h"
@@ -17,8 +19,60 @@
 static AqLogLevel current_level = AQ_LOG_INFO;
 static char process_name[64] = "-";
 
+static bool to_standard_output;
+static unsigned long dropped;          /* since the start */
+static unsigned long dropped_reported; /* of them said in a line */
+
 static const char *const level_names[] = {"error", "warning", "info", "debug"};
 
+/* Writes a whole line or nothing.  A pipe takes a line of at most PIPE_BUF
+ * bytes as a whole or not at all. */
+static bool
+write_whole(const char *line, size_t size)
+{
+    return write(STDOUT_FILENO, line, size) == (ssize_t)size;
+}
+
+static void
+write_without_waiting(const char *text)
+{
+    char line[LINE_SIZE + 256];
+    if (dropped > dropped_reported) {
+        int size = snprintf(line, sizeof(line),
+                            "level=warning event=log_lines_dropped count=%lu\n",
+                            dropped - dropped_reported);
+        if (!write_whole(line, (size_t)size)) {
+            dropped++;
+            return;
+        }
+        dropped_reported = dropped;
+    }
+    int size = snprintf(line, sizeof(line), "%s\n", text);
+    if (size >= (int)sizeof(line)) {
+        size = (int)sizeof(line) - 1;
+        line[size - 1] = '\n';
+    }
+    if (!write_whole(line, (size_t)size)) {
+        dropped++;
+    }
+}
+
+void
+AqLog_UseStandardOutput(void)
+{
+    int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    to_standard_output = true;
+}
+
+unsigned long
+AqLog_Dropped(void)
+{
+    return dropped;
+}
+
 static GLogWriterOutput
 write_line(GLogLevelFlags flags, const GLogField *fields, gsize count,
            gpointer data)
@@ -28,7 +82,12 @@
     for (gsize i = 0; i < count; i++) {
         if (strcmp(fields[i].key, "MESSAGE") == 0) {
             const char *text = fields[i].value;
-            fprintf(stderr, "%s\n", text);
+            if (to_standard_output) {
+                write_without_waiting(text);
+            }
+            else {
+                fprintf(stderr, "%s\n", text);
+            }
             return G_LOG_WRITER_HANDLED;
         }
     }
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -7,6 +7,8 @@
 
 #include "aq_daemon.h"
 #include "aq_log.h"
+#include "aq_node.h"
+#include "aq_platform.h"
 
 enum {
     EXIT_USAGE = 2,
@@ -60,8 +62,15 @@
            "Exit status: 0 stopped, 1 failed, 2 usage, 3 bad settings.",
 };
 
+/* What runs: the daemon with its own interfaces, or a node of the platform. */
 typedef struct {
-    AqDaemon *daemon;
+    void *process;
+    AqLoop *(*loop)(void *process);
+    void (*stop)(void *process);
+} Process;
+
+typedef struct {
+    Process process;
     const char *path;
     int fd;
 } Signals;
@@ -96,52 +105,106 @@
             reload_log_level(signals->path);
         }
         else {
-            AqDaemon_Stop(signals->daemon);
+            signals->process.stop(signals->process.process);
         }
     }
 }
 
-static int
-run(const AqSettings *settings, const char *path)
+static AqLoop *
+daemon_loop(void *process)
+{
+    return AqDaemon_Loop(process);
+}
+
+static void
+daemon_stop(void *process)
+{
+    AqDaemon_Stop(process);
+}
+
+static AqLoop *
+node_loop(void *process)
+{
+    return AqNode_Loop(process);
+}
+
+static void
+node_stop(void *process)
+{
+    AqNode_Stop(process);
+}
+
+static bool
+open_signals(Signals *signals, AqWatch **watch, AqError *error)
 {
-    AqError error;
     sigset_t set;
-    int status = EXIT_FAILURE;
-    Signals signals = {.path = path, .fd = -1};
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
     sigaddset(&set, SIGHUP);
     sigprocmask(SIG_BLOCK, &set, NULL);
-    signal(SIGPIPE, SIG_IGN);
+    signals->fd = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
+    *watch = AqLoop_Watch(signals->process.loop(signals->process.process),
+                          signals->fd, AQ_READABLE, on_signal, signals, error);
+    return *watch != NULL;
+}
 
+static void
+close_signals(Signals *signals, AqWatch *watch)
+{
+    AqLoop_Unwatch(signals->process.loop(signals->process.process), watch);
+    close(signals->fd);
+}
+
+static int
+run_daemon(const AqSettings *settings, const char *path)
+{
+    AqError error;
+    AqWatch *watch;
     AqDaemon *daemon = AqDaemon_Create(settings, &error);
-    if (daemon == NULL) {
-        goto error;
-    }
-    signals.daemon = daemon;
-    signals.fd = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
-    AqWatch *watch = AqLoop_Watch(AqDaemon_Loop(daemon), signals.fd,
-                                  AQ_READABLE, on_signal, &signals, &error);
-    if (watch == NULL) {
-        goto error;
+    Signals signals = {{daemon, daemon_loop, daemon_stop}, path, -1};
+    if (daemon == NULL || !open_signals(&signals, &watch, &error)) {
+        fprintf(stderr, "amaranthquayd: %s\n", error.message);
+        AqDaemon_Destroy(daemon);
+        return EXIT_FAILURE;
     }
     AqDaemon_WriteReady(daemon, stdout);
     AqLog_Event(AQ_LOG_INFO, "started", "zone=%s", settings->node_zone);
     AqDaemon_Run(daemon);
     AqLog_Event(AQ_LOG_INFO, "stopped", "zone=%s", settings->node_zone);
-    AqLoop_Unwatch(AqDaemon_Loop(daemon), watch);
-    close(signals.fd);
+    close_signals(&signals, watch);
     AqDaemon_Destroy(daemon);
     return EXIT_SUCCESS;
+}
 
-error:
-    fprintf(stderr, "amaranthquayd: %s\n", error.message);
-    AqDaemon_Destroy(daemon);
-    if (signals.fd >= 0) {
-        close(signals.fd);
+static int
+run_node(const AqSettings *settings, const char *path)
+{
+    AqError error;
+    AqWatch *watch;
+    AqLog_UseStandardOutput();
+    AqNode *node = AqNode_Create(settings, &error);
+    Signals signals = {{node, node_loop, node_stop}, path, -1};
+    if (node == NULL || !open_signals(&signals, &watch, &error)) {
+        fprintf(stderr, "amaranthquayd: %s\n", error.message);
+        AqNode_Destroy(node);
+        return EXIT_FAILURE;
     }
-    return status;
+    AqLog_Event(AQ_LOG_INFO, "started", "zone=%s version=%s",
+                settings->node_zone, AQ_VERSION);
+    AqNode_Run(node);
+    AqLog_Event(AQ_LOG_INFO, "stopped", "zone=%s", settings->node_zone);
+    close_signals(&signals, watch);
+    AqNode_Destroy(node);
+    return EXIT_SUCCESS;
+}
+
+static int
+run(const AqSettings *settings, const char *path)
+{
+    signal(SIGPIPE, SIG_IGN);
+    return settings->platform_store[0] != '\0' ? run_node(settings, path)
+                                               : run_daemon(settings, path);
 }
 
 static void
@@ -166,6 +229,9 @@
         list_settings();
         return EXIT_SUCCESS;
     }
+    if (arguments.settings == NULL) {
+        arguments.settings = AqPlatform_SettingsPath();
+    }
     if (arguments.settings == NULL) {
         fprintf(stderr, "amaranthquayd: no settings; start it with "
                         "--settings FILE\n");
--- /dev/null
+++ b/packages/pool/front.c
@@ -0,0 +1,508 @@
+#include "front.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "aq_platform.h"
+#include "aq_scheduler.h"
+#include "keys.h"
+
+enum {
+    DEFAULT_DEADLINE_MS = 2500, /* of a request that names none */
+    DEADLINE_RESERVE_MS = 150,  /* for the answer to arrive */
+    RETRY_MS = 100,             /* between two tries of a store call */
+    REPORT_AGE_MS = 400         /* a copy of a report is good for so long */
+};
+
+struct Front {
+    NodeContext *node;
+    FrontOps ops;
+    void *context;
+    GHashTable *reports; /* pool -> Report */
+};
+
+/* The waiting counts of a pool's queues, as its owner wrote them. */
+typedef struct {
+    char *text;
+    AqTime read_at;
+} Report;
+
+typedef struct {
+    Front *front;
+    AqExchange *exchange;
+    char pool[64];
+    char queue[128];
+    char id[AQ_JOB_ID_SIZE];
+    AqTime deadline;
+    AqTime arrived_at;
+    AqTimer retry;
+    void (*try)(void *request);
+    AqBuffer job; /* stored form, of a submission */
+    uint64_t job_index;
+    unsigned tries;
+} Request;
+
+static AqTime
+now_of(const Front *front)
+{
+    return AqLoop_Now(front->node->loop);
+}
+
+/* ---- Answers ------------------------------------------------------------- */
+
+static void
+respond(AqExchange *exchange, int status, const char *body)
+{
+    AqHttpHeader headers[] = {{"Content-Type", "application/json"},
+                              {"Retry-After", "1"}};
+    bool may_retry = status == 429 || status == 503;
+    AqExchange_Respond(exchange, status, headers, may_retry ? 2 : 1, body,
+                       strlen(body));
+}
+
+static void
+respond_error(AqExchange *exchange, int status, const char *message)
+{
+    char body[AQ_ERROR_MESSAGE_SIZE + 32];
+    snprintf(body, sizeof(body), "{\"error\":%s}", AqLog_Quote(message));
+    respond(exchange, status, body);
+}
+
+static void
+finish(Request *request, int status, const char *body, const char *reason)
+{
+    AqLog_Event(status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "answered",
+                "request=%s queue=%s method=%s status=%d reason=%s tries=%u "
+                "took_ms=%lld config=%lld",
+                request->id, request->queue,
+                AqExchange_Method(request->exchange), status, reason,
+                request->tries,
+                (long long)(now_of(request->front) - request->arrived_at),
+                (long long)request->front->node->site.version);
+    respond(request->exchange, status, body);
+    AqTimer_Stop(&request->retry);
+    AqBuffer_Clear(&request->job);
+    free(request);
+}
+
+static void
+finish_unavailable(Request *request, bool is_certain)
+{
+    if (is_certain) {
+        finish(request, 503, "{\"error\":\"the store can't be reached; come "
+                             "back later\"}",
+               "store_unavailable");
+    }
+    else {
+        finish(request, 504, "{\"error\":\"the outcome is not known; ask "
+                             "again with the same id\"}",
+               "store_silent");
+    }
+}
+
+static void
+on_retry(void *context)
+{
+    Request *request = context;
+    request->try(request);
+}
+
+/* Tries again while there is time; false when there is none. */
+static bool
+try_again(Request *request)
+{
+    AqTime next = now_of(request->front) + RETRY_MS;
+    if (next + DEADLINE_RESERVE_MS > request->deadline) {
+        return false;
+    }
+    AqTimer_Start(request->front->node->loop, &request->retry, next);
+    return true;
+}
+
+/* ---- Submission ---------------------------------------------------------- */
+
+static void
+on_submitted(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    switch (reply->status) {
+    case AQ_STORE_OK:
+        finish(request, 200, "{}", "stored");
+        break;
+    case AQ_STORE_CONFLICT:
+        /* The job is there already, or was cancelled before it came. */
+        finish(request, 200, "{}", "known");
+        break;
+    case AQ_STORE_UNKNOWN:
+        if (!try_again(request)) {
+            finish_unavailable(request, false);
+        }
+        break;
+    default:
+        /* Nothing was done now; an earlier try may still have effect. */
+        finish_unavailable(request, request->tries == 1);
+        break;
+    }
+}
+
+static void
+try_submit(void *context)
+{
+    Request *request = context;
+    AqStore *store = request->front->node->store;
+    AqStoreExpect expects[] = {
+        {key_of_job(request->pool, request->id), 0},
+        {key_of_cancel(request->pool, request->id), 0},
+    };
+    AqStorePut put = {expects[0].key, AqBuffer_Text(&request->job),
+                      request->job.size, 0};
+    AqStoreCommit commit = {.expects = expects,
+                            .expect_count = 2,
+                            .puts = &put,
+                            .put_count = 1};
+    request->tries++;
+    store->ops->commit(store, &commit, on_submitted, request);
+}
+
+static void
+submit(Request *request)
+{
+    AqError error;
+    AqJobSpec spec;
+    size_t size;
+    const char *body = AqExchange_Body(request->exchange, &size);
+    if (!AqPlatform_DecodeJob(body, size, &spec, &error)) {
+        finish(request, 400, "{\"error\":\"the job is malformed\"}",
+               "malformed");
+        return;
+    }
+    strcpy(spec.id, request->id);
+    spec.queue = strdup(request->queue);
+    spec.submitted_ms = AqClock_ReadWall();
+    if (!AqJobSpec_Check(&spec, &error)) {
+        AqLog_Event(AQ_LOG_WARNING, "job_refused", "request=%s error=%s",
+                    request->id, AqLog_Quote(error.message));
+        finish(request, 400, "{\"error\":\"the job is malformed\"}",
+               "invalid");
+        AqJobSpec_Clear(&spec);
+        return;
+    }
+    AqJobSpec_Encode(&spec, &request->job);
+    AqJobSpec_Clear(&spec);
+    request->try = try_submit;
+    try_submit(request);
+}
+
+/* ---- State --------------------------------------------------------------- */
+
+static void
+finish_state(Request *request, AqJobState state)
+{
+    AqBuffer body;
+    AqBuffer_Init(&body);
+    AqPlatform_EncodeState(state, &body);
+    finish(request, 200, AqBuffer_Text(&body), "read");
+    AqBuffer_Clear(&body);
+}
+
+static void
+on_job_read(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    if (reply->status == AQ_STORE_OK) {
+        finish_state(request, AQ_JOB_QUEUED);
+    }
+    else if (reply->status == AQ_STORE_ABSENT) {
+        finish(request, 410, "{\"error\":\"there is no such job\"}",
+               "absent");
+    }
+    else if (!try_again(request)) {
+        finish_unavailable(request, true);
+    }
+}
+
+static void
+on_progress_read(void *context, const AqStoreReply *reply)
+{
+    static const AqJobState states[] = {
+        [AQ_STAGE_WAITING] = AQ_JOB_QUEUED,
+        [AQ_STAGE_RUNNING] = AQ_JOB_RUNNING,
+        [AQ_STAGE_COMPLETED] = AQ_JOB_COMPLETED,
+        [AQ_STAGE_FAILED] = AQ_JOB_FAILED,
+        [AQ_STAGE_CANCELLED] = AQ_JOB_CANCELLED,
+    };
+    Request *request = context;
+    AqStore *store = request->front->node->store;
+    AqError error;
+    AqJobStage stage;
+    if (reply->status == AQ_STORE_ABSENT) {
+        store->ops->get(store, key_of_job(request->pool, request->id),
+                        on_job_read, request);
+    }
+    else if (reply->status != AQ_STORE_OK || reply->count != 1) {
+        if (!try_again(request)) {
+            finish_unavailable(request, true);
+        }
+    }
+    else if (!AqScheduler_ReadStage(reply->items[0].value,
+                                    reply->items[0].size, &stage, &error)) {
+        AqLog_Event(AQ_LOG_ERROR, "progress_unreadable",
+                    "request=%s error=%s", request->id,
+                    AqLog_Quote(error.message));
+        finish(request, 500, "{\"error\":\"the job's record is damaged\"}",
+               "damaged");
+    }
+    else {
+        finish_state(request, states[stage]);
+    }
+}
+
+static void
+try_state(void *context)
+{
+    Request *request = context;
+    AqStore *store = request->front->node->store;
+    request->tries++;
+    store->ops->get(store, key_of_progress(request->pool, request->id),
+                    on_progress_read, request);
+}
+
+/* ---- Cancelling ---------------------------------------------------------- */
+
+static void
+on_cancelled(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    if (reply->status == AQ_STORE_OK) {
+        finish(request, 200, "{}", "cancelled");
+    }
+    else if (!try_again(request)) {
+        finish_unavailable(request, false);
+    }
+}
+
+/* Marks a job that is in the store as cancelled. */
+static void
+mark_cancelled(Request *request, uint64_t job_index)
+{
+    AqStore *store = request->front->node->store;
+    AqStoreExpect expect = {key_of_job(request->pool, request->id), job_index};
+    AqStorePut put = {key_of_cancel(request->pool, request->id), "1", 1, 0};
+    AqStoreCommit commit = {.expects = &expect,
+                            .expect_count = 1,
+                            .puts = &put,
+                            .put_count = 1};
+    store->ops->commit(store, &commit, on_cancelled, request);
+}
+
+/* The answer to a cancelling that required that there is no job. */
+static void
+on_cancel_first(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    if (reply->status == AQ_STORE_OK) {
+        /* A submission that comes later finds the mark and never runs. */
+        finish(request, 410, "{\"error\":\"there is no such job\"}",
+               "cancelled_before");
+    }
+    else if (reply->status == AQ_STORE_CONFLICT && reply->count > 0) {
+        mark_cancelled(request, reply->items[0].index);
+    }
+    else if (!try_again(request)) {
+        finish_unavailable(request, false);
+    }
+}
+
+static void
+try_cancel(void *context)
+{
+    Request *request = context;
+    AqStore *store = request->front->node->store;
+    AqStoreExpect expect = {key_of_job(request->pool, request->id), 0};
+    AqStorePut put = {key_of_cancel(request->pool, request->id), "1", 1, 0};
+    AqStoreCommit commit = {.expects = &expect,
+                            .expect_count = 1,
+                            .puts = &put,
+                            .put_count = 1};
+    request->tries++;
+    store->ops->commit(store, &commit, on_cancel_first, request);
+}
+
+/* ---- Waiting jobs -------------------------------------------------------- */
+
+static int64_t
+find_waiting(const char *report, const char *queue)
+{
+    size_t length = strlen(queue);
+    for (const char *line = report; line != NULL && *line != '\0';) {
+        if (strncmp(line, queue, length) == 0 && line[length] == ' ') {
+            return strtoll(line + length + 1, NULL, 10);
+        }
+        line = strchr(line, '\n');
+        line = line != NULL ? line + 1 : NULL;
+    }
+    return 0;
+}
+
+static void
+finish_waiting(Request *request, const char *report)
+{
+    AqBuffer body;
+    AqBuffer_Init(&body);
+    AqPlatform_EncodeWaiting(find_waiting(report, request->queue), &body);
+    finish(request, 200, AqBuffer_Text(&body), "report");
+    AqBuffer_Clear(&body);
+}
+
+static void
+free_report(void *value)
+{
+    Report *report = value;
+    free(report->text);
+    free(report);
+}
+
+static void
+on_report(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    if (reply->status == AQ_STORE_OK && reply->count == 1) {
+        Report *report = calloc(1, sizeof(*report));
+        report->text =
+            strndup(reply->items[0].value, reply->items[0].size);
+        report->read_at = now_of(request->front);
+        g_hash_table_replace(request->front->reports,
+                             g_strdup(request->pool), report);
+        finish_waiting(request, report->text);
+    }
+    else if (reply->status == AQ_STORE_ABSENT) {
+        finish_waiting(request, "");
+    }
+    else if (!try_again(request)) {
+        finish_unavailable(request, true);
+    }
+}
+
+static void
+try_waiting(void *context)
+{
+    Request *request = context;
+    AqStore *store = request->front->node->store;
+    const Report *known =
+        g_hash_table_lookup(request->front->reports, request->pool);
+    request->tries++;
+    if (known != NULL &&
+        now_of(request->front) - known->read_at < REPORT_AGE_MS) {
+        finish_waiting(request, known->text);
+        return;
+    }
+    store->ops->get(store, key_of(KEY_REPORT, request->pool), on_report,
+                    request);
+}
+
+/* ---- Dispatch ------------------------------------------------------------ */
+
+static bool
+is_id(const char *text)
+{
+    size_t length = strlen(text);
+    return length < AQ_JOB_ID_SIZE &&
+           strspn(text, "0123456789abcdefABCDEF") == length;
+}
+
+static Request *
+new_request(Front *front, AqExchange *exchange, const AqQueueConfig *queue,
+            const char *id)
+{
+    Request *request = calloc(1, sizeof(*request));
+    const char *limit = AqExchange_Header(exchange, "X-Deadline-Ms");
+    long long deadline = limit != NULL ? strtoll(limit, NULL, 10) : 0;
+    request->front = front;
+    request->exchange = exchange;
+    request->arrived_at = now_of(front);
+    request->deadline =
+        request->arrived_at +
+        (deadline > 0 ? deadline : (long long)DEFAULT_DEADLINE_MS);
+    g_strlcpy(request->pool, queue->pool, sizeof(request->pool));
+    g_strlcpy(request->queue, queue->name, sizeof(request->queue));
+    g_strlcpy(request->id, id, sizeof(request->id));
+    AqBuffer_Init(&request->job);
+    AqTimer_Init(&request->retry, on_retry, request);
+    return request;
+}
+
+static void
+dispatch(Request *request)
+{
+    const char *method = AqExchange_Method(request->exchange);
+    bool has_id = request->id[0] != '\0';
+    if (strcmp(method, "POST") == 0 && has_id) {
+        submit(request);
+    }
+    else if (strcmp(method, "GET") == 0) {
+        request->try = has_id ? try_state : try_waiting;
+        request->try(request);
+    }
+    else if (strcmp(method, "DELETE") == 0 && has_id) {
+        request->try = try_cancel;
+        try_cancel(request);
+    }
+    else {
+        finish(request, 405,
+               "{\"error\":\"send POST, GET or DELETE with the id of a "
+               "job\"}",
+               "method");
+    }
+}
+
+void
+front_handle(void *context, AqExchange *exchange)
+{
+    Front *front = context;
+    const char *host = AqExchange_Header(exchange, "Host");
+    const char *path = AqExchange_Path(exchange);
+    if (!front->ops.is_current(front->context)) {
+        AqLog_Event(AQ_LOG_WARNING, "refused", "path=%s reason=no_config",
+                    AqLog_Quote(path));
+        respond_error(exchange, 503,
+                      "the node does not know the configuration now; come "
+                      "back later");
+        return;
+    }
+    const AqQueueConfig *queue = AqSiteConfig_Match(
+        &front->node->site, host != NULL ? host : "", path);
+    const char *id = queue != NULL ? path + strlen(queue->prefix) : "";
+    if (queue == NULL || !is_id(id)) {
+        AqLog_Event(AQ_LOG_INFO, "refused",
+                    "path=%s host=%s reason=no_queue config=%lld",
+                    AqLog_Quote(path), AqLog_Quote(host != NULL ? host : ""),
+                    (long long)front->node->site.version);
+        respond_error(exchange, 404, "there is no such queue; check the host "
+                                     "and the path");
+        return;
+    }
+    dispatch(new_request(front, exchange, queue, id));
+}
+
+Front *
+front_create(NodeContext *node, const FrontOps *ops, void *context)
+{
+    Front *front = calloc(1, sizeof(*front));
+    front->node = node;
+    front->ops = *ops;
+    front->context = context;
+    front->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                           free_report);
+    return front;
+}
+
+void
+front_destroy(Front *front)
+{
+    if (front != NULL) {
+        g_hash_table_destroy(front->reports);
+        free(front);
+    }
+}
--- /dev/null
+++ b/packages/pool/keys.c
@@ -0,0 +1,56 @@
+#include "keys.h"
+
+#include <stdio.h>
+
+enum {
+    SLOTS = 8,
+    KEY_SIZE = 256 /* the store takes 200 bytes */
+};
+
+static char slots[SLOTS][KEY_SIZE];
+static unsigned next_slot;
+
+static char *
+take_slot(void)
+{
+    return slots[next_slot++ % SLOTS];
+}
+
+const char *
+key_of(KeyKind kind, const char *name)
+{
+    static const char *const formats[] = {
+        [KEY_MEMBER] = "aq/member/%s",   [KEY_OWNER] = "aq/owner/%s",
+        [KEY_TERM] = "aq/term/%s",       [KEY_ROSTER] = "aq/roster/%s",
+        [KEY_REPORT] = "aq/report/%s",   [KEY_MACHINE] = "aq/machine/%s",
+        [KEY_WAVE] = "aq/wave/%s",       [KEY_JOBS] = "aq/job/%s/",
+        [KEY_PROGRESS] = "aq/progress/%s/",
+    };
+    char *slot = take_slot();
+    snprintf(slot, KEY_SIZE, formats[kind], name);
+    return slot;
+}
+
+const char *
+key_of_job(const char *pool, const char *id)
+{
+    char *slot = take_slot();
+    snprintf(slot, KEY_SIZE, "aq/job/%s/%s", pool, id);
+    return slot;
+}
+
+const char *
+key_of_cancel(const char *pool, const char *id)
+{
+    char *slot = take_slot();
+    snprintf(slot, KEY_SIZE, "aq/job/%s/%s.c", pool, id);
+    return slot;
+}
+
+const char *
+key_of_progress(const char *pool, const char *id)
+{
+    char *slot = take_slot();
+    snprintf(slot, KEY_SIZE, "aq/progress/%s/%s", pool, id);
+    return slot;
+}
--- /dev/null
+++ b/packages/pool/keys.h
@@ -0,0 +1,43 @@
+#ifndef KEYS_H
+#define KEYS_H
+
+#include "aq_buffer.h"
+
+/* The product's keys in the store.  One line each: writer, contents.
+ *
+ * aq/member/NODE       the node, under its lease: its incarnation
+ * aq/owner/POOL        the owner, under its lease: node and incarnation; the
+ *                      key's index is the fence of the pool's orders
+ * aq/term/POOL         the owner: generation, node, incarnation, released
+ * aq/roster/POOL       the owner: VMs that orders may have gone to
+ * aq/job/POOL/ID       the node that accepted it: the job (AqJobSpec)
+ * aq/job/POOL/ID.c     any node: the job is cancelled, perhaps before it came
+ * aq/progress/POOL/ID  the owner: stage, done tasks, failures
+ * aq/report/POOL       the owner: jobs waiting of each queue
+ * aq/machine/MACHINE   an owner: who gave the VM its last order, and when
+ * aq/wave/N            an owner: VMs of the wave that are begun and done */
+
+#define KEYS_MEMBERS "aq/member/"
+#define KEYS_OWNERS "aq/owner/"
+
+typedef enum {
+    KEY_MEMBER,
+    KEY_OWNER,
+    KEY_TERM,
+    KEY_ROSTER,
+    KEY_REPORT,
+    KEY_MACHINE,
+    KEY_WAVE,
+    KEY_JOBS,    /* prefix of a pool's jobs */
+    KEY_PROGRESS /* prefix of a pool's progress records */
+} KeyKind;
+
+/* Returns the key of one object; points into one of eight static buffers used
+ * in turn. */
+const char *key_of(KeyKind kind, const char *name);
+/* Key of a job, its cancelling or its progress; the same buffers. */
+const char *key_of_job(const char *pool, const char *id);
+const char *key_of_cancel(const char *pool, const char *id);
+const char *key_of_progress(const char *pool, const char *id);
+
+#endif
--- /dev/null
+++ b/packages/pool/member.h
@@ -0,0 +1,49 @@
+#ifndef MEMBER_H
+#define MEMBER_H
+
+#include "node.h"
+
+/* This node's lease in the store, its entry among the members, and which
+ * pools it owns.
+ *
+ * A pool without an owner is claimed by one write that requires that it has
+ * none.  Nodes wait before it by what they own already and by a hash of pool
+ * and node, so that pools spread and claims seldom collide.  A pool whose
+ * owner has started anew since is claimed at once: that process is gone. */
+
+typedef struct Member Member;
+
+typedef struct {
+    char pool[64];
+    uint64_t fence;      /* index of the owner's key */
+    int64_t generation;  /* owners before this one */
+    bool may_have_rival; /* the earlier owner is not known to have ended */
+} Ownership;
+
+typedef struct {
+    void (*gained)(void *context, const Ownership *ownership);
+    /* Orders must stop at once. */
+    void (*lost)(void *context, const char *pool, const char *reason);
+} MemberOps;
+
+Member *member_create(NodeContext *node, const MemberOps *ops, void *context);
+void member_destroy(Member *member);
+
+/* The pools of the configuration may have changed. */
+void member_site_changed(Member *member);
+/* Until when this node's lease holds for certain; orders need more. */
+AqTime member_certain_until(const Member *member);
+/* Whether the store has answered lately. */
+bool member_is_connected(const Member *member);
+/* Another owner was seen, or a write of the owner conflicted. */
+void member_deposed(Member *member, const char *pool, const char *reason);
+/* Gives a pool up for others to take.  Its orders have stopped. */
+void member_release(Member *member, const char *pool);
+/* Ends the lease, with the entry and all ownerships. */
+void member_leave(Member *member);
+
+enum {
+    MEMBER_LEASE_MS = 3000 /* a node that is gone is replaced after that */
+};
+
+#endif
--- /dev/null
+++ b/packages/pool/node.c
@@ -0,0 +1,530 @@
+#include "node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_http_server.h"
+#include "aq_log.h"
+#include "aq_platform.h"
+#include "aq_random.h"
+#include "front.h"
+#include "member.h"
+#include "pool_owner.h"
+#include "prefix_view.h"
+
+enum {
+    STORE_TIMEOUT_MS = 1200,  /* a slow store answers within 0.3 s */
+    ORDER_TIMEOUT_MS = 600,   /* a VM answers in milliseconds */
+    MACHINE_TIMEOUT_MS = 1500,
+    ADVICE_TIMEOUT_MS = 3000, /* it answers one call after the other */
+    MAX_JOB_BYTES = 262144,
+    IDLE_TIMEOUT_S = 30,
+    CURRENT_MS = 7000, /* a watch answers every 5 s at least */
+    /* A stop: not ready first, so that callers go elsewhere; then answers
+     * close their connections; then the end. */
+    STOP_CLOSE_MS = 3000,
+    STOP_END_MS = 4000,
+    STOP_RESERVE_MS = 700, /* before the platform's SIGKILL */
+    ROUND_MS = 200
+};
+
+struct AqNode {
+    NodeContext context;
+    AqHttpServer *callers;
+    AqHttpServer *readiness;
+    Front *front;
+    Member *member;
+    PrefixView *operator_view;
+    PrefixView *worker_view;
+    GHashTable *vms;    /* key -> AqVmReport */
+    GHashTable *owners; /* pool -> PoolOwner */
+    AqTimer stop_timer;
+    AqTime stop_began;
+    int finishing;
+    bool was_ready;
+};
+
+/* ---- Configuration ------------------------------------------------------- */
+
+static void
+each_owner(AqNode *node, void (*visit)(PoolOwner *owner))
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        visit(value);
+    }
+}
+
+static void
+on_config(AqNode *node, const AqStoreItem *item)
+{
+    AqError error;
+    AqSiteConfig site;
+    if (!AqPlatform_DecodeConfig(item->value, item->size, &site, &error)) {
+        AqLog_Event(AQ_LOG_ERROR, "config_unreadable", "index=%llu error=%s",
+                    (unsigned long long)item->index,
+                    AqLog_Quote(error.message));
+        return;
+    }
+    if (site.version < node->context.site.version) {
+        AqLog_Event(AQ_LOG_WARNING, "config_older", "version=%lld known=%lld",
+                    (long long)site.version,
+                    (long long)node->context.site.version);
+        AqSiteConfig_Clear(&site);
+        return;
+    }
+    AqLog_Event(AQ_LOG_INFO, "config_applied",
+                "version=%lld index=%llu queues=%zu pools=%zu",
+                (long long)site.version, (unsigned long long)item->index,
+                site.queue_count, site.pool_count);
+    AqSiteConfig_Clear(&node->context.site);
+    node->context.site = site;
+    each_owner(node, pool_owner_site_changed);
+    member_site_changed(node->member);
+}
+
+static void
+on_operator_put(void *context, const AqStoreItem *item)
+{
+    AqNode *node = context;
+    if (strcmp(item->key, AqPlatform_ConfigKey) == 0) {
+        on_config(node, item);
+    }
+}
+
+static void
+on_operator_removed(void *context, const char *key)
+{
+    (void)context;
+    AqLog_Event(AQ_LOG_WARNING, "operator_key_removed", "key=%s", key);
+}
+
+static void
+ignore_listed(void *context)
+{
+    (void)context;
+}
+
+static const PrefixViewOps operator_ops = {on_operator_put,
+                                           on_operator_removed, ignore_listed};
+
+static bool
+is_current(void *context)
+{
+    const AqNode *node = context;
+    AqTime heard = prefix_view_heard_at(node->operator_view);
+    return node->context.site.version > 0 && heard != AQ_TIME_NEVER &&
+           AqLoop_Now(node->context.loop) - heard < CURRENT_MS;
+}
+
+/* ---- VMs ----------------------------------------------------------------- */
+
+static void
+on_worker_put(void *context, const AqStoreItem *item)
+{
+    AqNode *node = context;
+    AqError error;
+    GHashTableIter iter;
+    gpointer value;
+    AqVmReport *report = calloc(1, sizeof(*report));
+    if (!AqPlatform_DecodeWorker(item->key, item->value, item->size, report,
+                                 &error)) {
+        AqLog_Event(AQ_LOG_WARNING, "vm_unreadable", "key=%s error=%s",
+                    item->key, AqLog_Quote(error.message));
+        free(report);
+        return;
+    }
+    AqLog_Event(AQ_LOG_INFO, "vm_listed",
+                "vm=%s pool=%s machine=%s rack=%s draining=%d index=%llu",
+                report->id, report->pool, report->machine, report->rack,
+                report->is_draining, (unsigned long long)item->index);
+    g_hash_table_replace(node->vms, g_strdup(item->key), report);
+    g_hash_table_iter_init(&iter, node->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pool_owner_set_vm(value, report);
+    }
+}
+
+static void
+on_worker_removed(void *context, const char *key)
+{
+    AqNode *node = context;
+    GHashTableIter iter;
+    gpointer value;
+    const AqVmReport *report = g_hash_table_lookup(node->vms, key);
+    if (report == NULL) {
+        return;
+    }
+    AqLog_Event(AQ_LOG_INFO, "vm_unlisted", "vm=%s pool=%s", report->id,
+                report->pool);
+    g_hash_table_iter_init(&iter, node->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pool_owner_vm_unlisted(value, report->id);
+    }
+    g_hash_table_remove(node->vms, key);
+}
+
+static const PrefixViewOps worker_ops = {on_worker_put, on_worker_removed,
+                                         ignore_listed};
+
+/* ---- Pools --------------------------------------------------------------- */
+
+static void
+on_deposed(void *context, const char *pool, const char *reason)
+{
+    AqNode *node = context;
+    member_deposed(node->member, pool, reason);
+}
+
+static void
+on_gained(void *context, const Ownership *ownership)
+{
+    static const PoolOwnerOps ops = {on_deposed};
+    AqNode *node = context;
+    GHashTableIter iter;
+    gpointer value;
+    PoolOwner *owner = pool_owner_create(&node->context, node->member,
+                                         ownership, &ops, node);
+    g_hash_table_insert(node->owners, g_strdup(ownership->pool), owner);
+    if (node->worker_view == NULL) {
+        node->worker_view = prefix_view_create(
+            node->context.loop, node->context.store, AqPlatform_WorkerPrefix,
+            &worker_ops, node);
+    }
+    g_hash_table_iter_init(&iter, node->vms);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pool_owner_set_vm(owner, value);
+    }
+}
+
+static void
+on_lost(void *context, const char *pool, const char *reason)
+{
+    AqNode *node = context;
+    PoolOwner *owner = g_hash_table_lookup(node->owners, pool);
+    (void)reason;
+    if (owner != NULL) {
+        g_hash_table_remove(node->owners, pool);
+        pool_owner_drop(owner);
+    }
+}
+
+/* ---- Readiness ----------------------------------------------------------- */
+
+static bool
+is_ready(AqNode *node)
+{
+    bool ready = !node->context.is_stopping && is_current(node) &&
+                 member_is_connected(node->member);
+    if (ready != node->was_ready) {
+        node->was_ready = ready;
+        AqLog_Event(AQ_LOG_INFO, ready ? "ready" : "not_ready",
+                    "stopping=%d config=%lld store=%d",
+                    node->context.is_stopping,
+                    (long long)node->context.site.version,
+                    member_is_connected(node->member));
+    }
+    return ready;
+}
+
+static void
+handle_ready(void *context, AqExchange *exchange)
+{
+    AqNode *node = context;
+    if (strcmp(AqExchange_Path(exchange), AqPlatform_ReadyPath) != 0) {
+        AqExchange_Respond(exchange, 404, NULL, 0, "", 0);
+        return;
+    }
+    AqExchange_Respond(exchange, is_ready(node) ? 200 : 503, NULL, 0, "", 0);
+}
+
+/* ---- Stopping ------------------------------------------------------------ */
+
+static void
+on_stop_due(void *context)
+{
+    AqNode *node = context;
+    AqTime now = AqLoop_Now(node->context.loop);
+    AqTime passed = now - node->stop_began;
+    AqTime limit =
+        node->context.settings->stop_grace_s * 1000 - STOP_RESERVE_MS;
+    if (passed >= STOP_CLOSE_MS) {
+        AqHttpServer_CloseAfterAnswer(node->callers);
+    }
+    if ((passed >= STOP_END_MS && AqHttpServer_Pending(node->callers) == 0) ||
+        passed >= limit) {
+        AqLoop_Stop(node->context.loop);
+        return;
+    }
+    AqTimer_Start(node->context.loop, &node->stop_timer, now + ROUND_MS);
+}
+
+typedef struct {
+    AqNode *node;
+    char pool[64];
+} Handover;
+
+static void
+on_pool_finished(void *context)
+{
+    Handover *handover = context;
+    AqNode *node = handover->node;
+    member_release(node->member, handover->pool);
+    on_lost(node, handover->pool, "released");
+    if (--node->finishing == 0) {
+        member_leave(node->member);
+    }
+    free(handover);
+}
+
+static void
+hand_over(AqNode *node)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Handover *handover = calloc(1, sizeof(*handover));
+        handover->node = node;
+        g_strlcpy(handover->pool, pool_owner_pool(value),
+                  sizeof(handover->pool));
+        node->finishing++;
+        pool_owner_finish(value, on_pool_finished, handover);
+    }
+    if (node->finishing == 0) {
+        member_leave(node->member);
+    }
+}
+
+void
+AqNode_Stop(AqNode *node)
+{
+    if (node->context.is_stopping) {
+        AqLoop_Stop(node->context.loop);
+        return;
+    }
+    node->context.is_stopping = true;
+    node->stop_began = AqLoop_Now(node->context.loop);
+    AqLog_Event(AQ_LOG_INFO, "stopping", "pools=%u pending=%zu",
+                g_hash_table_size(node->owners),
+                AqHttpServer_Pending(node->callers));
+    hand_over(node);
+    on_stop_due(node);
+}
+
+/* ---- Lifecycle ----------------------------------------------------------- */
+
+static AqTime
+on_round(void *context)
+{
+    AqNode *node = context;
+    AqTime due = AqLoop_Now(node->context.loop) + ROUND_MS;
+    GList *owners = g_hash_table_get_values(node->owners);
+    for (GList *at = owners; at != NULL; at = at->next) {
+        /* One that is dropped meanwhile is not in the table any more. */
+        GHashTableIter iter;
+        gpointer value;
+        g_hash_table_iter_init(&iter, node->owners);
+        while (g_hash_table_iter_next(&iter, NULL, &value)) {
+            if (value == at->data) {
+                AqTime next = pool_owner_round(value);
+                due = next < due ? next : due;
+                break;
+            }
+        }
+    }
+    g_list_free(owners);
+    return due;
+}
+
+/* Splits "IP:port"; false when it is not one. */
+static bool
+split_address(const char *text, char ip[16], uint16_t *port, AqError *error)
+{
+    const char *colon = strrchr(text, ':');
+    char *end = NULL;
+    long number = colon != NULL ? strtol(colon + 1, &end, 10) : 0;
+    if (colon == NULL || colon - text >= 16 || *end != '\0' || number < 0 ||
+        number > UINT16_MAX) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "\"%s\" is no \"IP:port\"; write one like "
+                           "10.0.0.1:8080",
+                           text);
+    }
+    memcpy(ip, text, (size_t)(colon - text));
+    ip[colon - text] = '\0';
+    *port = (uint16_t)number;
+    return true;
+}
+
+static bool
+open_servers(AqNode *node, AqError *error)
+{
+    const AqSettings *settings = node->context.settings;
+    char callers_ip[16];
+    char readiness_ip[16];
+    uint16_t callers_port;
+    uint16_t readiness_port;
+    if (!split_address(settings->callers_listen, callers_ip, &callers_port,
+                       error) ||
+        !split_address(settings->readiness_listen, readiness_ip,
+                       &readiness_port, error)) {
+        return false;
+    }
+    AqHttpServerConfig callers = {
+        .address = callers_ip,
+        .port = callers_port,
+        .max_body = MAX_JOB_BYTES,
+        .max_connections = (unsigned)settings->callers_connections,
+        .idle_timeout_s = IDLE_TIMEOUT_S,
+    };
+    AqHttpServerConfig readiness = {
+        .address = readiness_ip,
+        .port = readiness_port,
+        .max_body = 1024,
+        .max_connections = 64,
+        .idle_timeout_s = IDLE_TIMEOUT_S,
+    };
+    node->callers = AqHttpServer_Create(node->context.loop, &callers,
+                                        front_handle, node->front, error);
+    if (node->callers == NULL) {
+        return false;
+    }
+    node->readiness = AqHttpServer_Create(node->context.loop, &readiness,
+                                          handle_ready, node, error);
+    return node->readiness != NULL;
+}
+
+static void
+create_calls(NodeContext *context)
+{
+    const AqSettings *settings = context->settings;
+    context->store = AqPlatformStore_Create(
+        context->http, settings->platform_store, STORE_TIMEOUT_MS);
+    context->workers =
+        AqPlatformWorkers_Create(context->http, ORDER_TIMEOUT_MS);
+    if (settings->platform_machines[0] != '\0') {
+        context->machines = AqPlatformMachines_Create(
+            context->http, settings->platform_machines, MACHINE_TIMEOUT_MS);
+    }
+    if (settings->platform_advice[0] != '\0') {
+        context->advice = AqPlatformAdvice_Create(
+            context->http, settings->platform_advice, ADVICE_TIMEOUT_MS);
+    }
+}
+
+static void
+name_incarnation(NodeContext *context)
+{
+    AqRandom random;
+    uint64_t seed = (uint64_t)AqClock_ReadWall() * 1000003U +
+                    (uint64_t)(uintptr_t)context;
+    for (const char *at = context->settings->node_id; *at != '\0'; at++) {
+        seed = seed * 31U + (unsigned char)*at;
+    }
+    AqRandom_Seed(&random, seed);
+    snprintf(context->incarnation, sizeof(context->incarnation), "%016llx",
+             (unsigned long long)AqRandom_Next(&random));
+}
+
+AqNode *
+AqNode_Create(const AqSettings *settings, AqError *error)
+{
+    static const MemberOps member_ops = {on_gained, on_lost};
+    static const FrontOps front_ops = {is_current};
+    AqNode *node = calloc(1, sizeof(*node));
+    NodeContext *context = &node->context;
+    context->settings = settings;
+    node->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+    node->owners =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    AqTimer_Init(&node->stop_timer, on_stop_due, node);
+    name_incarnation(context);
+    context->loop = AqLoop_Create(error);
+    if (context->loop == NULL) {
+        goto error;
+    }
+    context->http = AqHttpClient_Create(context->loop, error);
+    if (context->http == NULL) {
+        goto error;
+    }
+    create_calls(context);
+    node->front = front_create(context, &front_ops, node);
+    if (!open_servers(node, error)) {
+        goto error;
+    }
+    node->operator_view =
+        prefix_view_create(context->loop, context->store,
+                           AqPlatform_OperatorPrefix, &operator_ops, node);
+    node->member = member_create(context, &member_ops, node);
+    AqLoop_OnRound(context->loop, on_round, node);
+    return node;
+
+error:
+    AqNode_Destroy(node);
+    return NULL;
+}
+
+AqLoop *
+AqNode_Loop(AqNode *node)
+{
+    return node->context.loop;
+}
+
+void
+AqNode_Run(AqNode *node)
+{
+    AqLoop_Run(node->context.loop);
+}
+
+static void
+drop_owners(AqNode *node)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pool_owner_drop(value);
+    }
+    g_hash_table_remove_all(node->owners);
+}
+
+void
+AqNode_Destroy(AqNode *node)
+{
+    if (node == NULL) {
+        return;
+    }
+    NodeContext *context = &node->context;
+    AqTimer_Stop(&node->stop_timer);
+    drop_owners(node);
+    if (context->http != NULL) {
+        /* Ends all calls, whose contexts are still there. */
+        AqHttpClient_Close(context->http);
+    }
+    member_destroy(node->member);
+    prefix_view_destroy(node->operator_view);
+    prefix_view_destroy(node->worker_view);
+    AqHttpServer_Destroy(node->callers);
+    AqHttpServer_Destroy(node->readiness);
+    front_destroy(node->front);
+    AqHttpClient_Destroy(context->http);
+    if (context->store != NULL) {
+        context->store->ops->destroy(context->store);
+        context->workers->ops->destroy(context->workers);
+    }
+    if (context->machines != NULL) {
+        context->machines->ops->destroy(context->machines);
+    }
+    if (context->advice != NULL) {
+        context->advice->ops->destroy(context->advice);
+    }
+    AqSiteConfig_Clear(&context->site);
+    g_hash_table_destroy(node->vms);
+    g_hash_table_destroy(node->owners);
+    AqLoop_Destroy(context->loop);
+    free(node);
+}
--- /dev/null
+++ b/packages/pool/pool_owner.c
@@ -0,0 +1,731 @@
+#include "pool_owner.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "keys.h"
+#include "prefix_view.h"
+
+enum {
+    /* Changes are stored together: one write a batch. */
+    SAVE_EVERY_MS = 60,
+    SAVE_RETRY_MS = 150,
+    SAVES = AQ_STORE_COMMIT_ENTRIES - 2, /* the owner's key is expected */
+    REPORT_EVERY_MS = 800,
+    LOAD_RETRY_MS = 150,
+    FINISH_LIMIT_MS = 600, /* longest time that a hand-over waits for saves */
+    ORDER_LEASE_MS = 5000, /* of tasks, at most the platform's longest */
+    LEASE_RESERVE_MS = 300,
+    CANCEL_SUFFIX = 2 /* bytes of ".c" */
+};
+
+typedef enum {
+    LOADING_ROSTER,
+    LOADING_PROGRESS,
+    LOADING_JOBS,
+    LOADED
+} LoadState;
+
+struct PoolOwner {
+    NodeContext *node;
+    Member *member;
+    PoolOwnerOps ops;
+    void *context;
+    Ownership ownership;
+    AqScheduler *scheduler;
+    LoadState load;
+    AqTimer load_timer;
+    GHashTable *records;   /* id -> GBytes, while loading */
+    GHashTable *cancelled; /* ids cancelled before their job was seen */
+    char *progress_after;
+    PrefixView *jobs;
+    bool is_dropped;
+    bool is_finishing;
+    int calls; /* under way, each with a pointer to this owner */
+    /* Saving */
+    AqJobSave saves[SAVES];
+    size_t save_count;
+    bool is_saving;
+    AqTime save_due;
+    /* Roster */
+    bool is_writing_roster;
+    uint64_t roster_written;
+    uint64_t roster_sent;
+    AqTime roster_due;
+    /* Report */
+    char *report;
+    bool is_reporting;
+    AqTime report_due;
+    /* Hand-over */
+    void (*finished)(void *context);
+    void *finished_context;
+    AqTime finish_limit;
+};
+
+static void
+free_owner(PoolOwner *owner)
+{
+    AqTimer_Stop(&owner->load_timer);
+    prefix_view_destroy(owner->jobs);
+    AqScheduler_Destroy(owner->scheduler);
+    g_hash_table_destroy(owner->records);
+    g_hash_table_destroy(owner->cancelled);
+    free(owner->progress_after);
+    free(owner->report);
+    free(owner);
+}
+
+/* Ends a call; false when the owner was dropped, which may free it. */
+static bool
+end_call(PoolOwner *owner)
+{
+    owner->calls--;
+    if (!owner->is_dropped) {
+        return true;
+    }
+    if (owner->calls == 0) {
+        free_owner(owner);
+    }
+    return false;
+}
+
+static AqTime
+now_of(const PoolOwner *owner)
+{
+    return AqLoop_Now(owner->node->loop);
+}
+
+static void
+depose(PoolOwner *owner, const char *reason)
+{
+    owner->ops.deposed(owner->context, owner->ownership.pool, reason);
+}
+
+/* ---- Orders -------------------------------------------------------------- */
+
+typedef enum {
+    ORDER_START,
+    ORDER_STOP,
+    ORDER_HOLD,
+    ORDER_PACE
+} OrderKind;
+
+typedef struct {
+    PoolOwner *owner;
+    OrderKind kind;
+    char vm[AQ_VM_ID_SIZE];
+    AqTaskName task;
+    int64_t run;
+    AqTime sent_at;
+} Order;
+
+static void
+on_order(void *context, const AqOrderReply *reply)
+{
+    Order *order = context;
+    PoolOwner *owner = order->owner;
+    AqTime now = now_of(owner);
+    if (end_call(owner)) {
+        AqScheduler *s = owner->scheduler;
+        switch (order->kind) {
+        case ORDER_START:
+            AqScheduler_OnStart(s, order->vm, &order->task, order->run, reply,
+                                now);
+            break;
+        case ORDER_STOP:
+            AqScheduler_OnStop(s, order->vm, &order->task, order->run, reply,
+                               now);
+            break;
+        case ORDER_HOLD:
+            AqScheduler_OnHold(s, order->vm, order->sent_at, reply, now);
+            break;
+        case ORDER_PACE:
+            break;
+        }
+    }
+    free(order);
+}
+
+static Order *
+new_order(PoolOwner *owner, OrderKind kind, const AqOrderTarget *target)
+{
+    Order *order = calloc(1, sizeof(*order));
+    order->owner = owner;
+    order->kind = kind;
+    order->sent_at = now_of(owner);
+    g_strlcpy(order->vm, target->vm, sizeof(order->vm));
+    owner->calls++;
+    return order;
+}
+
+static void
+order_start(void *context, const AqOrderTarget *target,
+            const AqStartOrder *start)
+{
+    PoolOwner *owner = context;
+    Order *order = new_order(owner, ORDER_START, target);
+    order->task = start->task;
+    order->run = start->run;
+    owner->node->workers->ops->start(owner->node->workers, target, start,
+                                     on_order, order);
+}
+
+static void
+order_stop(void *context, const AqOrderTarget *target, const AqTaskName *task,
+           int64_t run)
+{
+    PoolOwner *owner = context;
+    Order *order = new_order(owner, ORDER_STOP, target);
+    order->task = *task;
+    order->run = run;
+    owner->node->workers->ops->stop(owner->node->workers, target, task, run,
+                                    owner->ownership.fence, on_order, order);
+}
+
+static void
+order_hold(void *context, const AqOrderTarget *target, const AqHoldOrder *hold)
+{
+    PoolOwner *owner = context;
+    Order *order = new_order(owner, ORDER_HOLD, target);
+    owner->node->workers->ops->hold(owner->node->workers, target, hold,
+                                    on_order, order);
+}
+
+static void
+order_pace(void *context, const AqOrderTarget *target, const AqTaskName *task,
+           int64_t run, int percent)
+{
+    PoolOwner *owner = context;
+    Order *order = new_order(owner, ORDER_PACE, target);
+    owner->node->workers->ops->pace(owner->node->workers, target, task, run,
+                                    percent, owner->ownership.fence, on_order,
+                                    order);
+}
+
+typedef struct {
+    PoolOwner *owner;
+    AqTaskName step;
+} TicketCall;
+
+static void
+on_tickets(void *context, const AqAdviceReply *reply)
+{
+    TicketCall *call = context;
+    PoolOwner *owner = call->owner;
+    AqTime now = now_of(owner);
+    if (end_call(owner)) {
+        for (size_t i = 0; i < reply->count; i++) {
+            AqScheduler_OnTicket(owner->scheduler, &call->step,
+                                 reply->tickets[i].vm,
+                                 reply->tickets[i].ticket, reply->valid_ms,
+                                 now);
+        }
+        AqScheduler_OnTicketsEnd(owner->scheduler, &call->step,
+                                 reply->result == AQ_ORDER_DONE, now);
+    }
+    free(call);
+}
+
+static void
+ask_tickets(void *context, const AqTaskName *step, const char *const *vms,
+            size_t count)
+{
+    PoolOwner *owner = context;
+    AqAdviceCalls *advice = owner->node->advice;
+    if (advice == NULL) {
+        AqLog_Event(AQ_LOG_ERROR, "tickets_unavailable",
+                    "request=%s reason=no_advice_service", step->job);
+        return;
+    }
+    TicketCall *call = calloc(1, sizeof(*call));
+    call->owner = owner;
+    call->step = *step;
+    owner->calls++;
+    advice->ops->ask(advice, step, vms, count, on_tickets, call);
+}
+
+static void
+on_deposed(void *context)
+{
+    depose(context, "later_fence_at_vm");
+}
+
+/* ---- Loading ------------------------------------------------------------- */
+
+static void load_next(PoolOwner *owner);
+
+static void
+on_load_due(void *context)
+{
+    load_next(context);
+}
+
+static void
+load_again(PoolOwner *owner)
+{
+    AqTimer_Start(owner->node->loop, &owner->load_timer,
+                  now_of(owner) + LOAD_RETRY_MS);
+}
+
+static void
+on_roster(void *context, const AqStoreReply *reply)
+{
+    PoolOwner *owner = context;
+    if (!end_call(owner)) {
+        return;
+    }
+    if (reply->status == AQ_STORE_OK && reply->count == 1) {
+        if (!AqScheduler_AddRoster(owner->scheduler, reply->items[0].value,
+                                   reply->items[0].size, now_of(owner))) {
+            AqLog_Event(AQ_LOG_ERROR, "roster_unreadable", "pool=%s bytes=%zu",
+                        owner->ownership.pool, reply->items[0].size);
+        }
+    }
+    else if (reply->status != AQ_STORE_ABSENT) {
+        load_again(owner);
+        return;
+    }
+    owner->load = LOADING_PROGRESS;
+    load_next(owner);
+}
+
+static void
+on_progress(void *context, const AqStoreReply *reply)
+{
+    PoolOwner *owner = context;
+    if (!end_call(owner)) {
+        return;
+    }
+    if (reply->status != AQ_STORE_OK) {
+        load_again(owner);
+        return;
+    }
+    const char *prefix = key_of(KEY_PROGRESS, owner->ownership.pool);
+    for (size_t i = 0; i < reply->count; i++) {
+        const AqStoreItem *item = &reply->items[i];
+        g_hash_table_replace(owner->records,
+                             g_strdup(item->key + strlen(prefix)),
+                             g_bytes_new(item->value, item->size));
+        free(owner->progress_after);
+        owner->progress_after = strdup(item->key);
+    }
+    if (reply->is_complete || reply->count == 0) {
+        owner->load = LOADING_JOBS;
+    }
+    load_next(owner);
+}
+
+static void
+add_job(PoolOwner *owner, const char *id, const AqStoreItem *item)
+{
+    AqError error;
+    AqJobSpec spec;
+    AqTime now = now_of(owner);
+    if (!AqJobSpec_Decode(item->value, item->size, &spec, &error)) {
+        AqLog_Event(AQ_LOG_ERROR, "job_unreadable", "request=%s error=%s", id,
+                    AqLog_Quote(error.message));
+        return;
+    }
+    gsize size = 0;
+    GBytes *record = g_hash_table_lookup(owner->records, id);
+    const char *bytes =
+        record != NULL ? g_bytes_get_data(record, &size) : NULL;
+    if (!AqScheduler_AddJob(owner->scheduler, &spec, bytes, size, now,
+                            &error)) {
+        AqLog_Event(AQ_LOG_ERROR, "job_unreadable", "request=%s error=%s", id,
+                    AqLog_Quote(error.message));
+        return;
+    }
+    AqLog_Event(AQ_LOG_DEBUG, "job_seen", "request=%s index=%llu", id,
+                (unsigned long long)item->index);
+    if (g_hash_table_contains(owner->cancelled, id)) {
+        AqScheduler_CancelJob(owner->scheduler, id, now);
+    }
+}
+
+static void
+on_job_put(void *context, const AqStoreItem *item)
+{
+    PoolOwner *owner = context;
+    const char *prefix = key_of(KEY_JOBS, owner->ownership.pool);
+    char id[AQ_JOB_ID_SIZE + CANCEL_SUFFIX];
+    g_strlcpy(id, item->key + strlen(prefix), sizeof(id));
+    size_t length = strlen(id);
+    if (length > CANCEL_SUFFIX &&
+        strcmp(id + length - CANCEL_SUFFIX, ".c") == 0) {
+        id[length - CANCEL_SUFFIX] = '\0';
+        AqLog_Event(AQ_LOG_INFO, "cancel_seen", "request=%s index=%llu", id,
+                    (unsigned long long)item->index);
+        g_hash_table_add(owner->cancelled, g_strdup(id));
+        AqScheduler_CancelJob(owner->scheduler, id, now_of(owner));
+        return;
+    }
+    add_job(owner, id, item);
+}
+
+static void
+on_job_removed(void *context, const char *key)
+{
+    PoolOwner *owner = context;
+    const char *prefix = key_of(KEY_JOBS, owner->ownership.pool);
+    AqScheduler_RemoveJob(owner->scheduler, key + strlen(prefix));
+    g_hash_table_remove(owner->cancelled, key + strlen(prefix));
+}
+
+static void
+on_jobs_listed(void *context)
+{
+    PoolOwner *owner = context;
+    if (owner->load != LOADED) {
+        owner->load = LOADED;
+        g_hash_table_remove_all(owner->records);
+        AqLog_Event(AQ_LOG_INFO, "pool_loaded", "pool=%s fence=%llu",
+                    owner->ownership.pool,
+                    (unsigned long long)owner->ownership.fence);
+    }
+}
+
+static const PrefixViewOps job_ops = {on_job_put, on_job_removed,
+                                      on_jobs_listed};
+
+static void
+load_next(PoolOwner *owner)
+{
+    AqStore *store = owner->node->store;
+    const char *pool = owner->ownership.pool;
+    switch (owner->load) {
+    case LOADING_ROSTER:
+        owner->calls++;
+        store->ops->get(store, key_of(KEY_ROSTER, pool), on_roster, owner);
+        break;
+    case LOADING_PROGRESS:
+        owner->calls++;
+        store->ops->list_after(store, key_of(KEY_PROGRESS, pool),
+                               owner->progress_after, false, on_progress,
+                               owner);
+        break;
+    case LOADING_JOBS:
+        owner->jobs = prefix_view_create(owner->node->loop, store,
+                                         key_of(KEY_JOBS, pool), &job_ops,
+                                         owner);
+        break;
+    case LOADED:
+        break;
+    }
+}
+
+/* ---- Storing ------------------------------------------------------------- */
+
+static void
+commit_as_owner(PoolOwner *owner, const AqStorePut *puts, size_t count,
+                AqStoreDone done)
+{
+    AqStore *store = owner->node->store;
+    AqStoreExpect expect = {key_of(KEY_OWNER, owner->ownership.pool),
+                            owner->ownership.fence};
+    AqStoreCommit commit = {.expects = &expect,
+                            .expect_count = 1,
+                            .puts = puts,
+                            .put_count = count};
+    owner->calls++;
+    store->ops->commit(store, &commit, done, owner);
+}
+
+static void
+on_saved(void *context, const AqStoreReply *reply)
+{
+    PoolOwner *owner = context;
+    if (!end_call(owner)) {
+        return;
+    }
+    bool is_stored = reply->status == AQ_STORE_OK;
+    owner->is_saving = false;
+    for (size_t i = 0; i < owner->save_count && is_stored; i++) {
+        if (owner->saves[i].stage >= AQ_STAGE_COMPLETED) {
+            AqLog_Event(AQ_LOG_INFO, "job_finished",
+                        "request=%s stage=%d index=%llu", owner->saves[i].id,
+                        (int)owner->saves[i].stage,
+                        (unsigned long long)reply->index);
+        }
+    }
+    AqScheduler_EndSave(owner->scheduler, owner->saves, owner->save_count,
+                        is_stored, now_of(owner));
+    owner->save_count = 0;
+    owner->save_due =
+        now_of(owner) + (is_stored ? SAVE_EVERY_MS : SAVE_RETRY_MS);
+    if (reply->status == AQ_STORE_CONFLICT) {
+        depose(owner, "save_conflict");
+    }
+    else if (!is_stored) {
+        AqLog_Event(AQ_LOG_WARNING, "save_failed", "pool=%s status=%d",
+                    owner->ownership.pool, (int)reply->status);
+    }
+}
+
+static void
+save(PoolOwner *owner)
+{
+    AqStorePut puts[SAVES];
+    if (owner->is_saving || owner->save_due > now_of(owner)) {
+        return;
+    }
+    owner->save_count =
+        AqScheduler_BeginSave(owner->scheduler, owner->saves, SAVES);
+    if (owner->save_count == 0) {
+        return;
+    }
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < owner->save_count; i++) {
+        const AqJobSave *job = &owner->saves[i];
+        char *key = g_strdup(key_of_progress(owner->ownership.pool, job->id));
+        g_ptr_array_add(keys, key);
+        puts[i].key = key;
+        puts[i].value = AqBuffer_Text(&job->record);
+        puts[i].size = job->record.size;
+        puts[i].lease = 0;
+    }
+    owner->is_saving = true;
+    commit_as_owner(owner, puts, owner->save_count, on_saved);
+    g_ptr_array_free(keys, TRUE);
+}
+
+static void
+on_roster_written(void *context, const AqStoreReply *reply)
+{
+    PoolOwner *owner = context;
+    if (!end_call(owner)) {
+        return;
+    }
+    owner->is_writing_roster = false;
+    if (reply->status == AQ_STORE_OK) {
+        owner->roster_written = owner->roster_sent;
+        AqScheduler_RosterSaved(owner->scheduler, owner->roster_written);
+    }
+    else if (reply->status == AQ_STORE_CONFLICT) {
+        depose(owner, "roster_conflict");
+    }
+    else {
+        owner->roster_due = now_of(owner) + SAVE_RETRY_MS;
+    }
+}
+
+static void
+write_roster(PoolOwner *owner)
+{
+    uint64_t version = AqScheduler_RosterVersion(owner->scheduler);
+    AqBuffer bytes;
+    if (owner->is_writing_roster || version == owner->roster_written ||
+        owner->roster_due > now_of(owner)) {
+        return;
+    }
+    AqBuffer_Init(&bytes);
+    AqScheduler_EncodeRoster(owner->scheduler, &bytes);
+    AqStorePut put = {key_of(KEY_ROSTER, owner->ownership.pool),
+                      AqBuffer_Text(&bytes), bytes.size, 0};
+    owner->is_writing_roster = true;
+    owner->roster_sent = version;
+    commit_as_owner(owner, &put, 1, on_roster_written);
+    AqBuffer_Clear(&bytes);
+}
+
+/* ---- Report -------------------------------------------------------------- */
+
+static void
+on_reported(void *context, const AqStoreReply *reply)
+{
+    PoolOwner *owner = context;
+    if (!end_call(owner)) {
+        return;
+    }
+    owner->is_reporting = false;
+    if (reply->status != AQ_STORE_OK) {
+        free(owner->report);
+        owner->report = NULL;
+    }
+    if (reply->status == AQ_STORE_CONFLICT) {
+        depose(owner, "report_conflict");
+    }
+}
+
+static void
+write_report(PoolOwner *owner)
+{
+    const AqSiteConfig *site = &owner->node->site;
+    AqBuffer text;
+    if (owner->is_reporting || owner->report_due > now_of(owner)) {
+        return;
+    }
+    owner->report_due = now_of(owner) + REPORT_EVERY_MS;
+    AqBuffer_Init(&text);
+    for (size_t i = 0; i < site->queue_count; i++) {
+        if (strcmp(site->queues[i].pool, owner->ownership.pool) == 0) {
+            AqBuffer_Printf(&text, "%s %zu\n", site->queues[i].name,
+                            AqScheduler_Waiting(owner->scheduler,
+                                                site->queues[i].name));
+        }
+    }
+    if (owner->report == NULL ||
+        strcmp(owner->report, AqBuffer_Text(&text)) != 0) {
+        free(owner->report);
+        owner->report = strdup(AqBuffer_Text(&text));
+        AqStorePut put = {key_of(KEY_REPORT, owner->ownership.pool),
+                          owner->report, strlen(owner->report), 0};
+        owner->is_reporting = true;
+        commit_as_owner(owner, &put, 1, on_reported);
+    }
+    AqBuffer_Clear(&text);
+}
+
+/* ---- Rounds -------------------------------------------------------------- */
+
+static void
+check_finished(PoolOwner *owner)
+{
+    if (owner->finished == NULL) {
+        return;
+    }
+    bool is_saved = owner->load != LOADED ||
+                    !AqScheduler_HasUnsaved(owner->scheduler);
+    if (is_saved || now_of(owner) >= owner->finish_limit) {
+        void (*done)(void *context) = owner->finished;
+        owner->finished = NULL;
+        done(owner->finished_context);
+    }
+}
+
+AqTime
+pool_owner_round(PoolOwner *owner)
+{
+    AqTime now = now_of(owner);
+    if (owner->load != LOADED) {
+        check_finished(owner);
+        return now + LOAD_RETRY_MS;
+    }
+    /* Time that passes before an order leaves and is carried out counts. */
+    bool may_order =
+        !owner->is_finishing &&
+        now + LEASE_RESERVE_MS < member_certain_until(owner->member);
+    AqTime due = AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(),
+                                  may_order);
+    save(owner);
+    write_roster(owner);
+    if (!owner->is_finishing) {
+        write_report(owner);
+    }
+    check_finished(owner);
+    if (AqScheduler_HasUnsaved(owner->scheduler) && !owner->is_saving &&
+        owner->save_due < due) {
+        due = owner->save_due;
+    }
+    return due;
+}
+
+/* ---- Interface ----------------------------------------------------------- */
+
+PoolOwner *
+pool_owner_create(NodeContext *node, Member *member,
+                  const Ownership *ownership, const PoolOwnerOps *ops,
+                  void *context)
+{
+    static const AqSchedulerActions actions = {
+        order_start, order_stop, order_hold,
+        order_pace,  ask_tickets, on_deposed,
+    };
+    PoolOwner *owner = calloc(1, sizeof(*owner));
+    AqSchedulerConfig config = {
+        .fence = ownership->fence,
+        .generation = ownership->generation,
+        .lease_ms = ORDER_LEASE_MS,
+        .earlier_owner_ms = ownership->may_have_rival ? MEMBER_LEASE_MS : 0,
+        .early_ms = node->settings->limits_early_ms,
+        .harm_ms = node->settings->limits_harm_ms,
+    };
+    if (config.lease_ms > node->settings->limits_longest_lease_ms) {
+        config.lease_ms = node->settings->limits_longest_lease_ms;
+    }
+    strcpy(config.pool, ownership->pool);
+    owner->node = node;
+    owner->member = member;
+    owner->ops = *ops;
+    owner->context = context;
+    owner->ownership = *ownership;
+    owner->progress_after = strdup("");
+    owner->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                           (GDestroyNotify)g_bytes_unref);
+    owner->cancelled =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    owner->scheduler =
+        AqScheduler_Create(&config, &actions, owner, now_of(owner));
+    AqScheduler_SetSite(owner->scheduler, &node->site);
+    AqScheduler_Tick(owner->scheduler, now_of(owner), AqClock_ReadWall(),
+                     false);
+    AqTimer_Init(&owner->load_timer, on_load_due, owner);
+    load_next(owner);
+    return owner;
+}
+
+void
+pool_owner_drop(PoolOwner *owner)
+{
+    owner->is_dropped = true;
+    AqTimer_Stop(&owner->load_timer);
+    prefix_view_destroy(owner->jobs);
+    owner->jobs = NULL;
+    for (size_t i = 0; i < owner->save_count; i++) {
+        AqBuffer_Clear(&owner->saves[i].record);
+    }
+    owner->save_count = 0;
+    if (owner->calls == 0) {
+        free_owner(owner);
+    }
+}
+
+const char *
+pool_owner_pool(const PoolOwner *owner)
+{
+    return owner->ownership.pool;
+}
+
+AqScheduler *
+pool_owner_scheduler(PoolOwner *owner)
+{
+    return owner->load == LOADED ? owner->scheduler : NULL;
+}
+
+uint64_t
+pool_owner_fence(const PoolOwner *owner)
+{
+    return owner->ownership.fence;
+}
+
+void
+pool_owner_site_changed(PoolOwner *owner)
+{
+    AqScheduler_SetSite(owner->scheduler, &owner->node->site);
+}
+
+void
+pool_owner_set_vm(PoolOwner *owner, const AqVmReport *report)
+{
+    if (strcmp(report->pool, owner->ownership.pool) == 0) {
+        AqScheduler_SetVm(owner->scheduler, report, now_of(owner));
+    }
+}
+
+void
+pool_owner_vm_unlisted(PoolOwner *owner, const char *vm)
+{
+    AqScheduler_VmUnlisted(owner->scheduler, vm, now_of(owner));
+}
+
+void
+pool_owner_finish(PoolOwner *owner, void (*done)(void *context), void *context)
+{
+    owner->is_finishing = true;
+    owner->finished = done;
+    owner->finished_context = context;
+    owner->finish_limit = now_of(owner) + FINISH_LIMIT_MS;
+    owner->save_due = 0;
+}
--- /dev/null
+++ b/packages/pool/prefix_view.c
@@ -0,0 +1,298 @@
+#include "prefix_view.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+
+enum {
+    /* A watch whose connection has gone silent is noticed after this and the
+     * store's time-out. */
+    WATCH_WAIT_MS = 5000,
+    RETRY_MS = 120,
+    LONGEST_RETRY_MS = 500
+};
+
+struct PrefixView {
+    AqLoop *loop;
+    AqStore *store;
+    char *prefix;
+    PrefixViewOps ops;
+    void *context;
+    AqTimer retry;
+    GHashTable *indexes; /* key -> index of its last write, as uint64_t* */
+    GHashTable *listing; /* keys of the listing under way, or NULL */
+    char *after;         /* last key of the pages so far */
+    uint64_t index;      /* the next watch begins after it */
+    bool is_listed;
+    bool is_destroyed;
+    bool is_reachable;
+    int in_flight;
+    unsigned failures;
+    AqTime heard_at;
+};
+
+static void begin(PrefixView *view);
+
+static void
+free_view(PrefixView *view)
+{
+    AqTimer_Stop(&view->retry);
+    g_hash_table_destroy(view->indexes);
+    if (view->listing != NULL) {
+        g_hash_table_destroy(view->listing);
+    }
+    free(view->after);
+    free(view->prefix);
+    free(view);
+}
+
+static void
+note_reachable(PrefixView *view, bool is_reachable, AqStoreStatus status)
+{
+    if (view->is_reachable != is_reachable) {
+        view->is_reachable = is_reachable;
+        AqLog_Event(is_reachable ? AQ_LOG_INFO : AQ_LOG_WARNING,
+                    is_reachable ? "store_regained" : "store_lost",
+                    "prefix=%s status=%d index=%llu", view->prefix,
+                    (int)status, (unsigned long long)view->index);
+    }
+    if (is_reachable) {
+        view->heard_at = AqLoop_Now(view->loop);
+        view->failures = 0;
+    }
+}
+
+static void
+retry_later(PrefixView *view)
+{
+    AqTime wait = (AqTime)RETRY_MS << (view->failures < 3 ? view->failures : 3);
+    view->failures++;
+    if (wait > LONGEST_RETRY_MS) {
+        wait = LONGEST_RETRY_MS;
+    }
+    AqTimer_Start(view->loop, &view->retry, AqLoop_Now(view->loop) + wait);
+}
+
+/* ---- Applying ------------------------------------------------------------ */
+
+static void
+apply_put(PrefixView *view, const AqStoreItem *item)
+{
+    const uint64_t *known = g_hash_table_lookup(view->indexes, item->key);
+    if (known != NULL && *known >= item->index) {
+        return;
+    }
+    uint64_t *index = g_new(uint64_t, 1);
+    *index = item->index;
+    g_hash_table_replace(view->indexes, g_strdup(item->key), index);
+    view->ops.put(view->context, item);
+}
+
+static void
+apply_removed(PrefixView *view, const char *key)
+{
+    if (g_hash_table_remove(view->indexes, key)) {
+        view->ops.removed(view->context, key);
+    }
+}
+
+static void
+apply_changes(PrefixView *view, const AqStoreReply *reply)
+{
+    for (size_t i = 0; i < reply->count && !view->is_destroyed; i++) {
+        const AqStoreItem *item = &reply->items[i];
+        if (item->removed) {
+            apply_removed(view, item->key);
+        }
+        else {
+            apply_put(view, item);
+        }
+    }
+}
+
+/* Keys that the listing has not found were removed in between. */
+static void
+remove_unlisted(PrefixView *view)
+{
+    GHashTableIter iter;
+    gpointer key;
+    GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+    g_hash_table_iter_init(&iter, view->indexes);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (!g_hash_table_contains(view->listing, key)) {
+            g_ptr_array_add(gone, g_strdup(key));
+        }
+    }
+    for (guint i = 0; i < gone->len && !view->is_destroyed; i++) {
+        apply_removed(view, g_ptr_array_index(gone, i));
+    }
+    g_ptr_array_free(gone, TRUE);
+}
+
+/* ---- Calls --------------------------------------------------------------- */
+
+/* Ends the handling of a reply; false when the view was destroyed. */
+static bool
+end_call(PrefixView *view)
+{
+    view->in_flight--;
+    if (view->is_destroyed) {
+        if (view->in_flight == 0) {
+            free_view(view);
+        }
+        return false;
+    }
+    return true;
+}
+
+static void
+on_changes(void *context, const AqStoreReply *reply)
+{
+    PrefixView *view = context;
+    if (!view->is_destroyed && reply->status == AQ_STORE_OK) {
+        note_reachable(view, true, reply->status);
+        if (reply->index > view->index) {
+            view->index = reply->index;
+        }
+        apply_changes(view, reply);
+    }
+    if (!end_call(view)) {
+        return;
+    }
+    if (reply->status == AQ_STORE_OK) {
+        begin(view);
+    }
+    else if (reply->status == AQ_STORE_COMPACTED) {
+        AqLog_Event(AQ_LOG_INFO, "history_gone", "prefix=%s index=%llu",
+                    view->prefix, (unsigned long long)view->index);
+        view->is_listed = false;
+        begin(view);
+    }
+    else {
+        note_reachable(view, false, reply->status);
+        retry_later(view);
+    }
+}
+
+static void
+take_page(PrefixView *view, const AqStoreReply *reply)
+{
+    if (view->after[0] == '\0') {
+        view->index = reply->index;
+    }
+    for (size_t i = 0; i < reply->count && !view->is_destroyed; i++) {
+        const AqStoreItem *item = &reply->items[i];
+        g_hash_table_add(view->listing, g_strdup(item->key));
+        free(view->after);
+        view->after = strdup(item->key);
+        apply_put(view, item);
+    }
+}
+
+static void
+on_page(void *context, const AqStoreReply *reply)
+{
+    PrefixView *view = context;
+    bool ok = reply->status == AQ_STORE_OK;
+    bool is_last = ok && (reply->is_complete || reply->count == 0);
+    if (!view->is_destroyed && ok) {
+        note_reachable(view, true, reply->status);
+        take_page(view, reply);
+        if (is_last && !view->is_destroyed) {
+            remove_unlisted(view);
+        }
+        if (is_last && !view->is_destroyed) {
+            g_hash_table_destroy(view->listing);
+            view->listing = NULL;
+            view->is_listed = true;
+            view->ops.listed(view->context);
+        }
+    }
+    if (!end_call(view)) {
+        return;
+    }
+    if (!ok) {
+        note_reachable(view, false, reply->status);
+        if (view->listing != NULL) {
+            g_hash_table_destroy(view->listing);
+            view->listing = NULL;
+        }
+        retry_later(view);
+        return;
+    }
+    begin(view);
+}
+
+static void
+begin(PrefixView *view)
+{
+    view->in_flight++;
+    if (view->is_listed) {
+        view->store->ops->changes(view->store, view->prefix, view->index,
+                                  WATCH_WAIT_MS, on_changes, view);
+        return;
+    }
+    if (view->listing == NULL) {
+        view->listing =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        free(view->after);
+        view->after = strdup("");
+    }
+    view->store->ops->list_after(view->store, view->prefix, view->after,
+                                 false, on_page, view);
+}
+
+static void
+on_retry(void *context)
+{
+    begin(context);
+}
+
+/* ---- Lifecycle ----------------------------------------------------------- */
+
+PrefixView *
+prefix_view_create(AqLoop *loop, AqStore *store, const char *prefix,
+                   const PrefixViewOps *ops, void *context)
+{
+    PrefixView *view = calloc(1, sizeof(*view));
+    view->loop = loop;
+    view->store = store;
+    view->prefix = strdup(prefix);
+    view->ops = *ops;
+    view->context = context;
+    view->after = strdup("");
+    view->is_reachable = true;
+    view->heard_at = AQ_TIME_NEVER;
+    view->indexes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    AqTimer_Init(&view->retry, on_retry, view);
+    begin(view);
+    return view;
+}
+
+void
+prefix_view_destroy(PrefixView *view)
+{
+    if (view == NULL) {
+        return;
+    }
+    view->is_destroyed = true;
+    AqTimer_Stop(&view->retry);
+    if (view->in_flight == 0) {
+        free_view(view);
+    }
+}
+
+AqTime
+prefix_view_heard_at(const PrefixView *view)
+{
+    return view->heard_at;
+}
+
+bool
+prefix_view_is_listed(const PrefixView *view)
+{
+    return view->is_listed;
+}
--- /dev/null
+++ b/packages/scheduler/lasting.c
@@ -0,0 +1,161 @@
+#include "aq_log.h"
+#include "scheduler_internal.h"
+
+/* Tasks that last: how they leave a VM that is cordoned or draining without
+ * too many of a step being away, and how fillers beside a serving task are
+ * slowed before its users are harmed. */
+
+enum {
+    /* Serving tasks: a filler is slowed from this share of the target on, and
+     * sped up again below the other. */
+    SLOW_PERCENT = 85,
+    SPEED_PERCENT = 55,
+    PACE_UP_MS = 1500,  /* calm for so long before fillers get faster */
+    PACE_DOWN_MS = 400, /* between two steps down */
+    PACE_STEP_UP = 20,  /* percent */
+    PACE_START = 100
+};
+
+/* Tasks of the step that are away by an order, or for any cause. */
+static uint32_t
+count_absent(const Step *step, const Task *except)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *task = &step->tasks[i];
+        count += task != except && task->absent_since != AQ_TIME_NEVER;
+    }
+    return count;
+}
+
+static bool
+may_take_away(const Vm *vm, const Task *task)
+{
+    const AqStepSpec *spec = task->step->spec;
+    return vm->report.is_draining || !spec->limits_missing ||
+           task->absent_since != AQ_TIME_NEVER ||
+           count_absent(task->step, task) < spec->may_miss;
+}
+
+static bool
+has_other_room(const AqScheduler *s, const Vm *vm, const AqStepSpec *spec)
+{
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *other = AqList_Entry(at, Vm, link);
+        if (other != vm && vms_is_usable(s, other) &&
+            other->used_memory + spec->memory_mb <= other->report.memory_mb &&
+            (spec->is_filler ||
+             other->used_cpu + spec->cpu_millis <= other->report.cpu_millis)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+move_lasting(AqScheduler *s, const Vm *vm)
+{
+    AqList_ForEachSafe(at, after, &vm->tasks)
+    {
+        Task *task = AqList_Entry(at, Task, link);
+        if (!task->step->spec->is_perpetual ||
+            task->state != TASK_RUNNING || !may_take_away(vm, task) ||
+            !has_other_room(s, vm, task->step->spec)) {
+            continue;
+        }
+        AqLog_Event(AQ_LOG_INFO, "lasting_task_moved",
+                    "request=%s step=%u task=%u vm=%s reason=%s",
+                    task->step->occurrence->job->spec.id, task->step->number,
+                    task->index, vm->report.id,
+                    vm->report.is_draining ? "draining" : "cordoned");
+        task->was_ordered_off = true;
+        if (task->absent_since == AQ_TIME_NEVER) {
+            task->absent_since = s->now;
+        }
+        replies_order_stop(s, task);
+    }
+}
+
+/* ---- Pacing -------------------------------------------------------------- */
+
+typedef struct {
+    bool is_pressed;  /* a serving task is near its target */
+    bool is_relaxed;  /* all are far below it */
+    bool has_serving;
+} Pressure;
+
+static Pressure
+measure_pressure(const Vm *vm)
+{
+    Pressure pressure = {.is_relaxed = true};
+    AqList_ForEach(at, &vm->tasks)
+    {
+        const Task *task = AqList_Entry(at, Task, link);
+        AqTime target = task->step->spec->latency_target_ms;
+        if (target <= 0 || task->state != TASK_RUNNING) {
+            continue;
+        }
+        pressure.has_serving = true;
+        if (task->usage * 100 > target * SLOW_PERCENT) {
+            pressure.is_pressed = true;
+        }
+        if (task->usage * 100 > target * SPEED_PERCENT) {
+            pressure.is_relaxed = false;
+        }
+    }
+    return pressure;
+}
+
+static void
+set_pace(AqScheduler *s, const Vm *vm, Task *task, int percent)
+{
+    AqOrderTarget target;
+    AqTaskName name;
+    scheduler_name_task(task, &name);
+    vms_target(vm, &target);
+    AqLog_Event(AQ_LOG_INFO, "filler_paced",
+                "request=%s step=%u task=%u vm=%s from=%d to=%d", name.job,
+                name.step, name.index, vm->report.id, task->pace, percent);
+    task->pace = percent;
+    task->paced_at = s->now;
+    s->counters.paced++;
+    s->actions.pace(s->context, &target, &name, task->run, percent);
+}
+
+static void
+pace_fillers(AqScheduler *s, const Vm *vm)
+{
+    Pressure pressure = measure_pressure(vm);
+    AqList_ForEach(at, &vm->tasks)
+    {
+        Task *task = AqList_Entry(at, Task, link);
+        if (!task->step->spec->is_filler || task->state != TASK_RUNNING) {
+            continue;
+        }
+        AqTime since = s->now - task->paced_at;
+        if (pressure.is_pressed && task->pace > 0 && since >= PACE_DOWN_MS) {
+            set_pace(s, vm, task, task->pace > 30 ? task->pace / 2 : 0);
+        }
+        else if (task->pace < PACE_START && since >= PACE_UP_MS &&
+                 (pressure.is_relaxed || !pressure.has_serving)) {
+            int percent = task->pace + PACE_STEP_UP;
+            set_pace(s, vm, task,
+                     percent > PACE_START ? PACE_START : percent);
+        }
+    }
+}
+
+void
+lasting_tick(AqScheduler *s)
+{
+    replies_tick(s);
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        if (vm->is_cordoned || vm->report.is_draining) {
+            move_lasting(s, vm);
+        }
+        pace_fillers(s, vm);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/placement.c
@@ -0,0 +1,380 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "scheduler_internal.h"
+
+/* Which VM a task goes to: one that has room and may run it; near its data;
+ * among those the fullest, so that others become empty and can be given back.
+ * Tasks that last are spread over racks, so that one rack's loss takes few of
+ * a step. */
+
+enum {
+    RACK_SPREAD_WEIGHT = 1000000, /* above any free processor share */
+    NEAR_WEIGHT = 10000000,
+    TICKET_RETRY_MS = 200,
+    MAX_ADVICE = 100
+};
+
+static bool
+has_label(const Vm *vm, const char *label)
+{
+    return label == NULL || strcmp(vm->report.kind, label) == 0 ||
+           strcmp(vm->report.rack, label) == 0;
+}
+
+static bool
+has_room(const Vm *vm, const AqStepSpec *spec)
+{
+    int64_t cpu = spec->is_filler ? 0 : spec->cpu_millis;
+    return vm->used_cpu + vm->foreign_cpu + cpu <= vm->report.cpu_millis &&
+           vm->used_memory + vm->foreign_memory + spec->memory_mb <=
+               vm->report.memory_mb &&
+           vm->used_gpus + spec->gpus <= vm->report.gpus;
+}
+
+static uint32_t
+count_of_step(const Vm *vm, const Step *step)
+{
+    uint32_t count = 0;
+    AqList_ForEach(at, &vm->tasks)
+    {
+        count += AqList_Entry(at, Task, link)->step == step;
+    }
+    return count;
+}
+
+static uint32_t
+count_on_rack(const AqScheduler *s, const char *rack, const Step *step)
+{
+    uint32_t count = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        if (strcmp(vm->report.rack, rack) == 0) {
+            count += count_of_step(vm, step);
+        }
+    }
+    return count;
+}
+
+static const char *
+find_ticket(const AqScheduler *s, const Step *step, const Vm *vm)
+{
+    enum { TICKET_MARGIN_MS = 300 }; /* for the order to arrive */
+    for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
+        const Ticket *ticket = &g_array_index(step->tickets, Ticket, i);
+        if (ticket->until > s->now + TICKET_MARGIN_MS &&
+            strcmp(ticket->vm, vm->report.id) == 0) {
+            return ticket->ticket;
+        }
+    }
+    return NULL;
+}
+
+static bool
+needs_ticket(const AqScheduler *s, const Step *step)
+{
+    const AqQueueConfig *queue = scheduler_queue(s, step->occurrence->job);
+    return queue != NULL && queue->needs_tickets;
+}
+
+static bool
+may_run(const AqScheduler *s, const Vm *vm, const Task *task, bool tickets)
+{
+    const Step *step = task->step;
+    const AqStepSpec *spec = step->spec;
+    return vms_is_usable(s, vm) && vm->blocked_until <= s->now &&
+           has_room(vm, spec) && has_label(vm, spec->required_label) &&
+           (spec->max_per_vm == 0 ||
+            count_of_step(vm, step) < spec->max_per_vm) &&
+           (!tickets || find_ticket(s, step, vm) != NULL);
+}
+
+/* Lower is better. */
+static int64_t
+cost_of(const AqScheduler *s, const Vm *vm, const Task *task)
+{
+    const AqStepSpec *spec = task->step->spec;
+    int64_t cost = vm->report.cpu_millis - vm->used_cpu;
+    if (spec->is_perpetual) {
+        cost += (int64_t)RACK_SPREAD_WEIGHT *
+                count_on_rack(s, vm->report.rack, task->step);
+    }
+    if (spec->near_rack != NULL &&
+        strcmp(vm->report.rack, spec->near_rack) != 0) {
+        cost += NEAR_WEIGHT;
+    }
+    if (strcmp(vm->report.id, task->avoid) == 0) {
+        cost += 2 * (int64_t)NEAR_WEIGHT;
+    }
+    return cost;
+}
+
+static Vm *
+choose_vm(const AqScheduler *s, const Task *task, const char *rack)
+{
+    Vm *best = NULL;
+    int64_t best_cost = INT64_MAX;
+    bool tickets = needs_ticket(s, task->step);
+    AqList_ForEach(at, &s->vms)
+    {
+        Vm *vm = AqList_Entry(at, Vm, link);
+        if (rack != NULL && strcmp(vm->report.rack, rack) != 0) {
+            continue;
+        }
+        if (may_run(s, vm, task, tickets)) {
+            int64_t cost = cost_of(s, vm, task);
+            if (cost < best_cost) {
+                best = vm;
+                best_cost = cost;
+            }
+        }
+    }
+    return best;
+}
+
+void
+placement_send_start(AqScheduler *s, Task *task)
+{
+    AqOrderTarget target;
+    const char *ticket = find_ticket(s, task->step, task->vm);
+    AqStartOrder order = {
+        .run = task->run,
+        .text = task->step->occurrence->job->spec.text,
+        .checkpoint = task->checkpoint != NULL ? task->checkpoint : "",
+        .ticket = ticket != NULL ? ticket : "",
+        .deadline_ms = vms_grant(s, task->vm),
+        .fence = s->config.fence,
+    };
+    scheduler_name_task(task, &order.task);
+    vms_target(task->vm, &target);
+    task->is_order_out = true;
+    AqLog_Event(AQ_LOG_INFO, "run_ordered",
+                "request=%s occurrence=%u step=%u task=%u run=%lld vm=%s "
+                "fence=%llu waited_ms=%lld",
+                order.task.job, order.task.occurrence, order.task.step,
+                order.task.index, (long long)order.run, target.vm,
+                (unsigned long long)s->config.fence,
+                (long long)(s->now - task->ready_at));
+    s->actions.start(s->context, &target, &order);
+}
+
+static void
+assign(AqScheduler *s, Vm *vm, Task *task, int64_t run)
+{
+    task->step->ready--;
+    task->state = TASK_STARTING;
+    task->run = run;
+    task->is_uncertain = false;
+    task->must_stop = false;
+    task->percent = 0;
+    task->resend_at = 0;
+    vms_attach(s, vm, task);
+}
+
+static void
+ask_tickets(AqScheduler *s, Step *step)
+{
+    const char *vms[MAX_ADVICE];
+    size_t count = 0;
+    AqTaskName name;
+    if (step->is_asking || step->ask_at > s->now) {
+        return;
+    }
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        if (count < MAX_ADVICE && vms_is_usable(s, vm)) {
+            vms[count++] = vm->report.id;
+        }
+    }
+    if (count == 0) {
+        return;
+    }
+    scheduler_name_task(&step->tasks[0], &name);
+    step->is_asking = true;
+    step->ask_at = s->now + TICKET_RETRY_MS;
+    s->actions.ask_tickets(s->context, &name, vms, count);
+}
+
+static bool
+is_startable(const AqScheduler *s, const Task *task)
+{
+    return task->state == TASK_READY && task->not_before <= s->now;
+}
+
+static void
+place_tasks(AqScheduler *s, Step *step)
+{
+    for (uint32_t i = 0; i < step->spec->task_count && step->ready > 0; i++) {
+        Task *task = &step->tasks[i];
+        if (!is_startable(s, task)) {
+            continue;
+        }
+        Vm *vm = choose_vm(s, task, NULL);
+        if (vm == NULL) {
+            return; /* the others of the step need as much */
+        }
+        assign(s, vm, task, task->run + 1);
+        placement_send_start(s, task);
+    }
+}
+
+/* Places all tasks of a gang or none.  Returns whether it did. */
+static bool
+place_gang_on(AqScheduler *s, Step *step, const char *rack)
+{
+    int64_t run = 0;
+    uint32_t placed = 0;
+    uint32_t count = step->spec->task_count;
+    for (uint32_t i = 0; i < count; i++) {
+        run = step->tasks[i].run > run ? step->tasks[i].run : run;
+    }
+    int64_t *earlier = calloc(count, sizeof(*earlier));
+    for (; placed < count; placed++) {
+        Task *task = &step->tasks[placed];
+        Vm *vm = choose_vm(s, task, rack);
+        if (vm == NULL) {
+            break;
+        }
+        earlier[placed] = task->run;
+        assign(s, vm, task, run + 1);
+    }
+    if (placed < count) {
+        while (placed-- > 0) {
+            Task *task = &step->tasks[placed];
+            AqTime since = task->ready_at;
+            scheduler_task_again(s, task);
+            task->run = earlier[placed];
+            task->ready_at = since;
+        }
+        free(earlier);
+        return false;
+    }
+    free(earlier);
+    for (uint32_t i = 0; i < count; i++) {
+        placement_send_start(s, &step->tasks[i]);
+    }
+    return true;
+}
+
+static void
+place_gang(AqScheduler *s, Step *step)
+{
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        if (!is_startable(s, &step->tasks[i])) {
+            return; /* a member's last run has not ended */
+        }
+    }
+    if (step->spec->wants_one_rack) {
+        AqList_ForEach(at, &s->vms)
+        {
+            const Vm *vm = AqList_Entry(at, Vm, link);
+            if (vms_is_usable(s, vm) &&
+                place_gang_on(s, step, vm->report.rack)) {
+                return;
+            }
+        }
+    }
+    place_gang_on(s, step, NULL);
+}
+
+static void
+place_job(AqScheduler *s, Job *job)
+{
+    AqList_ForEach(at, &job->occurrences)
+    {
+        Occurrence *occurrence = AqList_Entry(at, Occurrence, link);
+        for (size_t i = 0; i < job->spec.step_count; i++) {
+            Step *step = &occurrence->steps[i];
+            if (step->ready == 0) {
+                continue;
+            }
+            if (needs_ticket(s, step)) {
+                ask_tickets(s, step);
+            }
+            if (step->spec->is_gang) {
+                place_gang(s, step);
+            }
+            else {
+                place_tasks(s, step);
+            }
+        }
+    }
+}
+
+void
+placement_run(AqScheduler *s)
+{
+    if (!s->is_settled || (!s->place_again && s->now < s->next_place)) {
+        return;
+    }
+    enum { PLACE_EVERY_MS = 100 }; /* for pauses that end without an event */
+    s->place_again = false;
+    s->next_place = s->now + PLACE_EVERY_MS;
+    size_t count = 0;
+    Job **jobs = malloc((AqList_Length(&s->active) + 1) * sizeof(*jobs));
+    AqList_ForEach(at, &s->active)
+    {
+        Job *job = AqList_Entry(at, Job, link);
+        if (ranking_update(s, job)) {
+            jobs[count++] = job;
+        }
+    }
+    qsort(jobs, count, sizeof(*jobs), ranking_compare);
+    for (size_t i = 0; i < count; i++) {
+        place_job(s, jobs[i]);
+    }
+    free(jobs);
+}
+
+/* ---- Tickets ------------------------------------------------------------- */
+
+static Step *
+find_step(const AqScheduler *s, const AqTaskName *name)
+{
+    AqTaskName first = *name;
+    first.index = 0;
+    Task *task = scheduler_find_task(s, &first);
+    return task != NULL ? task->step : NULL;
+}
+
+void
+AqScheduler_OnTicket(AqScheduler *s, const AqTaskName *name, const char *vm,
+                     const char *ticket, AqTime valid_ms, AqTime now)
+{
+    Step *step = find_step(s, name);
+    s->now = now;
+    if (step == NULL) {
+        return;
+    }
+    if (step->tickets == NULL) {
+        step->tickets = g_array_new(FALSE, FALSE, sizeof(Ticket));
+    }
+    for (guint i = 0; i < step->tickets->len; i++) {
+        Ticket *known = &g_array_index(step->tickets, Ticket, i);
+        if (strcmp(known->vm, vm) == 0) {
+            free(known->ticket);
+            known->ticket = strdup(ticket);
+            known->until = now + valid_ms;
+            return;
+        }
+    }
+    Ticket fresh = {strdup(vm), strdup(ticket), now + valid_ms};
+    g_array_append_val(step->tickets, fresh);
+}
+
+void
+AqScheduler_OnTicketsEnd(AqScheduler *s, const AqTaskName *name,
+                         bool is_answered, AqTime now)
+{
+    enum { ASK_AGAIN_MS = 1000 };
+    Step *step = find_step(s, name);
+    s->now = now;
+    if (step != NULL) {
+        step->is_asking = false;
+        step->ask_at = now + (is_answered ? ASK_AGAIN_MS : TICKET_RETRY_MS);
+        s->place_again = true;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/progress.c
@@ -0,0 +1,209 @@
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "record_codec.h"
+#include "scheduler_internal.h"
+
+/* The stored record of a job:
+ * [format, stage, next occurrence, [[occurrence, [[done, [[task, failures]
+ * ...]] ... of each step]] ... of each unfinished occurrence]]
+ * "done" is a bit map of the tasks of a step.  An occurrence below the next
+ * one that is not listed is done. */
+
+enum {
+    RECORD_FORMAT = 1,
+    RECORD_FIELDS = 4
+};
+
+static void
+pack_step(msgpack_packer *pk, const Step *step)
+{
+    uint32_t count = step->spec->task_count;
+    size_t size = (count + 7) / 8;
+    uint32_t failing = 0;
+    unsigned char *bits = calloc(size, 1);
+    for (uint32_t i = 0; i < count; i++) {
+        if (step->tasks[i].state == TASK_DONE) {
+            bits[i / 8] |= (unsigned char)(1U << (i % 8));
+        }
+        failing += step->tasks[i].failures > 0;
+    }
+    msgpack_pack_array(pk, 2);
+    msgpack_pack_bin(pk, size);
+    msgpack_pack_bin_body(pk, bits, size);
+    free(bits);
+    msgpack_pack_array(pk, failing);
+    for (uint32_t i = 0; i < count; i++) {
+        if (step->tasks[i].failures > 0) {
+            msgpack_pack_array(pk, 2);
+            msgpack_pack_uint32(pk, i);
+            msgpack_pack_uint32(pk, step->tasks[i].failures);
+        }
+    }
+}
+
+void
+progress_encode(const Job *job, AqBuffer *out)
+{
+    msgpack_packer packer;
+    bool is_finished = scheduler_is_finished(job);
+    msgpack_packer_init(&packer, out, record_write);
+    msgpack_pack_array(&packer, RECORD_FIELDS);
+    msgpack_pack_int(&packer, RECORD_FORMAT);
+    msgpack_pack_int(&packer, (int)job->stage);
+    msgpack_pack_uint32(&packer, job->next_occurrence);
+    msgpack_pack_array(&packer,
+                       is_finished ? 0 : AqList_Length(&job->occurrences));
+    if (is_finished) {
+        return;
+    }
+    AqList_ForEach(at, &job->occurrences)
+    {
+        const Occurrence *occurrence = AqList_Entry(at, Occurrence, link);
+        msgpack_pack_array(&packer, 2);
+        msgpack_pack_uint32(&packer, occurrence->number);
+        msgpack_pack_array(&packer, job->spec.step_count);
+        for (size_t i = 0; i < job->spec.step_count; i++) {
+            pack_step(&packer, &occurrence->steps[i]);
+        }
+    }
+}
+
+static bool
+apply_failures(const msgpack_object *rows, Step *step)
+{
+    if (rows->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    for (uint32_t i = 0; i < rows->via.array.size; i++) {
+        const msgpack_object *row = &rows->via.array.ptr[i];
+        int64_t index;
+        int64_t failures;
+        if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size < 2 ||
+            !record_int(&row->via.array.ptr[0], 0, step->spec->task_count - 1,
+                        &index) ||
+            !record_int(&row->via.array.ptr[1], 0, UINT32_MAX, &failures)) {
+            return false;
+        }
+        step->tasks[index].failures = (uint32_t)failures;
+    }
+    return true;
+}
+
+static bool
+apply_step(const msgpack_object *object, Step *step)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < 2) {
+        return false;
+    }
+    const msgpack_object *bits = &object->via.array.ptr[0];
+    uint32_t count = step->spec->task_count;
+    if (bits->type != MSGPACK_OBJECT_BIN ||
+        bits->via.bin.size < (count + 7) / 8) {
+        return false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if ((unsigned char)bits->via.bin.ptr[i / 8] & (1U << (i % 8))) {
+            step->tasks[i].state = TASK_DONE;
+            step->done++;
+        }
+    }
+    return apply_failures(&object->via.array.ptr[1], step);
+}
+
+static bool
+apply_occurrence(AqScheduler *s, Job *job, const msgpack_object *object)
+{
+    int64_t number;
+    if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < 2 ||
+        !record_int(&object->via.array.ptr[0], 0, UINT32_MAX, &number)) {
+        return false;
+    }
+    const msgpack_object *steps = &object->via.array.ptr[1];
+    if (steps->type != MSGPACK_OBJECT_ARRAY ||
+        steps->via.array.size != job->spec.step_count) {
+        return false;
+    }
+    Occurrence *occurrence =
+        scheduler_add_occurrence(s, job, (uint32_t)number);
+    for (size_t i = 0; i < job->spec.step_count; i++) {
+        Step *step = &occurrence->steps[i];
+        if (!apply_step(&steps->via.array.ptr[i], step)) {
+            return false;
+        }
+        if (step->done == step->spec->task_count) {
+            occurrence->steps_left--;
+        }
+    }
+    return true;
+}
+
+static bool
+read_head(const msgpack_object *root, int64_t *stage, int64_t *next)
+{
+    int64_t format;
+    return root->type == MSGPACK_OBJECT_ARRAY &&
+           root->via.array.size >= RECORD_FIELDS &&
+           record_int(&root->via.array.ptr[0], RECORD_FORMAT, RECORD_FORMAT,
+                      &format) &&
+           record_int(&root->via.array.ptr[1], 0, AQ_STAGE_CANCELLED, stage) &&
+           record_int(&root->via.array.ptr[2], 0, UINT32_MAX, next) &&
+           root->via.array.ptr[3].type == MSGPACK_OBJECT_ARRAY;
+}
+
+static bool
+apply(AqScheduler *s, Job *job, const msgpack_object *root)
+{
+    int64_t stage;
+    int64_t next;
+    if (!read_head(root, &stage, &next)) {
+        return false;
+    }
+    const msgpack_object *list = &root->via.array.ptr[3];
+    job->stage = (AqJobStage)stage;
+    job->stored_stage = job->stage;
+    job->has_started = job->stage != AQ_STAGE_WAITING;
+    job->next_occurrence = (uint32_t)next;
+    for (uint32_t i = 0; i < list->via.array.size; i++) {
+        if (!apply_occurrence(s, job, &list->via.array.ptr[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+progress_apply(AqScheduler *s, Job *job, const char *bytes, size_t size)
+{
+    msgpack_unpacked unpacked;
+    size_t offset = 0;
+    msgpack_unpacked_init(&unpacked);
+    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
+                  MSGPACK_UNPACK_SUCCESS &&
+              apply(s, job, &unpacked.data);
+    msgpack_unpacked_destroy(&unpacked);
+    return ok;
+}
+
+bool
+AqScheduler_ReadStage(const char *record, size_t size, AqJobStage *stage,
+                      AqError *error)
+{
+    msgpack_unpacked unpacked;
+    size_t offset = 0;
+    int64_t value = 0;
+    int64_t next;
+    msgpack_unpacked_init(&unpacked);
+    bool ok = msgpack_unpack_next(&unpacked, record, size, &offset) ==
+                  MSGPACK_UNPACK_SUCCESS &&
+              read_head(&unpacked.data, &value, &next);
+    msgpack_unpacked_destroy(&unpacked);
+    if (!ok) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "the stored progress of the job is damaged; ask "
+                           "the pool's owner for its log");
+    }
+    *stage = (AqJobStage)value;
+    return true;
+}
--- /dev/null
+++ b/packages/scheduler/ranking.c
@@ -0,0 +1,133 @@
+#include "scheduler_internal.h"
+
+/* Which job comes first while there is less room than work.
+ *
+ * A job that can still be in time goes before one that cannot, and among
+ * those the one with the least work left, so that the most jobs are in time.
+ * Late jobs follow in the same order, then those so late that nobody gains
+ * from haste, oldest first.  Lasting tasks go first of all: their users wait
+ * now, and they are started rarely. */
+
+enum {
+    BUCKET_LASTING,
+    BUCKET_IN_TIME,
+    BUCKET_LATE,
+    BUCKET_VERY_LATE,
+    BUCKETS,
+    LATE_FACTOR = 3 /* of the objective: an answer after that is worthless */
+};
+
+/* Longest chain of declared durations from the given step on, over the steps
+ * that are not done. */
+static AqTime
+longest_chain(const AqScheduler *s, const Occurrence *occurrence, bool whole)
+{
+    AqTime ends[AQ_JOB_MAX_STEPS];
+    AqTime longest = 0;
+    size_t count = occurrence->job->spec.step_count;
+    for (size_t i = 0; i < count; i++) {
+        const Step *step = &occurrence->steps[i];
+        bool is_done = step->done == step->spec->task_count;
+        AqTime start = 0;
+        for (size_t j = 0; j < step->spec->after_count; j++) {
+            AqTime end = ends[step->spec->after[j]];
+            start = end > start ? end : start;
+        }
+        ends[i] = start;
+        if (whole || !is_done) {
+            ends[i] += scheduler_estimate(s, step->spec);
+        }
+        longest = ends[i] > longest ? ends[i] : longest;
+    }
+    return longest;
+}
+
+static int64_t
+work_left(const Occurrence *occurrence)
+{
+    int64_t work = 0;
+    for (size_t i = 0; i < occurrence->job->spec.step_count; i++) {
+        const Step *step = &occurrence->steps[i];
+        work += (int64_t)(step->spec->task_count - step->done) *
+                step->spec->cpu_millis * step->spec->estimate_ms / 1000;
+    }
+    return work;
+}
+
+static bool
+has_ready_tasks(const Occurrence *occurrence, bool *is_lasting)
+{
+    bool has_ready = false;
+    for (size_t i = 0; i < occurrence->job->spec.step_count; i++) {
+        const Step *step = &occurrence->steps[i];
+        if (step->ready > 0) {
+            has_ready = true;
+            *is_lasting = *is_lasting || step->spec->is_perpetual;
+        }
+    }
+    return has_ready;
+}
+
+bool
+ranking_update(const AqScheduler *s, Job *job)
+{
+    const AqQueueConfig *queue = scheduler_queue(s, job);
+    bool has_ready = false;
+    bool is_lasting = false;
+    AqTime chain = 0;
+    AqTime left = 0;
+    AqTime since = job->submitted_at;
+    job->remaining_work = 0;
+    AqList_ForEach(at, &job->occurrences)
+    {
+        const Occurrence *occurrence = AqList_Entry(at, Occurrence, link);
+        if (!has_ready_tasks(occurrence, &is_lasting)) {
+            continue;
+        }
+        if (!has_ready && job->spec.occurrences > 0) {
+            since = occurrence->due_at;
+        }
+        has_ready = true;
+        AqTime whole = longest_chain(s, occurrence, true);
+        AqTime rest = longest_chain(s, occurrence, false);
+        chain = whole > chain ? whole : chain;
+        left = rest > left ? rest : left;
+        job->remaining_work += work_left(occurrence);
+    }
+    double stretch = queue != NULL ? queue->stretch : 1.0;
+    AqTime target = queue != NULL ? queue->target_ms : 0;
+    AqTime objective = (AqTime)((double)chain * stretch) + target;
+    job->slack = since + objective - s->now - left;
+    if (is_lasting) {
+        job->bucket = BUCKET_LASTING;
+    }
+    else if (job->slack >= 0) {
+        job->bucket = BUCKET_IN_TIME;
+    }
+    else if (since + LATE_FACTOR * objective - s->now - left >= 0) {
+        job->bucket = BUCKET_LATE;
+    }
+    else {
+        job->bucket = BUCKET_VERY_LATE;
+    }
+    job->bucket += BUCKETS * (queue != NULL ? queue->priority : 0);
+    return has_ready;
+}
+
+int
+ranking_compare(const void *a, const void *b)
+{
+    const Job *first = *(const Job *const *)a;
+    const Job *second = *(const Job *const *)b;
+    if (first->bucket != second->bucket) {
+        return first->bucket < second->bucket ? -1 : 1;
+    }
+    if (first->bucket % BUCKETS != BUCKET_VERY_LATE &&
+        first->remaining_work != second->remaining_work) {
+        return first->remaining_work < second->remaining_work ? -1 : 1;
+    }
+    if (first->submitted_at != second->submitted_at) {
+        return first->submitted_at < second->submitted_at ? -1 : 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/packages/scheduler/replies.c
@@ -0,0 +1,511 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "scheduler_internal.h"
+
+enum {
+    RESEND_MS = 150,
+    NO_ROOM_PAUSE_MS = 150,
+    UNHEALTHY_PAUSE_MS = 1000,
+    INVALID_PAUSE_MS = 2000,
+    /* A run whose percent stands still for so long, and for this share of its
+     * declared time, is started elsewhere. */
+    STALL_MS = 1200,
+    STALL_SHARE = 25,
+    /* A lasting task starts up within a second or two. */
+    LASTING_START_MS = 5000
+};
+
+static void
+log_task(AqLogLevel level, const char *event, const Task *task, const Vm *vm,
+         const AqScheduler *s, const char *outcome)
+{
+    AqTaskName name;
+    scheduler_name_task(task, &name);
+    AqLog_Event(level, event,
+                "request=%s occurrence=%u step=%u task=%u run=%lld vm=%s "
+                "fence=%llu outcome=%s failures=%u heard_ms_ago=%lld",
+                name.job, name.occurrence, name.step, name.index,
+                (long long)task->run, vm != NULL ? vm->report.id : "-",
+                (unsigned long long)s->config.fence, outcome, task->failures,
+                (long long)(vm != NULL ? s->now - vm->clock_at : -1));
+}
+
+/* ---- Stops --------------------------------------------------------------- */
+
+static void
+send_stop(AqScheduler *s, Task *task)
+{
+    AqOrderTarget target;
+    AqTaskName name;
+    scheduler_name_task(task, &name);
+    vms_target(task->vm, &target);
+    task->is_order_out = true;
+    s->actions.stop(s->context, &target, &name, task->run);
+}
+
+void
+replies_order_stop(AqScheduler *s, Task *task)
+{
+    if (task->state == TASK_STARTING && task->is_order_out) {
+        task->must_stop = true;
+        return;
+    }
+    if (task->state == TASK_STOPPING) {
+        return;
+    }
+    task->state = TASK_STOPPING;
+    task->is_stop_acked = false;
+    task->must_stop = false;
+    task->resend_at = s->now;
+    if (s->may_order && !task->is_order_out) {
+        send_stop(s, task);
+    }
+}
+
+/* A run that no job of ours wants. */
+static void
+stop_stray(AqScheduler *s, const Vm *vm, const AqTaskName *name, int64_t run)
+{
+    AqOrderTarget target;
+    vms_target(vm, &target);
+    AqLog_Event(AQ_LOG_WARNING, "stray_run_stopped",
+                "request=%s step=%u task=%u run=%lld vm=%s fence=%llu",
+                name->job, name->step, name->index, (long long)run,
+                vm->report.id, (unsigned long long)s->config.fence);
+    if (s->may_order) {
+        s->actions.stop(s->context, &target, name, run);
+    }
+}
+
+static bool
+note_common(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
+{
+    switch (reply->result) {
+    case AQ_ORDER_FENCED:
+        if (!s->is_deposed) {
+            s->is_deposed = true;
+            s->actions.deposed(s->context);
+        }
+        return true;
+    case AQ_ORDER_OTHER_LIFE:
+        AqLog_Event(AQ_LOG_WARNING, "vm_ended", "vm=%s reason=other_life",
+                    vm->report.id);
+        vms_end(s, vm);
+        return true;
+    case AQ_ORDER_UNKNOWN:
+    case AQ_ORDER_NOT_SENT:
+        vms_not_heard(s, vm);
+        return false;
+    default:
+        vms_heard(s, vm, reply);
+        return false;
+    }
+}
+
+static Task *
+find_order(const AqScheduler *s, const Vm *vm, const AqTaskName *name,
+           int64_t run)
+{
+    Task *task = scheduler_find_task(s, name);
+    return task != NULL && task->vm == vm && task->run == run ? task : NULL;
+}
+
+/* ---- Start --------------------------------------------------------------- */
+
+static void
+start_confirmed(AqScheduler *s, Task *task)
+{
+    Job *job = task->step->occurrence->job;
+    task->state = TASK_RUNNING;
+    task->started_at = s->now;
+    task->progress_at = s->now;
+    task->listed_after = s->now;
+    task->is_uncertain = false;
+    task->was_ordered_off = false;
+    s->counters.starts++;
+    if (job->stage == AQ_STAGE_WAITING) {
+        job->stage = AQ_STAGE_RUNNING;
+        scheduler_changed(s, job);
+    }
+    job->has_started = true;
+    if (task->must_stop) {
+        replies_order_stop(s, task);
+    }
+}
+
+/* Nothing was done for this order.  An earlier one without an answer may
+ * still come, which only a stop rules out. */
+static void
+start_refused(AqScheduler *s, Task *task, AqTime pause)
+{
+    s->counters.starts_refused++;
+    if (task->is_uncertain) {
+        task->state = TASK_RUNNING;
+        replies_order_stop(s, task);
+        return;
+    }
+    scheduler_task_again(s, task);
+    task->not_before = s->now + pause;
+}
+
+void
+AqScheduler_OnStart(AqScheduler *s, const char *id, const AqTaskName *name,
+                    int64_t run, const AqOrderReply *reply, AqTime now)
+{
+    s->now = now;
+    Vm *vm = vms_find(s, id);
+    if (vm == NULL) {
+        return;
+    }
+    Task *task = find_order(s, vm, name, run);
+    if (task != NULL) {
+        task->is_order_out = false;
+        if (reply->result != AQ_ORDER_DONE) {
+            log_task(AQ_LOG_WARNING, "start_refused", task, vm, s,
+                     AqOrderResult_Name(reply->result));
+        }
+    }
+    if (note_common(s, vm, reply) || task == NULL ||
+        task->state != TASK_STARTING) {
+        return;
+    }
+    switch (reply->result) {
+    case AQ_ORDER_DONE:
+        start_confirmed(s, task);
+        break;
+    case AQ_ORDER_NO_ROOM:
+        vm->blocked_until = now + NO_ROOM_PAUSE_MS;
+        start_refused(s, task, 0);
+        break;
+    case AQ_ORDER_UNHEALTHY:
+        vm->quarantined_until = now + UNHEALTHY_PAUSE_MS;
+        start_refused(s, task, 0);
+        break;
+    case AQ_ORDER_OLD_RUN:
+        if (task->is_uncertain) {
+            /* It ran and ended already; the next hold lists the end. */
+            start_confirmed(s, task);
+        }
+        else {
+            start_refused(s, task, 0);
+        }
+        break;
+    case AQ_ORDER_UNKNOWN:
+        task->is_uncertain = true;
+        task->resend_at = now + RESEND_MS;
+        break;
+    case AQ_ORDER_INVALID:
+        start_refused(s, task, INVALID_PAUSE_MS);
+        break;
+    default: /* late, no ticket, not sent */
+        start_refused(s, task, RESEND_MS);
+        break;
+    }
+}
+
+/* ---- Stop ---------------------------------------------------------------- */
+
+void
+AqScheduler_OnStop(AqScheduler *s, const char *id, const AqTaskName *name,
+                   int64_t run, const AqOrderReply *reply, AqTime now)
+{
+    s->now = now;
+    Vm *vm = vms_find(s, id);
+    if (vm == NULL) {
+        return;
+    }
+    Task *task = find_order(s, vm, name, run);
+    if (task != NULL) {
+        task->is_order_out = false;
+    }
+    if (note_common(s, vm, reply) || task == NULL ||
+        task->state != TASK_STOPPING) {
+        return;
+    }
+    if (reply->result == AQ_ORDER_DONE || reply->result == AQ_ORDER_OLD_RUN) {
+        task->is_stop_acked = true;
+        task->listed_after = now;
+    }
+    else {
+        task->resend_at = now + RESEND_MS;
+    }
+}
+
+/* ---- Hold: ends ---------------------------------------------------------- */
+
+static void
+set_checkpoint(Task *task, const char *checkpoint)
+{
+    if (checkpoint[0] == '\0' ||
+        (task->checkpoint != NULL &&
+         strcmp(task->checkpoint, checkpoint) == 0)) {
+        return;
+    }
+    free(task->checkpoint);
+    task->checkpoint = strdup(checkpoint);
+}
+
+static void
+apply_end(AqScheduler *s, Vm *vm, Task *task, const AqEndedTask *end)
+{
+    static const char *const names[] = {"done",   "failed", "stopped", "lapsed",
+                                        "broken", "alone",  "other"};
+    log_task(AQ_LOG_INFO, "run_ended", task, vm, s, names[end->kind]);
+    if (end->kind == AQ_END_DONE) {
+        vms_note_end(s, vm, task, false);
+        if (task->vm != NULL && (task->vm != vm || task->run != end->run)) {
+            AqTaskName name;
+            scheduler_name_task(task, &name);
+            stop_stray(s, task->vm, &name, task->run);
+        }
+        scheduler_task_done(s, task);
+        return;
+    }
+    if (end->run < task->run || (task->vm != NULL && task->vm != vm)) {
+        return;
+    }
+    task->run = end->run;
+    set_checkpoint(task, end->checkpoint);
+    if (task->state == TASK_DONE) {
+        return;
+    }
+    if (end->kind == AQ_END_FAILED) {
+        vms_note_end(s, vm, task, true);
+        scheduler_task_failed(s, task);
+    }
+    else {
+        if (end->kind != AQ_END_STOPPED) {
+            s->counters.lost++;
+        }
+        scheduler_task_again(s, task);
+    }
+}
+
+/* Takes the ends in order; stops at one of a job that is not known yet.
+ * Returns whether all were taken. */
+static bool
+take_ends(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
+{
+    for (size_t i = 0; i < reply->ended_count; i++) {
+        const AqEndedTask *end = &reply->ended[i];
+        if (end->number <= vm->last_end) {
+            continue;
+        }
+        Task *task = scheduler_find_task(s, &end->task);
+        if (task == NULL && scheduler_find_job(s, end->task.job) == NULL &&
+            !vms_is_foreign_old(s, vm)) {
+            if (vm->foreign_since == 0) {
+                vm->foreign_since = s->now;
+            }
+            return false;
+        }
+        if (task != NULL) {
+            apply_end(s, vm, task, end);
+        }
+        vm->last_end = end->number;
+        PendingEnd pending = {.number = end->number, .seq = s->change_seq};
+        g_array_append_val(vm->pending_ends, pending);
+    }
+    return true;
+}
+
+/* ---- Hold: runs ---------------------------------------------------------- */
+
+static void
+check_stall(AqScheduler *s, Vm *vm, Task *task, const AqRunningTask *row)
+{
+    const AqStepSpec *spec = task->step->spec;
+    if (row->percent != task->percent) {
+        task->percent = row->percent;
+        task->progress_at = s->now;
+        return;
+    }
+    if (task->state != TASK_RUNNING || task->pace < 100 || spec->is_gang) {
+        return;
+    }
+    AqTime limit = spec->is_perpetual
+                       ? LASTING_START_MS
+                       : STALL_MS + spec->estimate_ms / STALL_SHARE;
+    bool is_at_work = spec->is_perpetual && row->percent >= 100;
+    if (!is_at_work && s->now - task->progress_at > limit) {
+        s->counters.stalled++;
+        vm->quarantined_until = s->now + STALL_MS * 2;
+        log_task(AQ_LOG_WARNING, "run_stalled", task, vm, s, "stop");
+        replies_order_stop(s, task);
+    }
+}
+
+static void
+note_presence(AqScheduler *s, Task *task, const AqRunningTask *row)
+{
+    if (task->step->spec->is_perpetual) {
+        if (row->percent < 100 && task->pace >= 100) {
+            if (task->absent_since == AQ_TIME_NEVER) {
+                task->absent_since = s->now;
+            }
+        }
+        else {
+            task->absent_since = AQ_TIME_NEVER;
+        }
+    }
+    task->usage = row->usage;
+}
+
+/* Takes over a run that an earlier owner or an order without an answer has
+ * started. */
+static void
+adopt(AqScheduler *s, Vm *vm, Task *task, const AqRunningTask *row)
+{
+    if (task->vm != NULL && task->vm != vm) {
+        AqTaskName name;
+        scheduler_name_task(task, &name);
+        stop_stray(s, task->vm, &name, task->run);
+    }
+    if (task->state == TASK_READY) {
+        task->step->ready--;
+    }
+    vms_attach(s, vm, task);
+    task->run = row->run;
+    task->percent = row->percent;
+    task->state = TASK_STARTING;
+    start_confirmed(s, task);
+    task->started_at = 0; /* not known: no measurement of its duration */
+}
+
+static void
+take_run(AqScheduler *s, Vm *vm, const AqRunningTask *row)
+{
+    Task *task = scheduler_find_task(s, &row->task);
+    const Job *job = scheduler_find_job(s, row->task.job);
+    if (task == NULL || scheduler_is_finished(job) ||
+        task->state == TASK_DONE || row->run < task->run) {
+        bool is_expected =
+            task != NULL && task->vm == vm && task->run == row->run;
+        if (is_expected) {
+            task->seen_in = vm->holds;
+            return; /* its stop is under way */
+        }
+        vm->foreign_cpu += task != NULL ? task->step->spec->cpu_millis : 1;
+        vm->foreign_memory += task != NULL ? task->step->spec->memory_mb : 0;
+        if (job != NULL || vms_is_foreign_old(s, vm)) {
+            stop_stray(s, vm, &row->task, row->run);
+        }
+        else if (vm->foreign_since == 0) {
+            vm->foreign_since = s->now;
+        }
+        return;
+    }
+    if (task->vm != vm || task->run != row->run) {
+        log_task(AQ_LOG_INFO, "run_adopted", task, vm, s, "running");
+        adopt(s, vm, task, row);
+    }
+    else if (task->state == TASK_STARTING) {
+        start_confirmed(s, task);
+    }
+    task->seen_in = vm->holds;
+    set_checkpoint(task, row->checkpoint);
+    note_presence(s, task, row);
+    check_stall(s, vm, task, row);
+}
+
+/* Runs that the VM should list and does not. */
+static void
+find_vanished(AqScheduler *s, Vm *vm, AqTime sent_at)
+{
+    AqList_ForEachSafe(at, after, &vm->tasks)
+    {
+        Task *task = AqList_Entry(at, Task, link);
+        bool is_over = task->state == TASK_RUNNING ||
+                       (task->state == TASK_STOPPING && task->is_stop_acked);
+        if (!is_over || task->seen_in == vm->holds ||
+            task->listed_after >= sent_at) {
+            continue;
+        }
+        if (task->state == TASK_RUNNING) {
+            s->counters.lost++;
+            log_task(AQ_LOG_WARNING, "run_vanished", task, vm, s, "again");
+        }
+        scheduler_task_again(s, task);
+    }
+}
+
+void
+AqScheduler_OnHold(AqScheduler *s, const char *id, AqTime sent_at,
+                   const AqOrderReply *reply, AqTime now)
+{
+    s->now = now;
+    Vm *vm = vms_find(s, id);
+    if (vm == NULL) {
+        return;
+    }
+    vm->is_hold_out = false;
+    if (note_common(s, vm, reply)) {
+        return;
+    }
+    if (reply->result != AQ_ORDER_DONE) {
+        if (reply->result != AQ_ORDER_UNKNOWN &&
+            reply->result != AQ_ORDER_NOT_SENT) {
+            vm->quarantined_until = now + UNHEALTHY_PAUSE_MS;
+        }
+        vms_schedule_hold(s, vm);
+        if (vm->hold_due <= now) {
+            vm->hold_due = now + RESEND_MS;
+        }
+        return;
+    }
+    bool is_first = !vm->has_answered;
+    vm->has_answered = true;
+    vm->holds++;
+    vm->foreign_cpu = 0;
+    vm->foreign_memory = 0;
+    bool are_known = take_ends(s, vm, reply);
+    for (size_t i = 0; i < reply->running_count; i++) {
+        take_run(s, vm, &reply->running[i]);
+    }
+    if (vm->foreign_cpu == 0 && are_known) {
+        vm->foreign_since = 0;
+    }
+    if (are_known) {
+        find_vanished(s, vm, sent_at);
+    }
+    vms_confirm_ends(s);
+    vms_schedule_hold(s, vm);
+    if (!are_known && vm->hold_due <= now) {
+        vm->hold_due = now + RESEND_MS;
+    }
+    if (is_first) {
+        s->place_again = true;
+    }
+}
+
+/* ---- Orders that are due again ------------------------------------------- */
+
+void
+replies_tick(AqScheduler *s)
+{
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        AqList_ForEachSafe(each, after, &vm->tasks)
+        {
+            Task *task = AqList_Entry(each, Task, link);
+            if (task->is_order_out || task->resend_at > s->now) {
+                continue;
+            }
+            if (task->state == TASK_STARTING &&
+                vm->silent_since == AQ_TIME_NEVER) {
+                if (task->must_stop) {
+                    replies_order_stop(s, task);
+                }
+                else {
+                    placement_send_start(s, task);
+                }
+            }
+            else if (task->state == TASK_STOPPING && !task->is_stop_acked) {
+                send_stop(s, task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/scheduler.c
@@ -0,0 +1,768 @@
+#include "aq_scheduler.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "scheduler_internal.h"
+
+enum {
+    RUNS_PER_OWNER = 100000, /* run numbers of one generation */
+    TICK_MS = 100            /* longest time between two ticks with work */
+};
+
+/* ---- Jobs ---------------------------------------------------------------- */
+
+Job *
+scheduler_find_job(const AqScheduler *s, const char *id)
+{
+    return g_hash_table_lookup(s->jobs, id);
+}
+
+bool
+scheduler_is_finished(const Job *job)
+{
+    return job->stage >= AQ_STAGE_COMPLETED;
+}
+
+const AqQueueConfig *
+scheduler_queue(const AqScheduler *s, const Job *job)
+{
+    return s->site != NULL
+               ? AqSiteConfig_FindQueue(s->site, job->spec.queue)
+               : NULL;
+}
+
+static Occurrence *
+find_occurrence(const Job *job, uint32_t number)
+{
+    AqList_ForEach(at, &job->occurrences)
+    {
+        Occurrence *occurrence = AqList_Entry(at, Occurrence, link);
+        if (occurrence->number == number) {
+            return occurrence;
+        }
+    }
+    return NULL;
+}
+
+Task *
+scheduler_find_task(const AqScheduler *s, const AqTaskName *name)
+{
+    const Job *job = scheduler_find_job(s, name->job);
+    if (job == NULL || name->step >= job->spec.step_count) {
+        return NULL;
+    }
+    Occurrence *occurrence = find_occurrence(job, name->occurrence);
+    if (occurrence == NULL ||
+        name->index >= job->spec.steps[name->step].task_count) {
+        return NULL;
+    }
+    return &occurrence->steps[name->step].tasks[name->index];
+}
+
+void
+scheduler_name_task(const Task *task, AqTaskName *name)
+{
+    const Step *step = task->step;
+    memset(name, 0, sizeof(*name));
+    strcpy(name->job, step->occurrence->job->spec.id);
+    name->occurrence = step->occurrence->number;
+    name->step = step->number;
+    name->index = task->index;
+}
+
+static void
+init_task(AqScheduler *s, Step *step, uint32_t index)
+{
+    Task *task = &step->tasks[index];
+    task->step = step;
+    task->index = index;
+    task->run = s->config.generation * RUNS_PER_OWNER;
+    task->pace = 100;
+    task->absent_since = s->now;
+    task->over_since = AQ_TIME_NEVER;
+    task->under_since = AQ_TIME_NEVER;
+    AqList_Init(&task->link);
+}
+
+Occurrence *
+scheduler_add_occurrence(AqScheduler *s, Job *job, uint32_t number)
+{
+    Occurrence *occurrence = calloc(1, sizeof(*occurrence));
+    occurrence->job = job;
+    occurrence->number = number;
+    occurrence->steps = calloc(job->spec.step_count, sizeof(Step));
+    occurrence->steps_left = job->spec.step_count;
+    occurrence->due_at = s->now;
+    for (size_t i = 0; i < job->spec.step_count; i++) {
+        Step *step = &occurrence->steps[i];
+        step->occurrence = occurrence;
+        step->spec = &job->spec.steps[i];
+        step->number = (uint32_t)i;
+        step->tasks = calloc(step->spec->task_count, sizeof(Task));
+        for (uint32_t j = 0; j < step->spec->task_count; j++) {
+            init_task(s, step, j);
+        }
+    }
+    AqList_Append(&job->occurrences, &occurrence->link);
+    return occurrence;
+}
+
+static void
+clear_step(AqScheduler *s, Step *step)
+{
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        vms_detach(s, &step->tasks[i]);
+        free(step->tasks[i].checkpoint);
+    }
+    if (step->tickets != NULL) {
+        for (guint i = 0; i < step->tickets->len; i++) {
+            Ticket *ticket = &g_array_index(step->tickets, Ticket, i);
+            free(ticket->vm);
+            free(ticket->ticket);
+        }
+        g_array_free(step->tickets, TRUE);
+    }
+    free(step->tasks);
+}
+
+static void
+free_occurrence(AqScheduler *s, Occurrence *occurrence)
+{
+    for (size_t i = 0; i < occurrence->job->spec.step_count; i++) {
+        clear_step(s, &occurrence->steps[i]);
+    }
+    AqList_Remove(&occurrence->link);
+    free(occurrence->steps);
+    free(occurrence);
+}
+
+static void
+free_job(AqScheduler *s, Job *job)
+{
+    AqList_ForEachSafe(at, after, &job->occurrences)
+    {
+        free_occurrence(s, AqList_Entry(at, Occurrence, link));
+    }
+    AqList_Remove(&job->link);
+    AqList_Remove(&job->dirty_link);
+    AqJobSpec_Clear(&job->spec);
+    free(job);
+}
+
+static bool
+is_unlocked(const Occurrence *occurrence, const Step *step)
+{
+    for (size_t i = 0; i < step->spec->after_count; i++) {
+        const Step *earlier = &occurrence->steps[step->spec->after[i]];
+        if (earlier->done < earlier->spec->task_count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+scheduler_unlock(AqScheduler *s, Occurrence *occurrence)
+{
+    for (size_t i = 0; i < occurrence->job->spec.step_count; i++) {
+        Step *step = &occurrence->steps[i];
+        if (!is_unlocked(occurrence, step)) {
+            continue;
+        }
+        for (uint32_t j = 0; j < step->spec->task_count; j++) {
+            Task *task = &step->tasks[j];
+            if (task->state == TASK_BLOCKED) {
+                task->state = TASK_READY;
+                task->ready_at = s->now;
+                step->ready++;
+                s->place_again = true;
+            }
+        }
+    }
+}
+
+static void
+add_due_occurrences(AqScheduler *s, Job *job)
+{
+    uint32_t most = job->spec.occurrences > 0 ? job->spec.occurrences : 1;
+    while (job->next_occurrence < most) {
+        int64_t due = job->spec.first_due_ms +
+                      (int64_t)job->next_occurrence * job->spec.interval_ms;
+        if (due > s->wall) {
+            return;
+        }
+        scheduler_unlock(
+            s, scheduler_add_occurrence(s, job, job->next_occurrence));
+        job->next_occurrence++;
+        scheduler_changed(s, job);
+    }
+}
+
+void
+scheduler_changed(AqScheduler *s, Job *job)
+{
+    s->change_seq++;
+    if (job->is_saving) {
+        job->changed_while_saving = true;
+        if (job->dirty_seq == 0) {
+            job->dirty_seq = s->change_seq;
+        }
+        return;
+    }
+    if (!AqList_IsLinked(&job->dirty_link)) {
+        job->dirty_seq = s->change_seq;
+        AqList_Append(&s->dirty, &job->dirty_link);
+    }
+}
+
+/* Ends the job: what still runs is stopped by its VMs' next holds. */
+static void
+finish_job(AqScheduler *s, Job *job, AqJobStage stage)
+{
+    if (scheduler_is_finished(job)) {
+        return;
+    }
+    job->stage = stage;
+    job->finished_at = s->now;
+    AqList_Remove(&job->link);
+    s->urgent++;
+    scheduler_changed(s, job);
+    AqList_ForEach(at, &job->occurrences)
+    {
+        Occurrence *occurrence = AqList_Entry(at, Occurrence, link);
+        for (size_t i = 0; i < job->spec.step_count; i++) {
+            Step *step = &occurrence->steps[i];
+            for (uint32_t j = 0; j < step->spec->task_count; j++) {
+                Task *task = &step->tasks[j];
+                if (task->vm != NULL) {
+                    replies_order_stop(s, task);
+                }
+            }
+        }
+    }
+}
+
+static void
+finish_if_done(AqScheduler *s, Job *job)
+{
+    uint32_t most = job->spec.occurrences > 0 ? job->spec.occurrences : 1;
+    if (job->next_occurrence < most) {
+        return;
+    }
+    AqList_ForEach(at, &job->occurrences)
+    {
+        if (AqList_Entry(at, Occurrence, link)->steps_left > 0) {
+            return;
+        }
+    }
+    finish_job(s, job, AQ_STAGE_COMPLETED);
+}
+
+bool
+AqScheduler_AddJob(AqScheduler *s, AqJobSpec *spec, const char *record,
+                   size_t size, AqTime now, AqError *error)
+{
+    s->now = now;
+    if (scheduler_find_job(s, spec->id) != NULL) {
+        AqJobSpec_Clear(spec);
+        return true;
+    }
+    Job *job = calloc(1, sizeof(*job));
+    job->spec = *spec;
+    memset(spec, 0, sizeof(*spec));
+    AqList_Init(&job->link);
+    AqList_Init(&job->dirty_link);
+    AqList_Init(&job->occurrences);
+    int64_t age = s->wall - job->spec.submitted_ms;
+    job->submitted_at = now - (age > 0 ? age : 0);
+    if (record != NULL && !progress_apply(s, job, record, size)) {
+        AqError_Set(error, AQ_ERR_INVALID,
+                    "the stored progress of job %s is damaged; it is left "
+                    "alone, remove both keys",
+                    job->spec.id);
+        free_job(s, job);
+        return false;
+    }
+    g_hash_table_insert(s->jobs, job->spec.id, job);
+    if (scheduler_is_finished(job)) {
+        job->finished_at = now;
+        return true;
+    }
+    AqList_Append(&s->active, &job->link);
+    AqList_ForEach(at, &job->occurrences)
+    {
+        scheduler_unlock(s, AqList_Entry(at, Occurrence, link));
+    }
+    if (job->spec.occurrences == 0 && job->next_occurrence == 0) {
+        scheduler_unlock(s, scheduler_add_occurrence(s, job, 0));
+        job->next_occurrence = 1;
+    }
+    finish_if_done(s, job);
+    s->place_again = true;
+    return true;
+}
+
+void
+AqScheduler_CancelJob(AqScheduler *s, const char *id, AqTime now)
+{
+    Job *job = scheduler_find_job(s, id);
+    s->now = now;
+    if (job != NULL) {
+        finish_job(s, job, AQ_STAGE_CANCELLED);
+    }
+}
+
+void
+AqScheduler_RemoveJob(AqScheduler *s, const char *id)
+{
+    Job *job = scheduler_find_job(s, id);
+    if (job != NULL && scheduler_is_finished(job) && !job->is_saving &&
+        !AqList_IsLinked(&job->dirty_link)) {
+        g_hash_table_remove(s->jobs, id);
+        free_job(s, job);
+    }
+}
+
+bool
+AqScheduler_GetStage(const AqScheduler *s, const char *id, AqJobStage *stage)
+{
+    const Job *job = scheduler_find_job(s, id);
+    if (job == NULL) {
+        return false;
+    }
+    *stage = scheduler_is_finished(job) ? job->stored_stage : job->stage;
+    return true;
+}
+
+size_t
+AqScheduler_Waiting(const AqScheduler *s, const char *queue)
+{
+    size_t count = 0;
+    AqList_ForEach(at, &s->active)
+    {
+        const Job *job = AqList_Entry(at, Job, link);
+        count += !job->has_started && job->spec.occurrences == 0 &&
+                 strcmp(job->spec.queue, queue) == 0;
+    }
+    return count;
+}
+
+/* ---- Ends of tasks ------------------------------------------------------- */
+
+static void
+measure_duration(AqScheduler *s, const Task *task)
+{
+    enum { SHARE = 16 }; /* of one measurement in the mean */
+    AqTime declared = task->step->spec->estimate_ms;
+    AqTime taken = s->now - task->started_at;
+    if (declared > 0 && task->started_at > 0 && taken > 0 &&
+        task->checkpoint == NULL) {
+        double ratio = (double)taken / (double)declared;
+        s->duration_ratio += (ratio - s->duration_ratio) / SHARE;
+    }
+}
+
+AqTime
+scheduler_estimate(const AqScheduler *s, const AqStepSpec *spec)
+{
+    return (AqTime)((double)spec->estimate_ms * s->duration_ratio);
+}
+
+static void
+complete_step(AqScheduler *s, Step *step)
+{
+    Occurrence *occurrence = step->occurrence;
+    occurrence->steps_left--;
+    scheduler_unlock(s, occurrence);
+    if (occurrence->steps_left == 0) {
+        finish_if_done(s, occurrence->job);
+    }
+}
+
+static void
+mark_done(AqScheduler *s, Task *task)
+{
+    Step *step = task->step;
+    if (task->state == TASK_DONE) {
+        return;
+    }
+    if (task->state == TASK_READY) {
+        step->ready--;
+    }
+    vms_detach(s, task);
+    task->state = TASK_DONE;
+    step->done++;
+}
+
+void
+scheduler_task_done(AqScheduler *s, Task *task)
+{
+    Step *step = task->step;
+    if (task->state == TASK_DONE) {
+        return;
+    }
+    measure_duration(s, task);
+    s->counters.done++;
+    mark_done(s, task);
+    if (step->spec->is_gang) {
+        for (uint32_t i = 0; i < step->spec->task_count; i++) {
+            mark_done(s, &step->tasks[i]);
+        }
+    }
+    scheduler_changed(s, step->occurrence->job);
+    s->place_again = true;
+    if (step->done == step->spec->task_count) {
+        complete_step(s, step);
+    }
+}
+
+void
+scheduler_task_again(AqScheduler *s, Task *task)
+{
+    vms_detach(s, task);
+    if (task->state != TASK_READY && task->state != TASK_DONE) {
+        task->step->ready++;
+        task->ready_at = s->now;
+        task->state = TASK_READY;
+    }
+    task->is_order_out = false;
+    task->is_uncertain = false;
+    task->must_stop = false;
+    task->is_stop_acked = false;
+    task->started_at = 0;
+    task->percent = 0;
+    task->pace = 100;
+    task->over_since = AQ_TIME_NEVER;
+    if (task->absent_since == AQ_TIME_NEVER) {
+        task->absent_since = s->now;
+    }
+    s->place_again = true;
+}
+
+void
+scheduler_task_failed(AqScheduler *s, Task *task)
+{
+    enum {
+        RESTART_PAUSE_MS = 20,
+        LONGEST_PAUSE_MS = 1000
+    };
+    Job *job = task->step->occurrence->job;
+    const AqQueueConfig *queue = scheduler_queue(s, job);
+    AqTime pause = RESTART_PAUSE_MS;
+    s->counters.failed++;
+    task->failures++;
+    if (task->vm != NULL) {
+        strcpy(task->avoid, task->vm->report.id);
+    }
+    scheduler_task_again(s, task);
+    scheduler_changed(s, job);
+    if (!task->step->spec->is_perpetual && queue != NULL &&
+        queue->max_attempts > 0 && task->failures >= queue->max_attempts) {
+        finish_job(s, job, AQ_STAGE_FAILED);
+        return;
+    }
+    if (task->step->spec->is_perpetual) {
+        /* One that fails at once each time must not take all orders. */
+        pause *= task->failures < 50 ? task->failures : 50;
+    }
+    task->not_before = s->now + (pause < LONGEST_PAUSE_MS ? pause
+                                                          : LONGEST_PAUSE_MS);
+}
+
+/* ---- Durability ---------------------------------------------------------- */
+
+size_t
+AqScheduler_BeginSave(AqScheduler *s, AqJobSave *saves, size_t most)
+{
+    size_t count = 0;
+    if (s->saving > 0) {
+        return 0;
+    }
+    while (count < most) {
+        AqLink *link = AqList_PopFirst(&s->dirty);
+        if (link == NULL) {
+            break;
+        }
+        Job *job = AqList_Entry(link, Job, dirty_link);
+        AqJobSave *save = &saves[count++];
+        job->is_saving = true;
+        job->dirty_seq = 0;
+        strcpy(save->id, job->spec.id);
+        save->stage = job->stage;
+        AqBuffer_Init(&save->record);
+        progress_encode(job, &save->record);
+    }
+    s->saving = count;
+    return count;
+}
+
+static void
+end_save(AqScheduler *s, Job *job, const AqJobSave *save, bool is_stored)
+{
+    job->is_saving = false;
+    if (is_stored) {
+        bool was_finished = job->stored_stage >= AQ_STAGE_COMPLETED;
+        job->stored_stage = save->stage;
+        if (save->stage >= AQ_STAGE_COMPLETED && !was_finished) {
+            s->urgent--;
+        }
+    }
+    if (!is_stored || job->changed_while_saving) {
+        job->changed_while_saving = false;
+        if (!is_stored || job->dirty_seq == 0) {
+            /* An unstored change keeps its place before later ones. */
+            job->dirty_seq = is_stored ? s->change_seq : 1;
+        }
+        if (is_stored) {
+            AqList_Append(&s->dirty, &job->dirty_link);
+        }
+        else {
+            AqList_Prepend(&s->dirty, &job->dirty_link);
+        }
+    }
+}
+
+void
+AqScheduler_EndSave(AqScheduler *s, AqJobSave *saves, size_t count,
+                    bool is_stored, AqTime now)
+{
+    s->now = now;
+    s->saving = 0;
+    for (size_t i = count; i-- > 0;) {
+        Job *job = scheduler_find_job(s, saves[i].id);
+        if (job != NULL) {
+            end_save(s, job, &saves[i], is_stored);
+        }
+        AqBuffer_Clear(&saves[i].record);
+    }
+    uint64_t oldest = s->change_seq + 1;
+    AqList_ForEach(at, &s->dirty)
+    {
+        const Job *job = AqList_Entry(at, Job, dirty_link);
+        oldest = job->dirty_seq < oldest ? job->dirty_seq : oldest;
+    }
+    if (oldest - 1 > s->stored_seq) {
+        s->stored_seq = oldest - 1;
+        vms_confirm_ends(s);
+    }
+}
+
+bool
+AqScheduler_HasUrgentSave(const AqScheduler *s)
+{
+    return s->urgent > 0;
+}
+
+bool
+AqScheduler_HasUnsaved(const AqScheduler *s)
+{
+    return s->saving > 0 || !AqList_IsEmpty(&s->dirty);
+}
+
+/* ---- Time ---------------------------------------------------------------- */
+
+AqTime
+AqScheduler_Tick(AqScheduler *s, AqTime now, int64_t wall, bool may_order)
+{
+    s->now = now;
+    s->wall = wall;
+    s->may_order = may_order && !s->is_deposed;
+    AqList_ForEachSafe(at, after, &s->active)
+    {
+        Job *job = AqList_Entry(at, Job, link);
+        if (job->spec.occurrences > 0) {
+            add_due_occurrences(s, job);
+        }
+    }
+    AqTime due = vms_tick(s);
+    if (s->may_order) {
+        lasting_tick(s);
+        placement_run(s);
+    }
+    AqTime latest = now + TICK_MS;
+    return due < latest ? due : latest;
+}
+
+void
+AqScheduler_GetLoad(const AqScheduler *s, AqTime now, AqSchedulerLoad *load)
+{
+    memset(load, 0, sizeof(*load));
+    load->is_settled = s->is_settled;
+    AqList_ForEach(at, &s->active)
+    {
+        const Job *job = AqList_Entry(at, Job, link);
+        load->jobs++;
+        AqList_ForEach(each, &job->occurrences)
+        {
+            const Occurrence *occurrence =
+                AqList_Entry(each, Occurrence, link);
+            for (size_t i = 0; i < job->spec.step_count; i++) {
+                const Step *step = &occurrence->steps[i];
+                if (step->ready == 0) {
+                    continue;
+                }
+                int64_t cpu = step->spec->is_filler ? 0
+                                                    : step->spec->cpu_millis;
+                load->ready_tasks += step->ready;
+                load->ready_cpu_millis += cpu * step->ready;
+                if (cpu > load->largest_cpu_millis) {
+                    load->largest_cpu_millis = cpu;
+                }
+                AqTime wait = now - job->submitted_at;
+                if (wait > load->oldest_wait_ms) {
+                    load->oldest_wait_ms = wait;
+                }
+            }
+        }
+    }
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        load->used_cpu_millis += vm->used_cpu;
+        if (vms_is_usable(s, vm)) {
+            load->room_cpu_millis += vm->report.cpu_millis;
+        }
+    }
+}
+
+const AqSchedulerCounters *
+AqScheduler_Counters(const AqScheduler *s)
+{
+    return &s->counters;
+}
+
+/* ---- Lifecycle ----------------------------------------------------------- */
+
+AqScheduler *
+AqScheduler_Create(const AqSchedulerConfig *config,
+                   const AqSchedulerActions *actions, void *context,
+                   AqTime now)
+{
+    AqScheduler *s = calloc(1, sizeof(*s));
+    s->config = *config;
+    s->actions = *actions;
+    s->context = context;
+    s->created_at = now;
+    s->now = now;
+    s->duration_ratio = 1.0;
+    s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+    s->vms_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    AqList_Init(&s->active);
+    AqList_Init(&s->dirty);
+    AqList_Init(&s->vms);
+    return s;
+}
+
+void
+AqScheduler_Destroy(AqScheduler *s)
+{
+    GHashTableIter iter;
+    gpointer value;
+    if (s == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, s->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        free_job(s, value);
+    }
+    g_hash_table_destroy(s->jobs);
+    AqList_ForEachSafe(at, after, &s->vms)
+    {
+        vms_free(AqList_Entry(at, Vm, link));
+    }
+    g_hash_table_destroy(s->vms_by_id);
+    free(s);
+}
+
+void
+AqScheduler_SetSite(AqScheduler *s, const AqSiteConfig *site)
+{
+    s->site = site;
+    s->place_again = true;
+}
+
+/* ---- Consistency --------------------------------------------------------- */
+
+static bool
+check_task(const Task *task, AqError *error)
+{
+    const char *id = task->step->occurrence->job->spec.id;
+    bool is_on_vm = task->state == TASK_STARTING ||
+                    task->state == TASK_RUNNING ||
+                    task->state == TASK_STOPPING;
+    if (is_on_vm != (task->vm != NULL) ||
+        is_on_vm != AqList_IsLinked(&task->link)) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "task %u of job %s is in state %d, on a VM: %d",
+                           task->index, id, task->state, task->vm != NULL);
+    }
+    return true;
+}
+
+static bool
+check_step(const Step *step, AqError *error)
+{
+    uint32_t ready = 0;
+    uint32_t done = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        ready += step->tasks[i].state == TASK_READY;
+        done += step->tasks[i].state == TASK_DONE;
+        if (!check_task(&step->tasks[i], error)) {
+            return false;
+        }
+    }
+    if (ready != step->ready || done != step->done) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "step %u of job %s counts %u ready and %u done, "
+                           "not %u and %u",
+                           step->number, step->occurrence->job->spec.id,
+                           step->ready, step->done, ready, done);
+    }
+    return true;
+}
+
+static bool
+check_vm(const Vm *vm, AqError *error)
+{
+    int64_t cpu = 0;
+    size_t count = 0;
+    AqList_ForEach(at, &vm->tasks)
+    {
+        const Task *task = AqList_Entry(at, Task, link);
+        cpu += task->step->spec->is_filler ? 0 : task->step->spec->cpu_millis;
+        count++;
+    }
+    if (cpu != vm->used_cpu || count != vm->task_count) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "VM %s counts %zu tasks, not %zu", vm->report.id,
+                           vm->task_count, count);
+    }
+    return true;
+}
+
+bool
+AqScheduler_CheckConsistency(const AqScheduler *s, AqError *error)
+{
+    AqList_ForEach(at, &s->active)
+    {
+        const Job *job = AqList_Entry(at, Job, link);
+        AqList_ForEach(each, &job->occurrences)
+        {
+            const Occurrence *occurrence =
+                AqList_Entry(each, Occurrence, link);
+            for (size_t i = 0; i < job->spec.step_count; i++) {
+                if (!check_step(&occurrence->steps[i], error)) {
+                    return false;
+                }
+            }
+        }
+    }
+    AqList_ForEach(at, &s->vms)
+    {
+        if (!check_vm(AqList_Entry(at, Vm, link), error)) {
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/packages/scheduler/vms.c
@@ -0,0 +1,499 @@
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "record_codec.h"
+#include "scheduler_internal.h"
+
+enum {
+    /* Looks at a busy VM; each answer also renews its lease and shows how far
+     * its tasks are. */
+    BUSY_WAIT_MS = 400,
+    IDLE_WAIT_MS = 1500,
+    /* Ends that are not stored yet would be listed again at once. */
+    UNSTORED_WAIT_MS = 200,
+    SILENT_RETRY_MS = 300,
+    /* An entry that lapsed while the store was away is back after about 2 s;
+     * one that is still missing is gone. */
+    UNLISTED_GRACE_MS = 2200,
+    UNLISTED_FORGET_MS = 10000,
+    FOREIGN_GRACE_MS = 3000, /* for the job of an unknown run to be seen */
+    LAPSE_MARGIN_MS = 100,
+    BAD_ENDS = 3, /* in a row, of different tasks: the VM is at fault */
+    QUARANTINE_MS = 3000
+};
+
+/* A VM's clock may be so much slower than ours. */
+static const double slowest_clock = 0.98;
+
+Vm *
+vms_find(const AqScheduler *s, const char *id)
+{
+    return g_hash_table_lookup(s->vms_by_id, id);
+}
+
+void
+vms_target(const Vm *vm, AqOrderTarget *target)
+{
+    target->address = vm->report.address;
+    target->vm = vm->report.id;
+}
+
+static Vm *
+add_vm(AqScheduler *s, const AqVmReport *report)
+{
+    Vm *vm = calloc(1, sizeof(*vm));
+    vm->report = *report;
+    vm->silent_since = AQ_TIME_NEVER;
+    vm->idle_since = s->now;
+    vm->clock_ms = -1;
+    vm->hold_due = s->now;
+    vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
+    vm->roster_since = ++s->roster_version;
+    AqList_Init(&vm->tasks);
+    AqList_Append(&s->vms, &vm->link);
+    g_hash_table_insert(s->vms_by_id, vm->report.id, vm);
+    return vm;
+}
+
+void
+vms_free(Vm *vm)
+{
+    AqList_Remove(&vm->link);
+    g_array_free(vm->pending_ends, TRUE);
+    free(vm);
+}
+
+/* ---- Room ---------------------------------------------------------------- */
+
+static void
+count_room(Vm *vm, const AqStepSpec *spec, int sign)
+{
+    vm->used_cpu += sign * (spec->is_filler ? 0 : spec->cpu_millis);
+    vm->used_memory += sign * spec->memory_mb;
+    vm->used_gpus += sign * spec->gpus;
+}
+
+void
+vms_attach(AqScheduler *s, Vm *vm, Task *task)
+{
+    vms_detach(s, task);
+    task->vm = vm;
+    AqList_Append(&vm->tasks, &task->link);
+    vm->task_count++;
+    vm->idle_since = AQ_TIME_NEVER;
+    count_room(vm, task->step->spec, 1);
+}
+
+void
+vms_detach(AqScheduler *s, Task *task)
+{
+    Vm *vm = task->vm;
+    if (vm == NULL) {
+        return;
+    }
+    count_room(vm, task->step->spec, -1);
+    AqList_Remove(&task->link);
+    task->vm = NULL;
+    if (--vm->task_count == 0) {
+        vm->idle_since = s->now;
+    }
+}
+
+bool
+vms_is_usable(const AqScheduler *s, const Vm *vm)
+{
+    bool is_present =
+        vm->is_listed || s->now - vm->unlisted_at < UNLISTED_GRACE_MS;
+    return is_present && vm->has_answered && vm->is_enrolled &&
+           !vm->is_cordoned && !vm->report.is_draining &&
+           vm->silent_since == AQ_TIME_NEVER &&
+           vm->quarantined_until <= s->now;
+}
+
+/* ---- Belief -------------------------------------------------------------- */
+
+void
+vms_heard(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
+{
+    if (reply->clock_ms < 0) {
+        return;
+    }
+    vm->clock_ms = reply->clock_ms;
+    vm->clock_at = s->now;
+    if (vm->silent_since != AQ_TIME_NEVER) {
+        vm->silent_since = AQ_TIME_NEVER;
+        s->place_again = true;
+    }
+}
+
+void
+vms_not_heard(AqScheduler *s, Vm *vm)
+{
+    if (vm->silent_since == AQ_TIME_NEVER) {
+        vm->silent_since = s->now;
+    }
+}
+
+AqTime
+vms_grant(AqScheduler *s, Vm *vm)
+{
+    AqTime deadline =
+        vm->clock_ms + (s->now - vm->clock_at) + s->config.lease_ms;
+    if (deadline > vm->deadline_ms) {
+        vm->deadline_ms = deadline;
+    }
+    return deadline;
+}
+
+static void
+lose_tasks(AqScheduler *s, Vm *vm)
+{
+    AqList_ForEachSafe(at, after, &vm->tasks)
+    {
+        Task *task = AqList_Entry(at, Task, link);
+        s->counters.lost++;
+        scheduler_task_again(s, task);
+    }
+}
+
+void
+vms_end(AqScheduler *s, Vm *vm)
+{
+    lose_tasks(s, vm);
+    g_hash_table_remove(s->vms_by_id, vm->report.id);
+    s->roster_version++;
+    s->place_again = true;
+    vms_free(vm);
+}
+
+/* Whether the VM's leases have ended for certain on its own clock. */
+static bool
+has_lapsed(const AqScheduler *s, const Vm *vm)
+{
+    if (vm->clock_ms < 0) {
+        /* Only an earlier owner can have given it a lease. */
+        AqTime most = (AqTime)((double)s->config.lease_ms / slowest_clock);
+        return s->now - s->created_at >
+               s->config.earlier_owner_ms + most + LAPSE_MARGIN_MS;
+    }
+    double passed = (double)(s->now - vm->clock_at) * slowest_clock;
+    return (double)vm->clock_ms + passed >
+           (double)(vm->deadline_ms + LAPSE_MARGIN_MS);
+}
+
+static void
+check_silence(AqScheduler *s, Vm *vm)
+{
+    if (vm->silent_since == AQ_TIME_NEVER || !has_lapsed(s, vm)) {
+        return;
+    }
+    vm->was_used = false;
+    lose_tasks(s, vm);
+    if (!vm->is_listed) {
+        vms_end(s, vm);
+    }
+}
+
+/* ---- Holds --------------------------------------------------------------- */
+
+static AqTime
+hold_wait(const Vm *vm)
+{
+    if (!vm->has_answered || vm->silent_since != AQ_TIME_NEVER) {
+        return 0;
+    }
+    return vm->task_count > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+}
+
+static void
+send_hold(AqScheduler *s, Vm *vm)
+{
+    AqOrderTarget target;
+    bool may_extend = vm->clock_ms >= 0 && vm->silent_since == AQ_TIME_NEVER;
+    AqHoldOrder order = {
+        .deadline_ms = may_extend ? vms_grant(s, vm) : -1,
+        .fence = s->config.fence,
+        .last_seen = vm->confirmed,
+        .wait_ms = hold_wait(vm),
+    };
+    vm->is_hold_out = true;
+    vm->hold_sent_at = s->now;
+    vms_target(vm, &target);
+    s->actions.hold(s->context, &target, &order);
+}
+
+void
+vms_confirm_ends(AqScheduler *s)
+{
+    AqList_ForEach(at, &s->vms)
+    {
+        Vm *vm = AqList_Entry(at, Vm, link);
+        guint stored = 0;
+        while (stored < vm->pending_ends->len &&
+               g_array_index(vm->pending_ends, PendingEnd, stored).seq <=
+                   s->stored_seq) {
+            vm->confirmed =
+                g_array_index(vm->pending_ends, PendingEnd, stored).number;
+            stored++;
+        }
+        if (stored > 0) {
+            g_array_remove_range(vm->pending_ends, 0, stored);
+            if (vm->pending_ends->len == 0) {
+                vm->hold_due = s->now;
+            }
+        }
+    }
+}
+
+/* ---- Time ---------------------------------------------------------------- */
+
+static void
+update_settled(AqScheduler *s)
+{
+    if (s->is_settled) {
+        return;
+    }
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        if (vm->was_used && !vm->has_answered && !has_lapsed(s, vm)) {
+            return;
+        }
+    }
+    s->is_settled = true;
+    s->place_again = true;
+}
+
+static AqTime
+tick_vm(AqScheduler *s, Vm *vm)
+{
+    if (!vm->is_listed && vm->task_count == 0 && !vm->was_used &&
+        s->now - vm->unlisted_at > UNLISTED_FORGET_MS) {
+        vms_end(s, vm);
+        return AQ_TIME_NEVER;
+    }
+    if (!vm->is_hold_out && s->may_order && vm->hold_due <= s->now) {
+        send_hold(s, vm);
+    }
+    AqTime due = vm->is_hold_out || !s->may_order ? AQ_TIME_NEVER
+                                                  : vm->hold_due;
+    check_silence(s, vm);
+    return due;
+}
+
+AqTime
+vms_tick(AqScheduler *s)
+{
+    AqTime due = AQ_TIME_NEVER;
+    AqList_ForEachSafe(at, after, &s->vms)
+    {
+        AqTime next = tick_vm(s, AqList_Entry(at, Vm, link));
+        due = next < due ? next : due;
+    }
+    update_settled(s);
+    return due;
+}
+
+/* ---- The list in the store ----------------------------------------------- */
+
+void
+AqScheduler_SetVm(AqScheduler *s, const AqVmReport *report, AqTime now)
+{
+    s->now = now;
+    Vm *vm = vms_find(s, report->id);
+    if (vm == NULL) {
+        vm = add_vm(s, report);
+    }
+    else {
+        vm->report = *report;
+    }
+    vm->is_listed = true;
+    s->place_again = true;
+}
+
+void
+AqScheduler_VmUnlisted(AqScheduler *s, const char *id, AqTime now)
+{
+    s->now = now;
+    Vm *vm = vms_find(s, id);
+    if (vm != NULL && vm->is_listed) {
+        vm->is_listed = false;
+        vm->unlisted_at = now;
+    }
+}
+
+void
+AqScheduler_VmEnded(AqScheduler *s, const char *id, AqTime now)
+{
+    s->now = now;
+    Vm *vm = vms_find(s, id);
+    if (vm != NULL) {
+        vms_end(s, vm);
+    }
+}
+
+void
+AqScheduler_SetCordon(AqScheduler *s, const char *id, bool is_cordoned)
+{
+    Vm *vm = vms_find(s, id);
+    if (vm != NULL && vm->is_cordoned != is_cordoned) {
+        vm->is_cordoned = is_cordoned;
+        s->place_again = true;
+    }
+}
+
+bool
+AqScheduler_IsIdle(const AqScheduler *s, const char *id)
+{
+    const Vm *vm = vms_find(s, id);
+    return vm == NULL || (vm->task_count == 0 && vm->foreign_cpu == 0);
+}
+
+void
+AqScheduler_EachVm(const AqScheduler *s,
+                   void (*visit)(void *context, const AqVmView *view),
+                   void *context)
+{
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        AqVmView view = {
+            .vm = vm->report.id,
+            .machine = vm->report.machine,
+            .rack = vm->report.rack,
+            .is_usable = vms_is_usable(s, vm),
+            .is_cordoned = vm->is_cordoned,
+            .is_draining = vm->report.is_draining,
+            .tasks = vm->task_count,
+            .cpu_millis = vm->report.cpu_millis,
+            .used_cpu_millis = vm->used_cpu,
+            .idle_since = vm->idle_since,
+        };
+        AqList_ForEach(each, &vm->tasks)
+        {
+            const Task *task = AqList_Entry(each, Task, link);
+            view.lasting_tasks += task->step->spec->is_perpetual;
+        }
+        visit(context, &view);
+    }
+}
+
+/* ---- Roster -------------------------------------------------------------- */
+
+uint64_t
+AqScheduler_RosterVersion(const AqScheduler *s)
+{
+    return s->roster_version;
+}
+
+void
+AqScheduler_EncodeRoster(const AqScheduler *s, AqBuffer *out)
+{
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, out, record_write);
+    msgpack_pack_array(&packer, AqList_Length(&s->vms));
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        msgpack_pack_array(&packer, 2);
+        record_pack_text(&packer, vm->report.id);
+        record_pack_text(&packer, vm->report.address);
+    }
+}
+
+void
+AqScheduler_RosterSaved(AqScheduler *s, uint64_t version)
+{
+    s->roster_stored = version;
+    AqList_ForEach(at, &s->vms)
+    {
+        Vm *vm = AqList_Entry(at, Vm, link);
+        if (!vm->is_enrolled && vm->roster_since <= version) {
+            vm->is_enrolled = true;
+            s->place_again = true;
+        }
+    }
+}
+
+static bool
+add_roster_entry(AqScheduler *s, const msgpack_object *row)
+{
+    AqVmReport report = {.leaves_ms = -1};
+    char *id = NULL;
+    char *address = NULL;
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
+              row->via.array.size >= 2 &&
+              record_text(&row->via.array.ptr[0], &id) && id != NULL &&
+              record_text(&row->via.array.ptr[1], &address) &&
+              address != NULL && strlen(id) < sizeof(report.id) &&
+              strlen(address) < sizeof(report.address);
+    if (ok) {
+        strcpy(report.id, id);
+        strcpy(report.address, address);
+        Vm *vm = vms_find(s, id);
+        if (vm == NULL) {
+            vm = add_vm(s, &report);
+            vm->unlisted_at = s->now;
+        }
+        vm->was_used = true;
+    }
+    free(id);
+    free(address);
+    return ok;
+}
+
+bool
+AqScheduler_AddRoster(AqScheduler *s, const char *bytes, size_t size,
+                      AqTime now)
+{
+    msgpack_unpacked unpacked;
+    size_t offset = 0;
+    s->now = now;
+    msgpack_unpacked_init(&unpacked);
+    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
+                  MSGPACK_UNPACK_SUCCESS &&
+              unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+    for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++) {
+        ok = add_roster_entry(s, &unpacked.data.via.array.ptr[i]);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return ok;
+}
+
+/* ---- Ends ---------------------------------------------------------------- */
+
+void
+vms_note_end(AqScheduler *s, Vm *vm, const Task *task, bool is_failure)
+{
+    if (!is_failure) {
+        vm->bad_ends = 0;
+        return;
+    }
+    /* A task that failed elsewhere too says little of this VM. */
+    if (task->failures == 0 && ++vm->bad_ends >= BAD_ENDS) {
+        vm->quarantined_until = s->now + QUARANTINE_MS;
+        vm->bad_ends = 0;
+    }
+}
+
+void
+vms_schedule_hold(AqScheduler *s, Vm *vm)
+{
+    if (vm->silent_since != AQ_TIME_NEVER) {
+        vm->hold_due = s->now + SILENT_RETRY_MS;
+    }
+    else if (vm->pending_ends->len > 0 || vm->last_end > vm->confirmed) {
+        vm->hold_due = s->now + UNSTORED_WAIT_MS;
+    }
+    else {
+        vm->hold_due = s->now;
+    }
+}
+
+bool
+vms_is_foreign_old(const AqScheduler *s, const Vm *vm)
+{
+    return vm->foreign_since > 0 &&
+           s->now - vm->foreign_since > FOREIGN_GRACE_MS;
+}
--- a/packages/settings/Include/aq_settings.h
+++ b/packages/settings/Include/aq_settings.h
@@ -37,6 +37,20 @@
     int64_t router_default_timeout_ms;
     int64_t stop_balancer_wait_ms;
     int64_t stop_limit_ms;
+    /* On the platform (platform_store is not empty): "IP:port" each. */
+    char *platform_store;
+    char *platform_machines; /* "": VMs can't be ordered about */
+    char *platform_advice;   /* "": no queue needs tickets */
+    char *callers_listen;
+    char *readiness_listen;
+    char *metrics_listen; /* "": none */
+    int64_t limits_longest_lease_ms;
+    int64_t limits_stop_ms;
+    int64_t limits_early_ms;
+    int64_t limits_harm_ms;
+    int64_t limits_notice_ms;
+    int64_t limits_machine_pause_ms;
+    int64_t stop_grace_s;
 } AqSettings;
 
 /* Reads and checks a file.  The result is new. */
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -31,7 +31,8 @@
 
 enum {
     MAX_PORT = 65535,
-    HOUR_MS = 3600 * 1000,
+    MINUTE_MS = 60 * 1000,
+    HOUR_MS = 60 * MINUTE_MS,
     DAY_MS = 24 * HOUR_MS,
     MIB = 1024 * 1024
 };
@@ -84,6 +85,32 @@
            "time between readiness going false and the listener closing, ms"),
     NUMBER("stop", "limit_ms", stop_limit_ms, 600000, 1000, HOUR_MS,
            "longest graceful stop, ms"),
+    NUMBER("stop", "grace_s", stop_grace_s, 6, 1, 600,
+           "on the platform: time from SIGTERM to SIGKILL, s"),
+    TEXT("platform", "store", platform_store, "", NULL, 0, 21,
+         "\"IP:port\" of the platform's store; empty: not on the platform"),
+    TEXT("platform", "machines", platform_machines, "", NULL, 0, 21,
+         "\"IP:port\" of the platform's VM list; empty: no moves or upkeep"),
+    TEXT("platform", "advice", platform_advice, "", NULL, 0, 21,
+         "\"IP:port\" of the service that gives tickets; empty: none"),
+    TEXT("callers", "listen", callers_listen, "", NULL, 0, 21,
+         "on the platform: \"IP:port\" for callers"),
+    TEXT("readiness", "listen", readiness_listen, "", NULL, 0, 21,
+         "on the platform: \"IP:port\" for the balancer's check"),
+    TEXT("metrics", "listen", metrics_listen, "", NULL, 0, 21,
+         "on the platform: \"IP:port\" for metrics; empty: none"),
+    NUMBER("limits", "longest_lease_ms", limits_longest_lease_ms, 6000, 1000,
+           HOUR_MS, "longest lease that a VM gives a task, ms"),
+    NUMBER("limits", "stop_ms", limits_stop_ms, 400, 0, MINUTE_MS,
+           "longest time that a VM takes to stop a task, ms"),
+    NUMBER("limits", "early_ms", limits_early_ms, 250, 0, MINUTE_MS,
+           "how much too early a timed job may start, ms"),
+    NUMBER("limits", "harm_ms", limits_harm_ms, 4000, 100, HOUR_MS,
+           "how long a serving task may be over its target, ms"),
+    NUMBER("limits", "notice_ms", limits_notice_ms, 4500, 0, HOUR_MS,
+           "how long a lasting task may be away before it counts, ms"),
+    NUMBER("limits", "machine_pause_ms", limits_machine_pause_ms, 3000, 0,
+           HOUR_MS, "pause between two holders' orders for one VM, ms"),
 };
 
 enum {
@@ -210,12 +237,37 @@
     }
 }
 
+/* On the platform, operators, peers and the store are reached through it. */
+static bool
+is_required(const Loader *loader, const Key *key)
+{
+    bool is_on_platform = loader->settings->platform_store[0] != '\0';
+    return key->is_text && key->text == NULL &&
+           (!is_on_platform || strcmp(key->section, "node") == 0);
+}
+
+static bool
+check_addresses(Loader *loader)
+{
+    const AqSettings *settings = loader->settings;
+    if (settings->platform_store[0] != '\0' &&
+        (settings->callers_listen[0] == '\0' ||
+         settings->readiness_listen[0] == '\0')) {
+        return AqError_Set(loader->error, AQ_ERR_INVALID,
+                           "%s: platform.store is set, but callers.listen or "
+                           "readiness.listen is not; write both as "
+                           "\"IP:port\"",
+                           loader->path);
+    }
+    return true;
+}
+
 static bool
 check_required(Loader *loader)
 {
     for (size_t i = 0; i < KEY_COUNT; i++) {
         const Key *key = &keys[i];
-        if (key->is_text && key->text == NULL && !loader->seen[i]) {
+        if (is_required(loader, key) && !loader->seen[i]) {
             return AqError_Set(loader->error, AQ_ERR_INVALID,
                                "%s: %s.%s is missing (%s); add \"%s = ...\" "
                                "under [%s]",
@@ -237,7 +289,8 @@
         AqError_Set(error, AQ_ERR_INVALID, "%s: %s", path, message);
         goto error;
     }
-    if (loader.failed || !check_required(&loader)) {
+    if (loader.failed || !check_required(&loader) ||
+        !check_addresses(&loader)) {
         goto error;
     }
     return settings;
