Scheduler: adopt runs of earlier owners; spread claims

The base now counts only for the next number. Claims wait again when other pools were gained meanwhile.

--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -38,6 +38,7 @@
     bool is_wanted; /* in the configuration */
     ClaimState state;
     AqTimer timer;
+    AqTime vacant_since;
     /* The owner's key as last seen; index 0: there is none. */
     uint64_t owner_index;
     char owner_node[64];
@@ -217,7 +218,9 @@
     size_t count = 0;
     g_hash_table_iter_init(&iter, member->shards);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        count += ((const Shard *)value)->state >= CLAIM_OWNED;
+        const Shard *shard = value;
+        count += shard->state == CLAIM_OWNED || shard->state == CLAIM_READING ||
+                 shard->state == CLAIM_WRITING;
     }
     return count;
 }
@@ -386,6 +389,22 @@
     node->store->ops->commit(node->store, &commit, on_claimed, shard);
 }
 
+/* When this node may claim a pool without an owner. */
+static AqTime
+claim_due(const Shard *shard)
+{
+    const Member *member = shard->member;
+    const char *id = member->node->settings->node_id;
+    uint64_t weight = AqHash_Rendezvous(AqHash_String(shard->pool),
+                                        AqHash_String(id));
+    AqTime wait = (AqTime)(weight % SPREAD_WAIT_MS) +
+                  (AqTime)OWNED_WAIT_MS * (AqTime)count_owned(member);
+    AqTime joined = member->joined_at + START_WAIT_MS;
+    AqTime since =
+        shard->vacant_since > joined ? shard->vacant_since : joined;
+    return since + wait;
+}
+
 static void
 on_claim_due(void *context)
 {
@@ -400,25 +419,17 @@
         shard->state = CLAIM_NONE;
         return;
     }
+    AqTime due = claim_due(shard);
+    if (due > AqLoop_Now(node->loop)) {
+        /* Other pools were gained meanwhile. */
+        AqTimer_Start(node->loop, &shard->timer, due);
+        return;
+    }
     shard->state = CLAIM_READING;
     node->store->ops->get(node->store, key_of(KEY_TERM, shard->pool), on_term,
                           shard);
 }
 
-static AqTime
-claim_wait(const Shard *shard)
-{
-    const Member *member = shard->member;
-    const char *id = member->node->settings->node_id;
-    uint64_t weight = AqHash_Rendezvous(AqHash_String(shard->pool),
-                                        AqHash_String(id));
-    AqTime wait = (AqTime)(weight % SPREAD_WAIT_MS) +
-                  (AqTime)OWNED_WAIT_MS * (AqTime)count_owned(member);
-    AqTime first = member->joined_at + START_WAIT_MS -
-                   AqLoop_Now(member->node->loop);
-    return wait + (first > 0 ? first : 0);
-}
-
 /* Begins a claim when the pool has no owner. */
 static void
 consider(Shard *shard)
@@ -431,8 +442,8 @@
         return;
     }
     shard->state = CLAIM_WAITING;
-    AqTimer_Start(member->node->loop, &shard->timer,
-                  AqLoop_Now(member->node->loop) + claim_wait(shard));
+    shard->vacant_since = AqLoop_Now(member->node->loop);
+    AqTimer_Start(member->node->loop, &shard->timer, claim_due(shard));
 }
 
 /* ---- Views --------------------------------------------------------------- */
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -12,6 +12,7 @@
 enum {
     RACK_SPREAD_WEIGHT = 1000000, /* above any free processor share */
     NEAR_WEIGHT = 10000000,
+    RUNS_PER_OWNER = 100000, /* run numbers of one generation of owners */
     TICKET_RETRY_MS = 200,
     MAX_ADVICE = 100
 };
@@ -198,6 +199,15 @@
     s->actions.ask_tickets(s->context, &name, vms, count);
 }
 
+/* The number of a new run: above all of the task, and above those that an
+ * earlier owner may have ordered without an answer. */
+static int64_t
+next_run(const AqScheduler *s, int64_t last)
+{
+    int64_t base = s->config.generation * RUNS_PER_OWNER;
+    return (last > base ? last : base) + 1;
+}
+
 static bool
 is_startable(const AqScheduler *s, const Task *task)
 {
@@ -216,7 +226,7 @@
         if (vm == NULL) {
             return; /* the others of the step need as much */
         }
-        assign(s, vm, task, task->run + 1);
+        assign(s, vm, task, next_run(s, task->run));
         placement_send_start(s, task);
     }
 }
@@ -239,7 +249,7 @@
             break;
         }
         earlier[placed] = task->run;
-        assign(s, vm, task, run + 1);
+        assign(s, vm, task, next_run(s, run));
     }
     if (placed < count) {
         while (placed-- > 0) {
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -6,7 +6,6 @@
 #include "scheduler_internal.h"
 
 enum {
-    RUNS_PER_OWNER = 100000, /* run numbers of one generation */
     TICK_MS = 100            /* longest time between two ticks with work */
 };
 
@@ -72,12 +71,11 @@
 }
 
 static void
-init_task(AqScheduler *s, Step *step, uint32_t index)
+init_task(const AqScheduler *s, Step *step, uint32_t index)
 {
     Task *task = &step->tasks[index];
     task->step = step;
     task->index = index;
-    task->run = s->config.generation * RUNS_PER_OWNER;
     task->pace = 100;
     task->absent_since = s->now;
     task->over_since = AQ_TIME_NEVER;
