--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -380,6 +380,7 @@
     PoolOwner *owner = context;
     if (owner->load != LOADED) {
         owner->load = LOADED;
+        AqScheduler_SetLoaded(owner->scheduler);
         g_hash_table_remove_all(owner->records);
         AqLog_Event(AQ_LOG_INFO, "pool_loaded", "pool=%s fence=%llu",
                     owner->ownership.pool,
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -133,6 +133,9 @@
 bool AqScheduler_AddRoster(AqScheduler *scheduler, const char *bytes,
                            size_t size, AqTime now);
 
+/* The stored jobs and the roster are all added.  Nothing starts before. */
+void AqScheduler_SetLoaded(AqScheduler *scheduler);
+
 /* ---- Replies ---- */
 
 void AqScheduler_OnStart(AqScheduler *scheduler, const char *vm,
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -156,6 +156,7 @@
     AqTime now;
     int64_t wall;
     bool may_order;
+    bool is_loaded;
     bool is_settled;
     bool is_deposed;
     GHashTable *jobs; /* id -> Job, owns them */
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -251,7 +251,7 @@
 static void
 update_settled(AqScheduler *s)
 {
-    if (s->is_settled) {
+    if (s->is_settled || !s->is_loaded) {
         return;
     }
     AqList_ForEach(at, &s->vms)
@@ -265,6 +265,12 @@
     s->place_again = true;
 }
 
+void
+AqScheduler_SetLoaded(AqScheduler *s)
+{
+    s->is_loaded = true;
+}
+
 static AqTime
 tick_vm(AqScheduler *s, Vm *vm)
 {
