--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -6,10 +6,11 @@
 #include "scheduler_internal.h"
 
 /* The stored record of a job:
- * [format, stage, next occurrence, [[occurrence, [[done, [[task, failures]
+ * [format, stage, next occurrence, [[occurrence, [[done, [[task, [run ...]]
  * ...]] ... of each step]] ... of each unfinished occurrence]]
- * "done" is a bit map of the tasks of a step.  An occurrence below the next
- * one that is not listed is done. */
+ * "done" is a bit map of the tasks of a step; the runs are those that failed,
+ * by number, since an end may be listed again to a later owner.  An occurrence
+ * below the next one that is not listed is done. */
 
 enum {
     RECORD_FORMAT = 1,
@@ -27,7 +28,7 @@
         if (step->tasks[i].state == TASK_DONE) {
             bits[i / 8] |= (unsigned char)(1U << (i % 8));
         }
-        failing += step->tasks[i].failures > 0;
+        failing += step->tasks[i].failed_runs != NULL;
     }
     msgpack_pack_array(pk, 2);
     msgpack_pack_bin(pk, size);
@@ -35,10 +36,15 @@
     free(bits);
     msgpack_pack_array(pk, failing);
     for (uint32_t i = 0; i < count; i++) {
-        if (step->tasks[i].failures > 0) {
-            msgpack_pack_array(pk, 2);
-            msgpack_pack_uint32(pk, i);
-            msgpack_pack_uint32(pk, step->tasks[i].failures);
+        const Task *task = &step->tasks[i];
+        if (task->failed_runs == NULL) {
+            continue;
+        }
+        msgpack_pack_array(pk, 2);
+        msgpack_pack_uint32(pk, i);
+        msgpack_pack_array(pk, task->failures);
+        for (uint32_t j = 0; j < task->failures; j++) {
+            msgpack_pack_int64(pk, task->failed_runs[j]);
         }
     }
 }
@@ -70,6 +76,22 @@
     }
 }
 
+static bool
+apply_runs(const msgpack_object *runs, Task *task)
+{
+    if (runs->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    for (uint32_t i = 0; i < runs->via.array.size; i++) {
+        int64_t run;
+        if (!record_int(&runs->via.array.ptr[i], 0, INT64_MAX, &run)) {
+            return false;
+        }
+        scheduler_add_failure(task, run);
+    }
+    return true;
+}
+
 static bool
 apply_failures(const msgpack_object *rows, Step *step)
 {
@@ -79,14 +101,12 @@
     for (uint32_t i = 0; i < rows->via.array.size; i++) {
         const msgpack_object *row = &rows->via.array.ptr[i];
         int64_t index;
-        int64_t failures;
         if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size < 2 ||
             !record_int(&row->via.array.ptr[0], 0, step->spec->task_count - 1,
                         &index) ||
-            !record_int(&row->via.array.ptr[1], 0, UINT32_MAX, &failures)) {
+            !apply_runs(&row->via.array.ptr[1], &step->tasks[index])) {
             return false;
         }
-        step->tasks[index].failures = (uint32_t)failures;
     }
     return true;
 }
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -263,23 +263,23 @@
         scheduler_task_done(s, task);
         return;
     }
-    if (end->run < task->run || (task->vm != NULL && task->vm != vm)) {
-        return;
-    }
-    task->run = end->run;
-    set_checkpoint(task, end->checkpoint);
     if (task->state == TASK_DONE) {
         return;
     }
+    bool is_latest = end->run >= task->run &&
+                     (task->vm == NULL || task->vm == vm);
+    if (is_latest) {
+        task->run = end->run;
+        set_checkpoint(task, end->checkpoint);
+        scheduler_task_again(s, task);
+    }
     if (end->kind == AQ_END_FAILED) {
         vms_note_end(s, vm, task, true);
-        scheduler_task_failed(s, task);
+        strcpy(task->avoid, vm->report.id);
+        scheduler_task_failed(s, task, end->run);
     }
-    else {
-        if (end->kind != AQ_END_STOPPED) {
-            s->counters.lost++;
-        }
-        scheduler_task_again(s, task);
+    else if (is_latest && end->kind != AQ_END_STOPPED) {
+        s->counters.lost++;
     }
 }
 
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -112,6 +112,7 @@
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         vms_detach(s, &step->tasks[i]);
         free(step->tasks[i].checkpoint);
+        free(step->tasks[i].failed_runs);
     }
     if (step->tickets != NULL) {
         for (guint i = 0; i < step->tickets->len; i++) {
@@ -438,8 +439,31 @@
     s->place_again = true;
 }
 
+static bool
+is_failure_known(const Task *task, int64_t run)
+{
+    for (uint32_t i = 0; task->failed_runs != NULL && i < task->failures;
+         i++) {
+        if (task->failed_runs[i] == run) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+scheduler_add_failure(Task *task, int64_t run)
+{
+    if (!task->step->spec->is_perpetual) {
+        size_t size = (task->failures + 1) * sizeof(*task->failed_runs);
+        task->failed_runs = realloc(task->failed_runs, size);
+        task->failed_runs[task->failures] = run;
+    }
+    task->failures++;
+}
+
 void
-scheduler_task_failed(AqScheduler *s, Task *task)
+scheduler_task_failed(AqScheduler *s, Task *task, int64_t run)
 {
     enum {
         RESTART_PAUSE_MS = 20,
@@ -448,12 +472,11 @@
     Job *job = task->step->occurrence->job;
     const AqQueueConfig *queue = scheduler_queue(s, job);
     AqTime pause = RESTART_PAUSE_MS;
-    s->counters.failed++;
-    task->failures++;
-    if (task->vm != NULL) {
-        strcpy(task->avoid, task->vm->report.id);
+    if (is_failure_known(task, run)) {
+        return;
     }
-    scheduler_task_again(s, task);
+    s->counters.failed++;
+    scheduler_add_failure(task, run);
     scheduler_changed(s, job);
     if (!task->step->spec->is_perpetual && queue != NULL &&
         queue->max_attempts > 0 && task->failures >= queue->max_attempts) {
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -34,6 +34,8 @@
     TaskState state;
     int64_t run; /* highest number used */
     uint32_t failures;
+    int64_t *failed_runs; /* numbers of "failures" runs; owned; not kept of
+                           * lasting tasks, which may fail for ever */
     Vm *vm;      /* of the run that may be alive; borrowed */
     AqLink link; /* in vm->tasks */
     bool is_order_out;  /* a start or stop has no answer yet */
@@ -182,7 +184,9 @@
 void scheduler_name_task(const Task *task, AqTaskName *name);
 void scheduler_changed(AqScheduler *s, Job *job);
 void scheduler_task_done(AqScheduler *s, Task *task);
-void scheduler_task_failed(AqScheduler *s, Task *task);
+/* Counts a failed run once, however often it is listed. */
+void scheduler_task_failed(AqScheduler *s, Task *task, int64_t run);
+void scheduler_add_failure(Task *task, int64_t run);
 /* The run has ended; the task may start again. */
 void scheduler_task_again(AqScheduler *s, Task *task);
 bool scheduler_is_finished(const Job *job);
