--- /dev/null
+++ b/packages/pool/duty.c
@@ -0,0 +1,207 @@
+#include "duty.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "keys.h"
+
+enum {
+    /* An order leaves so soon after its claim that no later holder can have
+     * given one. */
+    CLAIM_AGE_MS = 800,
+    PAUSE_RESERVE_MS = 500, /* clocks of nodes differ a little */
+    MOST_EXPECTS = 3,
+    MOST_PUTS = 3
+};
+
+typedef struct {
+    char *key;
+    char *value;
+    size_t size;
+} OwnedPut;
+
+typedef struct {
+    NodeContext *node;
+    char pool[64];
+    uint64_t pool_fence;
+    char machine[AQ_VM_ID_SIZE];
+    char to_pool[64];
+    int64_t wave;
+    char *expect_key; /* or NULL */
+    uint64_t expect_index;
+    OwnedPut puts[2];
+    size_t put_count;
+    uint64_t fence;
+    AqTime claimed_at; /* when the claim was sent */
+    DutyDone done;
+    void *context;
+} DutyCall;
+
+static void
+finish(DutyCall *call, DutyResult result, const char *reason)
+{
+    static const char *const names[] = {"done", "later", "refused", "unknown"};
+    AqLog_Event(AQ_LOG_INFO, "machine_order",
+                "machine=%s order=%s to=%s wave=%lld pool=%s fence=%llu "
+                "outcome=%s reason=%s",
+                call->machine, call->to_pool[0] != '\0' ? "move" : "upkeep",
+                call->to_pool, (long long)call->wave, call->pool,
+                (unsigned long long)call->fence, names[result], reason);
+    call->done(call->context, call->machine, result);
+    for (size_t i = 0; i < call->put_count; i++) {
+        free(call->puts[i].key);
+        free(call->puts[i].value);
+    }
+    free(call->expect_key);
+    free(call);
+}
+
+static void
+on_ordered(void *context, AqMachineResult result)
+{
+    DutyCall *call = context;
+    const char *reason = AqMachineResult_Name(result);
+    switch (result) {
+    case AQ_MACHINE_ORDER_DONE:
+        finish(call, DUTY_DONE, reason);
+        break;
+    case AQ_MACHINE_ORDER_REFUSED:
+        finish(call, DUTY_REFUSED, reason);
+        break;
+    case AQ_MACHINE_ORDER_UNKNOWN:
+        finish(call, DUTY_UNKNOWN, reason);
+        break;
+    default:
+        finish(call, DUTY_LATER, reason);
+        break;
+    }
+}
+
+static void
+on_claimed(void *context, const AqStoreReply *reply)
+{
+    DutyCall *call = context;
+    AqMachineCalls *machines = call->node->machines;
+    const char *holder = call->node->settings->node_id;
+    if (reply->status != AQ_STORE_OK) {
+        finish(call, DUTY_LATER, "claim_failed");
+        return;
+    }
+    call->fence = reply->index;
+    /* The loop's time is of the round's begin: read the clock itself, since
+     * the process may have stood still in between. */
+    if (AqClock_ReadMonotonic() - call->claimed_at > CLAIM_AGE_MS) {
+        finish(call, DUTY_LATER, "claim_too_old");
+        return;
+    }
+    if (call->to_pool[0] != '\0') {
+        machines->ops->move(machines, call->machine, call->to_pool, holder,
+                            call->fence, on_ordered, call);
+    }
+    else {
+        machines->ops->upkeep(machines, call->machine, call->wave, holder,
+                              call->fence, on_ordered, call);
+    }
+}
+
+/* Whether another node ordered the VM about so lately that we must wait. */
+static bool
+is_in_pause(const DutyCall *call, const AqStoreItem *item)
+{
+    char text[120] = "";
+    char holder[64];
+    long long at;
+    size_t size = item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
+    memcpy(text, item->value, size);
+    if (sscanf(text, "%63s %lld", holder, &at) != 2) {
+        return false;
+    }
+    long long age = AqClock_ReadWall() - at;
+    return strcmp(holder, call->node->settings->node_id) != 0 &&
+           age < call->node->settings->limits_machine_pause_ms +
+                     PAUSE_RESERVE_MS;
+}
+
+static void
+claim(DutyCall *call, uint64_t machine_index)
+{
+    AqStore *store = call->node->store;
+    char holder[120];
+    AqStoreExpect expects[MOST_EXPECTS];
+    AqStorePut puts[MOST_PUTS];
+    size_t expect_count = 0;
+    size_t put_count = 0;
+    const char *machine_key = key_of(KEY_MACHINE, call->machine);
+    snprintf(holder, sizeof(holder), "%s %lld", call->node->settings->node_id,
+             (long long)AqClock_ReadWall());
+    expects[expect_count++] =
+        (AqStoreExpect){key_of(KEY_OWNER, call->pool), call->pool_fence};
+    expects[expect_count++] = (AqStoreExpect){machine_key, machine_index};
+    if (call->expect_key != NULL) {
+        expects[expect_count++] =
+            (AqStoreExpect){call->expect_key, call->expect_index};
+    }
+    puts[put_count++] =
+        (AqStorePut){machine_key, holder, strlen(holder), 0};
+    for (size_t i = 0; i < call->put_count; i++) {
+        puts[put_count++] = (AqStorePut){call->puts[i].key,
+                                         call->puts[i].value,
+                                         call->puts[i].size, 0};
+    }
+    AqStoreCommit commit = {.expects = expects,
+                            .expect_count = expect_count,
+                            .puts = puts,
+                            .put_count = put_count};
+    call->claimed_at = AqClock_ReadMonotonic();
+    store->ops->commit(store, &commit, on_claimed, call);
+}
+
+static void
+on_read(void *context, const AqStoreReply *reply)
+{
+    DutyCall *call = context;
+    if (reply->status == AQ_STORE_ABSENT) {
+        claim(call, 0);
+    }
+    else if (reply->status != AQ_STORE_OK || reply->count != 1) {
+        finish(call, DUTY_LATER, "store_unavailable");
+    }
+    else if (is_in_pause(call, &reply->items[0])) {
+        finish(call, DUTY_LATER, "other_holder");
+    }
+    else {
+        claim(call, reply->items[0].index);
+    }
+}
+
+void
+duty_order(NodeContext *node, const char *pool, uint64_t fence,
+           const DutyOrder *order, DutyDone done, void *context)
+{
+    DutyCall *call = calloc(1, sizeof(*call));
+    call->node = node;
+    call->pool_fence = fence;
+    call->wave = order->wave;
+    call->done = done;
+    call->context = context;
+    g_strlcpy(call->pool, pool, sizeof(call->pool));
+    g_strlcpy(call->machine, order->machine, sizeof(call->machine));
+    if (order->to_pool != NULL) {
+        g_strlcpy(call->to_pool, order->to_pool, sizeof(call->to_pool));
+    }
+    if (order->expect_count > 0) {
+        call->expect_key = strdup(order->expects[0].key);
+        call->expect_index = order->expects[0].index;
+    }
+    for (size_t i = 0; i < order->put_count && i < 2; i++) {
+        OwnedPut *put = &call->puts[call->put_count++];
+        put->key = strdup(order->puts[i].key);
+        put->size = order->puts[i].size;
+        put->value = malloc(put->size + 1);
+        memcpy(put->value, order->puts[i].value, put->size);
+    }
+    node->store->ops->get(node->store, key_of(KEY_MACHINE, order->machine),
+                          on_read, call);
+}
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -10,6 +10,7 @@
 #include "aq_random.h"
 #include "front.h"
 #include "member.h"
+#include "pool_machines.h"
 #include "pool_owner.h"
 #include "prefix_view.h"
 
@@ -38,13 +39,20 @@
     PrefixView *operator_view;
     PrefixView *worker_view;
     GHashTable *vms;    /* key -> AqVmReport */
-    GHashTable *owners; /* pool -> PoolOwner */
+    WaveBook *waves;
+    GHashTable *owners; /* pool -> OwnedPool */
     AqTimer stop_timer;
     AqTime stop_began;
     int finishing;
     bool was_ready;
 };
 
+/* A pool that this node owns. */
+typedef struct {
+    PoolOwner *owner;
+    PoolMachines *machines;
+} OwnedPool;
+
 /* ---- Configuration ------------------------------------------------------- */
 
 static void
@@ -54,8 +62,21 @@
     gpointer value;
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        visit(value);
+        visit(((const OwnedPool *)value)->owner);
+    }
+}
+
+static void
+on_wave(AqNode *node, const AqStoreItem *item)
+{
+    AqError error;
+    AqWaveSpec spec;
+    if (!AqPlatform_DecodeWave(item->value, item->size, &spec, &error)) {
+        AqLog_Event(AQ_LOG_ERROR, "wave_unreadable", "key=%s error=%s",
+                    item->key, AqLog_Quote(error.message));
+        return;
     }
+    wave_book_add(node->waves, &spec);
 }
 
 static void
@@ -93,6 +114,9 @@
     if (strcmp(item->key, AqPlatform_ConfigKey) == 0) {
         on_config(node, item);
     }
+    else if (AqPlatform_WaveOfKey(item->key) >= 0) {
+        on_wave(node, item);
+    }
 }
 
 static void
@@ -144,7 +168,7 @@
     g_hash_table_replace(node->vms, g_strdup(item->key), report);
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        pool_owner_set_vm(value, report);
+        pool_owner_set_vm(((const OwnedPool *)value)->owner, report);
     }
 }
 
@@ -162,7 +186,7 @@
                 report->pool);
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        pool_owner_vm_unlisted(value, report->id);
+        pool_owner_vm_unlisted(((const OwnedPool *)value)->owner, report->id);
     }
     g_hash_table_remove(node->vms, key);
 }
@@ -186,9 +210,12 @@
     AqNode *node = context;
     GHashTableIter iter;
     gpointer value;
-    PoolOwner *owner = pool_owner_create(&node->context, node->member,
-                                         ownership, &ops, node);
-    g_hash_table_insert(node->owners, g_strdup(ownership->pool), owner);
+    OwnedPool *pool = calloc(1, sizeof(*pool));
+    pool->owner = pool_owner_create(&node->context, node->member, ownership,
+                                    &ops, node);
+    pool->machines =
+        pool_machines_create(&node->context, node->waves, pool->owner);
+    g_hash_table_insert(node->owners, g_strdup(ownership->pool), pool);
     if (node->worker_view == NULL) {
         node->worker_view = prefix_view_create(
             node->context.loop, node->context.store, AqPlatform_WorkerPrefix,
@@ -196,19 +223,27 @@
     }
     g_hash_table_iter_init(&iter, node->vms);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        pool_owner_set_vm(owner, value);
+        pool_owner_set_vm(pool->owner, value);
     }
 }
 
+static void
+drop_pool(OwnedPool *pool)
+{
+    pool_machines_drop(pool->machines);
+    pool_owner_drop(pool->owner);
+    free(pool);
+}
+
 static void
 on_lost(void *context, const char *pool, const char *reason)
 {
     AqNode *node = context;
-    PoolOwner *owner = g_hash_table_lookup(node->owners, pool);
+    OwnedPool *owned = g_hash_table_lookup(node->owners, pool);
     (void)reason;
-    if (owner != NULL) {
+    if (owned != NULL) {
         g_hash_table_remove(node->owners, pool);
-        pool_owner_drop(owner);
+        drop_pool(owned);
     }
 }
 
@@ -289,10 +324,11 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Handover *handover = calloc(1, sizeof(*handover));
         handover->node = node;
-        g_strlcpy(handover->pool, pool_owner_pool(value),
+        PoolOwner *owner = ((const OwnedPool *)value)->owner;
+        g_strlcpy(handover->pool, pool_owner_pool(owner),
                   sizeof(handover->pool));
         node->finishing++;
-        pool_owner_finish(value, on_pool_finished, handover);
+        pool_owner_finish(owner, on_pool_finished, handover);
     }
     if (node->finishing == 0) {
         member_leave(node->member);
@@ -322,21 +358,25 @@
 {
     AqNode *node = context;
     AqTime due = AqLoop_Now(node->context.loop) + ROUND_MS;
-    GList *owners = g_hash_table_get_values(node->owners);
-    for (GList *at = owners; at != NULL; at = at->next) {
-        /* One that is dropped meanwhile is not in the table any more. */
-        GHashTableIter iter;
-        gpointer value;
-        g_hash_table_iter_init(&iter, node->owners);
-        while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            if (value == at->data) {
-                AqTime next = pool_owner_round(value);
-                due = next < due ? next : due;
-                break;
-            }
+    GList *pools = g_hash_table_get_keys(node->owners);
+    for (GList *at = pools; at != NULL; at = at->next) {
+        at->data = g_strdup(at->data);
+    }
+    for (GList *at = pools; at != NULL; at = at->next) {
+        /* A round may end in the loss of this pool or another. */
+        const OwnedPool *pool = g_hash_table_lookup(node->owners, at->data);
+        if (pool == NULL) {
+            continue;
+        }
+        AqTime next = pool_owner_round(pool->owner);
+        due = next < due ? next : due;
+        pool = g_hash_table_lookup(node->owners, at->data);
+        if (pool != NULL) {
+            pool_machines_round(pool->machines,
+                                pool_owner_may_order(pool->owner));
         }
     }
-    g_list_free(owners);
+    g_list_free_full(pools, g_free);
     return due;
 }
 
@@ -453,6 +493,7 @@
     }
     create_calls(context);
     node->front = front_create(context, &front_ops, node);
+    node->waves = wave_book_create(context);
     if (!open_servers(node, error)) {
         goto error;
     }
@@ -487,7 +528,7 @@
     gpointer value;
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        pool_owner_drop(value);
+        drop_pool(value);
     }
     g_hash_table_remove_all(node->owners);
 }
@@ -508,6 +549,7 @@
     member_destroy(node->member);
     prefix_view_destroy(node->operator_view);
     prefix_view_destroy(node->worker_view);
+    wave_book_destroy(node->waves);
     AqHttpServer_Destroy(node->callers);
     AqHttpServer_Destroy(node->readiness);
     front_destroy(node->front);
--- /dev/null
+++ b/packages/pool/pool_machines.c
@@ -0,0 +1,804 @@
+#include "pool_machines.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "aq_platform.h"
+#include "aq_sizing.h"
+#include "duty.h"
+#include "keys.h"
+
+enum {
+    ROUND_MS = 100,
+    LOG_EVERY_MS = 1000,
+    LIST_EVERY_MS = 2500, /* while VMs outside of the pools' view matter */
+    LIST_FRESH_MS = 400,  /* a list is good for choosing spare VMs */
+    RETRY_MS = 300,       /* of an order that was not accepted */
+    COMING_MS = 4000,     /* a VM that has not come by then is not counted */
+    BACK_MS = 4000, /* a VM that is there so long after its order is back */
+    LASTING_WEIGHT = 100  /* a lasting task counts as so many others */
+};
+
+typedef enum {
+    VM_FREE,
+    VM_CORDONED, /* being made empty */
+    VM_ORDERED,  /* an order is under way */
+    VM_AWAY,     /* it is down, or moving; expected back in this pool */
+    VM_BACK      /* it serves again; the wave's record is to say so */
+} VmPhase;
+
+/* What this owner is doing with one VM. */
+typedef struct {
+    char machine[AQ_VM_ID_SIZE];
+    char vm[AQ_VM_ID_SIZE]; /* its life when we began */
+    VmPhase phase;
+    bool is_upkeep; /* else it is given away or taken */
+    bool is_repeat; /* an earlier owner may have ordered it already */
+    AqTime since;
+    AqTime retry_at;
+} Plan;
+
+struct PoolMachines {
+    NodeContext *node;
+    WaveBook *waves;
+    PoolOwner *owner;
+    char pool[64];
+    uint64_t fence;
+    bool is_dropped;
+    int calls;
+    AqTime due;
+    AqTime log_due;
+    GHashTable *plans; /* machine -> Plan */
+    GArray *vms;       /* of VmCopy, of this round */
+    /* The platform's list of VMs. */
+    GArray *list; /* of AqMachine */
+    AqTime listed_at;
+    bool is_listing;
+};
+
+typedef struct {
+    char vm[AQ_VM_ID_SIZE];
+    char machine[AQ_VM_ID_SIZE];
+    bool is_usable;
+    bool is_answering;
+    bool is_draining;
+    size_t tasks;
+    size_t lasting;
+    int64_t cpu;
+    AqTime idle_since;
+} VmCopy;
+
+static AqTime
+now_of(const PoolMachines *self)
+{
+    return AqLoop_Now(self->node->loop);
+}
+
+static void
+free_machines(PoolMachines *self)
+{
+    g_hash_table_destroy(self->plans);
+    g_array_free(self->vms, TRUE);
+    g_array_free(self->list, TRUE);
+    free(self);
+}
+
+static bool
+end_call(PoolMachines *self)
+{
+    self->calls--;
+    if (!self->is_dropped) {
+        return true;
+    }
+    if (self->calls == 0) {
+        free_machines(self);
+    }
+    return false;
+}
+
+/* ---- What is there ------------------------------------------------------- */
+
+static void
+copy_vm(void *context, const AqVmView *view)
+{
+    PoolMachines *self = context;
+    VmCopy copy = {
+        .is_usable = view->is_usable,
+        .is_answering = view->is_answering,
+        .is_draining = view->is_draining,
+        .tasks = view->tasks,
+        .lasting = view->lasting_tasks,
+        .cpu = view->cpu_millis,
+        .idle_since = view->idle_since,
+    };
+    g_strlcpy(copy.vm, view->vm, sizeof(copy.vm));
+    g_strlcpy(copy.machine, view->machine, sizeof(copy.machine));
+    g_array_append_val(self->vms, copy);
+}
+
+static VmCopy *
+find_vm(const PoolMachines *self, const char *machine)
+{
+    for (guint i = 0; i < self->vms->len; i++) {
+        VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
+        if (strcmp(vm->machine, machine) == 0) {
+            return vm;
+        }
+    }
+    return NULL;
+}
+
+static int
+compare_vms(const void *a, const void *b)
+{
+    const VmCopy *first = a;
+    const VmCopy *second = b;
+    size_t left = first->tasks + LASTING_WEIGHT * first->lasting;
+    size_t right = second->tasks + LASTING_WEIGHT * second->lasting;
+    if (left != right) {
+        return left < right ? -1 : 1;
+    }
+    return strcmp(first->machine, second->machine);
+}
+
+static Plan *
+find_plan(const PoolMachines *self, const char *machine)
+{
+    return g_hash_table_lookup(self->plans, machine);
+}
+
+static Plan *
+add_plan(PoolMachines *self, const char *machine, const char *vm,
+         bool is_upkeep)
+{
+    Plan *plan = calloc(1, sizeof(*plan));
+    g_strlcpy(plan->machine, machine, sizeof(plan->machine));
+    g_strlcpy(plan->vm, vm, sizeof(plan->vm));
+    plan->is_upkeep = is_upkeep;
+    plan->since = now_of(self);
+    g_hash_table_replace(self->plans, plan->machine, plan);
+    return plan;
+}
+
+static void
+remove_plan(PoolMachines *self, const Plan *plan)
+{
+    AqScheduler *s = pool_owner_scheduler(self->owner);
+    if (s != NULL && plan->vm[0] != '\0') {
+        AqScheduler_SetCordon(s, plan->vm, false);
+    }
+    g_hash_table_remove(self->plans, plan->machine);
+}
+
+static Plan *
+cordon(PoolMachines *self, const VmCopy *vm, bool is_upkeep,
+       const char *reason)
+{
+    Plan *plan = add_plan(self, vm->machine, vm->vm, is_upkeep);
+    plan->phase = VM_CORDONED;
+    AqScheduler_SetCordon(pool_owner_scheduler(self->owner), vm->vm, true);
+    AqLog_Event(AQ_LOG_INFO, "vm_cordoned",
+                "vm=%s machine=%s pool=%s reason=%s tasks=%zu lasting=%zu",
+                vm->vm, vm->machine, self->pool, reason, vm->tasks,
+                vm->lasting);
+    return plan;
+}
+
+static size_t
+count_plans(const PoolMachines *self, bool is_upkeep)
+{
+    GHashTableIter iter;
+    gpointer value;
+    size_t count = 0;
+    g_hash_table_iter_init(&iter, self->plans);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count += ((const Plan *)value)->is_upkeep == is_upkeep;
+    }
+    return count;
+}
+
+/* ---- Orders -------------------------------------------------------------- */
+
+static void
+on_duty(void *context, const char *machine, DutyResult result)
+{
+    PoolMachines *self = context;
+    if (!end_call(self)) {
+        return;
+    }
+    Plan *plan = find_plan(self, machine);
+    AqScheduler *s = pool_owner_scheduler(self->owner);
+    if (plan == NULL) {
+        return;
+    }
+    if (result == DUTY_DONE) {
+        plan->phase = VM_AWAY;
+        plan->since = now_of(self);
+        if (s != NULL && plan->vm[0] != '\0' && !plan->is_repeat) {
+            AqScheduler_VmEnded(s, plan->vm, now_of(self));
+        }
+        if (!plan->is_upkeep && plan->vm[0] != '\0') {
+            g_hash_table_remove(self->plans, plan->machine); /* given away */
+        }
+        return;
+    }
+    plan->phase = VM_CORDONED;
+    plan->retry_at = now_of(self) + RETRY_MS;
+    if (!plan->is_upkeep || result == DUTY_REFUSED) {
+        /* One that could not be moved serves on; a refused upkeep is seen to
+         * by the list of VMs. */
+        remove_plan(self, plan);
+    }
+}
+
+static void
+order(PoolMachines *self, Plan *plan, const DutyOrder *what)
+{
+    plan->phase = VM_ORDERED;
+    self->calls++;
+    duty_order(self->node, self->pool, self->fence, what, on_duty, self);
+}
+
+/* Fills the writes of a wave's record for a new state of one VM. */
+typedef struct {
+    AqBuffer record_key;
+    AqBuffer record;
+    AqBuffer status_key;
+    AqBuffer status;
+    AqStoreExpect expect;
+    AqStorePut puts[2];
+} WaveWrite;
+
+static void
+begin_wave_write(WaveWrite *write, WaveEntry *entry, size_t at,
+                 AqWaveState state)
+{
+    char name[32];
+    AqWaveState before = AqWave_State(entry->wave, at);
+    AqBuffer_Init(&write->record_key);
+    AqBuffer_Init(&write->record);
+    AqBuffer_Init(&write->status_key);
+    AqBuffer_Init(&write->status);
+    snprintf(name, sizeof(name), "%lld",
+             (long long)AqWave_Number(entry->wave));
+    AqBuffer_AppendText(&write->record_key, key_of(KEY_WAVE, name));
+    AqWave_Set(entry->wave, at, state);
+    AqWave_Encode(entry->wave, &write->record);
+    AqPlatform_WaveStatus(AqWave_Number(entry->wave),
+                          AqWave_IsCompleted(entry->wave), &write->status_key,
+                          &write->status);
+    AqWave_Set(entry->wave, at, before);
+    write->expect.key = AqBuffer_Text(&write->record_key);
+    write->expect.index = entry->index;
+    write->puts[0] =
+        (AqStorePut){AqBuffer_Text(&write->record_key),
+                     AqBuffer_Text(&write->record), write->record.size, 0};
+    write->puts[1] =
+        (AqStorePut){AqBuffer_Text(&write->status_key),
+                     AqBuffer_Text(&write->status), write->status.size, 0};
+}
+
+static void
+end_wave_write(WaveWrite *write)
+{
+    AqBuffer_Clear(&write->record_key);
+    AqBuffer_Clear(&write->record);
+    AqBuffer_Clear(&write->status_key);
+    AqBuffer_Clear(&write->status);
+}
+
+static void
+order_upkeep(PoolMachines *self, WaveEntry *entry, size_t at, Plan *plan)
+{
+    DutyOrder what = {.machine = plan->machine,
+                      .wave = AqWave_Number(entry->wave)};
+    if (plan->retry_at > now_of(self)) {
+        return;
+    }
+    if (AqWave_State(entry->wave, at) == AQ_WAVE_BEGUN) {
+        order(self, plan, &what);
+        return;
+    }
+    if (!AqWave_HasSlot(entry->wave)) {
+        return;
+    }
+    WaveWrite write;
+    begin_wave_write(&write, entry, at, AQ_WAVE_BEGUN);
+    what.expects = &write.expect;
+    what.expect_count = 1;
+    what.puts = write.puts;
+    what.put_count = 2;
+    order(self, plan, &what);
+    end_wave_write(&write);
+}
+
+static void
+on_wave_written(void *context, const AqStoreReply *reply)
+{
+    PoolMachines *self = context;
+    if (end_call(self) && reply->status != AQ_STORE_OK) {
+        AqLog_Event(AQ_LOG_INFO, "wave_write_failed", "pool=%s status=%d",
+                    self->pool, (int)reply->status);
+    }
+}
+
+/* Writes a new state that needs no order. */
+static void
+write_wave(PoolMachines *self, WaveEntry *entry, size_t at, AqWaveState state)
+{
+    AqStore *store = self->node->store;
+    WaveWrite write;
+    begin_wave_write(&write, entry, at, state);
+    AqStoreExpect expects[] = {
+        {key_of(KEY_OWNER, self->pool), self->fence},
+        write.expect,
+    };
+    AqStoreCommit commit = {.expects = expects,
+                            .expect_count = 2,
+                            .puts = write.puts,
+                            .put_count = 2};
+    self->calls++;
+    AqLog_Event(AQ_LOG_INFO, "wave_state",
+                "wave=%lld machine=%s state=%d completed=%d",
+                (long long)AqWave_Number(entry->wave),
+                AqWave_Machine(entry->wave, at), (int)state,
+                AqWave_IsCompleted(entry->wave));
+    store->ops->commit(store, &commit, on_wave_written, self);
+    end_wave_write(&write);
+}
+
+/* ---- The platform's list ------------------------------------------------- */
+
+static void
+on_list(void *context, const AqMachineList *list)
+{
+    PoolMachines *self = context;
+    if (!end_call(self)) {
+        return;
+    }
+    self->is_listing = false;
+    if (!list->is_whole) {
+        self->listed_at += RETRY_MS;
+        return;
+    }
+    g_array_set_size(self->list, 0);
+    g_array_append_vals(self->list, list->machines, (guint)list->count);
+    self->listed_at = now_of(self);
+}
+
+static bool
+need_list(PoolMachines *self, AqTime age)
+{
+    if (now_of(self) - self->listed_at <= age) {
+        return true;
+    }
+    if (!self->is_listing) {
+        self->is_listing = true;
+        self->calls++;
+        self->node->machines->ops->list(self->node->machines, on_list, self);
+    }
+    return false;
+}
+
+static const AqMachine *
+find_listed(const PoolMachines *self, const char *machine)
+{
+    for (guint i = 0; i < self->list->len; i++) {
+        const AqMachine *entry = &g_array_index(self->list, AqMachine, i);
+        if (strcmp(entry->machine, machine) == 0) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+static const char *
+spare_pool(const PoolMachines *self)
+{
+    const AqSiteConfig *site = &self->node->site;
+    for (size_t i = 0; i < site->pool_count; i++) {
+        if (site->pools[i].is_spare) {
+            return site->pools[i].name;
+        }
+    }
+    return NULL;
+}
+
+/* The owner of one pool sees to VMs that no scheduler knows: those that are
+ * off, and those that are gone. */
+static bool
+is_caretaker(const PoolMachines *self)
+{
+    const char *spare = spare_pool(self);
+    const AqSiteConfig *site = &self->node->site;
+    if (spare == NULL && site->pool_count > 0) {
+        spare = site->pools[0].name;
+    }
+    return spare != NULL && strcmp(spare, self->pool) == 0;
+}
+
+/* ---- Waves --------------------------------------------------------------- */
+
+typedef struct {
+    PoolMachines *self;
+    size_t waiting; /* VMs of the wave here that have not begun */
+    bool wrote;     /* one write of a record a round */
+} WaveRound;
+
+/* Says in the record that a VM is back, until the record says so. */
+static void
+finish_wave_vm(WaveRound *round, WaveEntry *entry, size_t at, Plan *plan)
+{
+    PoolMachines *self = round->self;
+    if (plan->phase != VM_BACK) {
+        plan->phase = VM_BACK;
+        AqScheduler_SetCordon(pool_owner_scheduler(self->owner), plan->vm,
+                              false);
+    }
+    if (!round->wrote && plan->retry_at <= now_of(self)) {
+        round->wrote = true;
+        plan->retry_at = now_of(self) + RETRY_MS;
+        write_wave(self, entry, at, AQ_WAVE_DONE);
+    }
+}
+
+/* A VM whose upkeep has begun, by this owner or an earlier one. */
+static void
+follow_begun(WaveRound *round, WaveEntry *entry, size_t at)
+{
+    PoolMachines *self = round->self;
+    const char *machine = AqWave_Machine(entry->wave, at);
+    const VmCopy *vm = find_vm(self, machine);
+    Plan *plan = find_plan(self, machine);
+    if (plan == NULL) {
+        if (vm != NULL && vm->is_usable) {
+            /* Begun by an earlier owner, which may not have ordered it: order
+             * it again, which does nothing when it was. */
+            cordon(self, vm, true, "wave_taken_over")->is_repeat = true;
+        }
+        return;
+    }
+    if (plan->phase == VM_CORDONED) {
+        bool is_empty = plan->vm[0] == '\0' || vm == NULL ||
+                        AqScheduler_IsIdle(pool_owner_scheduler(self->owner),
+                                           plan->vm);
+        if (is_empty) {
+            order_upkeep(self, entry, at, plan);
+        }
+        return;
+    }
+    if (plan->phase == VM_BACK) {
+        finish_wave_vm(round, entry, at, plan);
+        return;
+    }
+    if (plan->phase != VM_AWAY || vm == NULL) {
+        return;
+    }
+    /* One that was there before an order that did nothing keeps its life. */
+    bool is_new_life = strcmp(vm->vm, plan->vm) != 0 && vm->is_usable;
+    bool is_settled = now_of(self) - plan->since > BACK_MS &&
+                      plan->is_repeat && vm->is_answering;
+    if (is_new_life || is_settled) {
+        finish_wave_vm(round, entry, at, plan);
+    }
+}
+
+/* Ends the plans of VMs whose upkeep is recorded as done. */
+static void
+end_finished(PoolMachines *self, const WaveEntry *entry, size_t at)
+{
+    const Plan *plan = find_plan(self, AqWave_Machine(entry->wave, at));
+    if (plan != NULL && plan->is_upkeep && plan->phase != VM_ORDERED) {
+        remove_plan(self, plan);
+    }
+}
+
+static void
+follow_cordoned(WaveRound *round, WaveEntry *entry, size_t at, Plan *plan,
+                const VmCopy *vm)
+{
+    PoolMachines *self = round->self;
+    AqScheduler *s = pool_owner_scheduler(self->owner);
+    if (vm == NULL || strcmp(vm->vm, plan->vm) != 0) {
+        remove_plan(self, plan); /* it has gone meanwhile */
+        return;
+    }
+    if (AqScheduler_IsIdle(s, plan->vm)) {
+        if (!round->wrote) {
+            round->wrote = true;
+            order_upkeep(self, entry, at, plan);
+        }
+    }
+    else if (AqWave_IsPressing(entry->wave, round->waiting, plan->since,
+                               now_of(self))) {
+        AqScheduler_StopTasks(s, plan->vm, now_of(self));
+    }
+}
+
+static size_t
+count_waiting(const PoolMachines *self, const WaveEntry *entry)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < AqWave_Count(entry->wave); i++) {
+        count += AqWave_State(entry->wave, i) == AQ_WAVE_WAITING &&
+                 find_vm(self, AqWave_Machine(entry->wave, i)) != NULL;
+    }
+    return count;
+}
+
+/* Chooses VMs to make empty: idle ones at once, others as far as the pool can
+ * do without them. */
+static void
+choose_for_wave(WaveRound *round, const WaveEntry *entry)
+{
+    PoolMachines *self = round->self;
+    size_t parallel = AqWave_Parallel(entry->wave, round->waiting,
+                                      self->vms->len, now_of(self));
+    for (guint i = 0; i < self->vms->len; i++) {
+        const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
+        int at = AqWave_Find(entry->wave, vm->machine);
+        size_t busy = count_plans(self, true);
+        if (at < 0 || !vm->is_usable ||
+            AqWave_State(entry->wave, (size_t)at) != AQ_WAVE_WAITING ||
+            find_plan(self, vm->machine) != NULL) {
+            continue;
+        }
+        size_t most = vm->tasks == 0 ? parallel + 2 : parallel;
+        if (busy < most) {
+            cordon(self, vm, true, "wave");
+        }
+    }
+}
+
+/* VMs of the wave that are off, or gone. */
+static void
+care_for_rest(WaveRound *round, WaveEntry *entry)
+{
+    PoolMachines *self = round->self;
+    if (!need_list(self, LIST_EVERY_MS) || self->list->len == 0) {
+        return;
+    }
+    for (size_t i = 0; i < AqWave_Count(entry->wave); i++) {
+        const char *machine = AqWave_Machine(entry->wave, i);
+        AqWaveState state = AqWave_State(entry->wave, i);
+        const AqMachine *listed = find_listed(self, machine);
+        if (state >= AQ_WAVE_DONE || round->wrote) {
+            continue;
+        }
+        if (listed == NULL) {
+            round->wrote = true;
+            write_wave(self, entry, i, AQ_WAVE_GONE);
+            continue;
+        }
+        if (strcmp(listed->pool, self->pool) != 0 ||
+            listed->state != AQ_MACHINE_UP) {
+            continue;
+        }
+        Plan *plan = find_plan(self, machine);
+        if (plan == NULL && AqWave_HasSlot(entry->wave)) {
+            round->wrote = true;
+            plan = add_plan(self, machine, "", true);
+            plan->phase = VM_CORDONED;
+            order_upkeep(self, entry, i, plan);
+        }
+        else if (plan != NULL && plan->phase == VM_CORDONED) {
+            order_upkeep(self, entry, i, plan);
+        }
+        else if (plan != NULL && plan->phase >= VM_AWAY &&
+                 self->listed_at - plan->since > BACK_MS / 2) {
+            finish_wave_vm(round, entry, i, plan);
+        }
+    }
+}
+
+static void
+visit_wave(void *context, WaveEntry *entry)
+{
+    WaveRound *round = context;
+    PoolMachines *self = round->self;
+    round->waiting = count_waiting(self, entry);
+    for (size_t i = 0; i < AqWave_Count(entry->wave); i++) {
+        const char *machine = AqWave_Machine(entry->wave, i);
+        AqWaveState state = AqWave_State(entry->wave, i);
+        Plan *plan = find_plan(self, machine);
+        if (state >= AQ_WAVE_DONE) {
+            end_finished(self, entry, i);
+        }
+        else if (state == AQ_WAVE_BEGUN) {
+            follow_begun(round, entry, i);
+        }
+        else if (state == AQ_WAVE_WAITING && plan != NULL &&
+                 plan->is_upkeep && plan->phase == VM_CORDONED &&
+                 plan->vm[0] != '\0') {
+            follow_cordoned(round, entry, i, plan, find_vm(self, machine));
+        }
+    }
+    if (AqWave_IsOver(entry->wave)) {
+        return;
+    }
+    choose_for_wave(round, entry);
+    if (is_caretaker(self)) {
+        care_for_rest(round, entry);
+    }
+}
+
+/* ---- Sizes --------------------------------------------------------------- */
+
+static void
+give(PoolMachines *self, size_t count, const char *spare)
+{
+    for (guint i = 0; i < self->vms->len && count > 0; i++) {
+        const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
+        if (!vm->is_usable || vm->tasks > 0 ||
+            now_of(self) - vm->idle_since < AQ_SIZING_IDLE_MS ||
+            find_plan(self, vm->machine) != NULL ||
+            wave_book_has(self->waves, vm->machine)) {
+            continue;
+        }
+        DutyOrder what = {.machine = vm->machine, .to_pool = spare};
+        cordon(self, vm, false, "surplus");
+        order(self, find_plan(self, vm->machine), &what);
+        count--;
+    }
+}
+
+static void
+take(PoolMachines *self, size_t count, const char *spare)
+{
+    if (!need_list(self, LIST_FRESH_MS)) {
+        return;
+    }
+    /* Owners that take at the same time begin at different places. */
+    size_t offset = g_str_hash(self->pool);
+    for (guint i = 0; i < self->list->len && count > 0; i++) {
+        const AqMachine *machine = &g_array_index(
+            self->list, AqMachine, (i + offset) % self->list->len);
+        if (strcmp(machine->pool, spare) != 0 ||
+            machine->state != AQ_MACHINE_UP ||
+            find_plan(self, machine->machine) != NULL ||
+            wave_book_has(self->waves, machine->machine)) {
+            continue;
+        }
+        DutyOrder what = {.machine = machine->machine, .to_pool = self->pool};
+        AqLog_Event(AQ_LOG_INFO, "vm_taken", "machine=%s pool=%s",
+                    machine->machine, self->pool);
+        order(self, add_plan(self, machine->machine, "", false), &what);
+        count--;
+    }
+}
+
+/* Ends the plans of VMs that have come, or will not. */
+static size_t
+count_coming(PoolMachines *self)
+{
+    GHashTableIter iter;
+    gpointer value;
+    size_t count = 0;
+    g_hash_table_iter_init(&iter, self->plans);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Plan *plan = value;
+        if (plan->is_upkeep || plan->vm[0] != '\0') {
+            continue;
+        }
+        const VmCopy *vm = find_vm(self, plan->machine);
+        if ((vm != NULL && vm->is_usable) ||
+            (plan->phase == VM_AWAY &&
+             now_of(self) - plan->since > COMING_MS)) {
+            g_hash_table_iter_remove(&iter);
+        }
+        else {
+            count++;
+        }
+    }
+    return count;
+}
+
+static void
+log_load(PoolMachines *self, const AqSizingInput *input,
+         const AqSizingDecision *decision, size_t jobs)
+{
+    if (now_of(self) < self->log_due) {
+        return;
+    }
+    self->log_due = now_of(self) + LOG_EVERY_MS;
+    AqLog_Event(AQ_LOG_INFO, "pool_load",
+                "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
+                "used_cpu=%lld ready_cpu=%lld room_cpu=%lld wait_ms=%lld "
+                "take=%zu give=%zu",
+                self->pool, jobs, input->usable_vms, input->idle_vms,
+                input->lasting_vms, input->coming_vms,
+                (long long)input->used_cpu_millis,
+                (long long)input->ready_cpu_millis,
+                (long long)input->room_cpu_millis,
+                (long long)input->longest_wait_ms, decision->take,
+                decision->give);
+}
+
+static void
+resize(PoolMachines *self, AqScheduler *s)
+{
+    const char *spare = spare_pool(self);
+    AqSchedulerLoad load;
+    AqSizingDecision decision;
+    AqTime now = now_of(self);
+    size_t coming = count_coming(self);
+    AqScheduler_GetLoad(s, now, &load);
+    if (spare == NULL || strcmp(spare, self->pool) == 0 ||
+        !load.is_settled) {
+        return;
+    }
+    AqSizingInput input = {
+        .now = now,
+        .used_cpu_millis = load.used_cpu_millis,
+        .ready_cpu_millis = load.ready_cpu_millis,
+        .longest_wait_ms = load.longest_wait_ms,
+        .room_cpu_millis = load.room_cpu_millis,
+        .coming_vms = coming + count_plans(self, true),
+        .widest_spread = load.widest_spread,
+    };
+    for (guint i = 0; i < self->vms->len; i++) {
+        const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
+        if (!vm->is_usable) {
+            continue;
+        }
+        input.usable_vms++;
+        input.vm_cpu_millis = vm->cpu;
+        input.lasting_vms += vm->lasting > 0;
+        input.idle_vms +=
+            vm->tasks == 0 && now - vm->idle_since >= AQ_SIZING_IDLE_MS;
+    }
+    AqSizing_Decide(&input, &decision);
+    log_load(self, &input, &decision, load.jobs);
+    if (decision.take > 0) {
+        take(self, decision.take, spare);
+    }
+    else if (decision.give > 0) {
+        give(self, decision.give, spare);
+    }
+}
+
+/* ---- Rounds -------------------------------------------------------------- */
+
+void
+pool_machines_round(PoolMachines *self, bool may_order)
+{
+    AqScheduler *s = pool_owner_scheduler(self->owner);
+    if (s == NULL || !may_order || self->node->machines == NULL ||
+        now_of(self) < self->due) {
+        return;
+    }
+    self->due = now_of(self) + ROUND_MS;
+    g_array_set_size(self->vms, 0);
+    AqScheduler_EachVm(s, copy_vm, self);
+    g_array_sort(self->vms, compare_vms);
+    WaveRound round = {.self = self};
+    wave_book_each(self->waves, visit_wave, &round);
+    resize(self, s);
+}
+
+PoolMachines *
+pool_machines_create(NodeContext *node, WaveBook *waves, PoolOwner *owner)
+{
+    PoolMachines *self = calloc(1, sizeof(*self));
+    self->node = node;
+    self->waves = waves;
+    self->owner = owner;
+    self->fence = pool_owner_fence(owner);
+    self->listed_at = -LIST_EVERY_MS;
+    g_strlcpy(self->pool, pool_owner_pool(owner), sizeof(self->pool));
+    self->plans = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+    self->vms = g_array_new(FALSE, FALSE, sizeof(VmCopy));
+    self->list = g_array_new(FALSE, FALSE, sizeof(AqMachine));
+    return self;
+}
+
+void
+pool_machines_drop(PoolMachines *self)
+{
+    self->is_dropped = true;
+    if (self->calls == 0) {
+        free_machines(self);
+    }
+}
--- /dev/null
+++ b/packages/pool/pool_machines.h
@@ -0,0 +1,22 @@
+#ifndef POOL_MACHINES_H
+#define POOL_MACHINES_H
+
+#include "pool_owner.h"
+#include "wave_book.h"
+
+/* The VMs of one owned pool: their upkeep, and how many of them the pool
+ * keeps.  Orders go out through duty.c. */
+
+typedef struct PoolMachines PoolMachines;
+
+/* Everything is borrowed and outlives the result, but for the owner, which
+ * may go first. */
+PoolMachines *pool_machines_create(NodeContext *node, WaveBook *waves,
+                                   PoolOwner *owner);
+/* No orders from now on; frees it when its calls have ended. */
+void pool_machines_drop(PoolMachines *machines);
+
+/* Runs what is due; "may_order" as of the pool's ownership. */
+void pool_machines_round(PoolMachines *machines, bool may_order);
+
+#endif
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -596,6 +596,15 @@
     }
 }
 
+bool
+pool_owner_may_order(const PoolOwner *owner)
+{
+    /* Time that passes before an order leaves and is carried out counts. */
+    return !owner->is_finishing &&
+           now_of(owner) + LEASE_RESERVE_MS <
+               member_certain_until(owner->member);
+}
+
 AqTime
 pool_owner_round(PoolOwner *owner)
 {
@@ -604,12 +613,8 @@
         check_finished(owner);
         return now + LOAD_RETRY_MS;
     }
-    /* Time that passes before an order leaves and is carried out counts. */
-    bool may_order =
-        !owner->is_finishing &&
-        now + LEASE_RESERVE_MS < member_certain_until(owner->member);
     AqTime due = AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(),
-                                  may_order);
+                                  pool_owner_may_order(owner));
     save(owner);
     write_roster(owner);
     if (!owner->is_finishing) {
--- a/packages/pool/pool_owner.h
+++ b/packages/pool/pool_owner.h
@@ -26,6 +26,9 @@
 AqScheduler *pool_owner_scheduler(PoolOwner *owner);
 uint64_t pool_owner_fence(const PoolOwner *owner);
 
+/* Whether this node is certain to be the owner, for a while yet. */
+bool pool_owner_may_order(const PoolOwner *owner);
+
 void pool_owner_site_changed(PoolOwner *owner);
 /* An entry in the list of VMs; those of other pools are passed over. */
 void pool_owner_set_vm(PoolOwner *owner, const AqVmReport *report);
--- /dev/null
+++ b/packages/pool/wave_book.c
@@ -0,0 +1,139 @@
+#include "wave_book.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "keys.h"
+#include "prefix_view.h"
+
+static const char record_prefix[] = "aq/wave/";
+
+struct WaveBook {
+    NodeContext *node;
+    GHashTable *entries; /* number as text -> WaveEntry */
+    PrefixView *records; /* from the first wave on */
+};
+
+static void
+free_entry(void *value)
+{
+    WaveEntry *entry = value;
+    AqWave_Destroy(entry->wave);
+    free(entry);
+}
+
+static void
+on_put(void *context, const AqStoreItem *item)
+{
+    WaveBook *book = context;
+    WaveEntry *entry =
+        g_hash_table_lookup(book->entries, item->key + strlen(record_prefix));
+    if (entry == NULL || item->index <= entry->index) {
+        return;
+    }
+    if (!AqWave_Decode(entry->wave, item->value, item->size)) {
+        AqLog_Event(AQ_LOG_ERROR, "wave_unreadable", "key=%s index=%llu",
+                    item->key, (unsigned long long)item->index);
+        return;
+    }
+    entry->index = item->index;
+    entry->is_read = true;
+}
+
+static void
+on_removed(void *context, const char *key)
+{
+    (void)context;
+    AqLog_Event(AQ_LOG_WARNING, "wave_record_removed", "key=%s", key);
+}
+
+static void
+on_listed(void *context)
+{
+    WaveBook *book = context;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, book->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((WaveEntry *)value)->is_read = true;
+    }
+}
+
+static const PrefixViewOps record_ops = {on_put, on_removed, on_listed};
+
+void
+wave_book_add(WaveBook *book, AqWaveSpec *spec)
+{
+    char name[32];
+    snprintf(name, sizeof(name), "%lld", (long long)spec->number);
+    if (g_hash_table_contains(book->entries, name)) {
+        AqWaveSpec_Clear(spec);
+        return;
+    }
+    WaveEntry *entry = calloc(1, sizeof(*entry));
+    entry->wave = AqWave_Create(spec, AqLoop_Now(book->node->loop));
+    AqLog_Event(AQ_LOG_INFO, "wave_seen",
+                "wave=%s machines=%zu within_ms=%lld cap=%u", name,
+                spec->machine_count, (long long)spec->within_ms, spec->cap);
+    AqWaveSpec_Clear(spec);
+    g_hash_table_insert(book->entries, g_strdup(name), entry);
+    /* A record that was listed before its wave was known is read again. */
+    prefix_view_destroy(book->records);
+    book->records =
+        prefix_view_create(book->node->loop, book->node->store, record_prefix,
+                           &record_ops, book);
+}
+
+void
+wave_book_each(WaveBook *book, void (*visit)(void *context, WaveEntry *entry),
+               void *context)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, book->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        WaveEntry *entry = value;
+        if (entry->is_read) {
+            visit(context, entry);
+        }
+    }
+}
+
+bool
+wave_book_has(WaveBook *book, const char *machine)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, book->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const WaveEntry *entry = value;
+        int at = AqWave_Find(entry->wave, machine);
+        if (at >= 0 && AqWave_State(entry->wave, (size_t)at) <
+                           AQ_WAVE_DONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+WaveBook *
+wave_book_create(NodeContext *node)
+{
+    WaveBook *book = calloc(1, sizeof(*book));
+    book->node = node;
+    book->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          free_entry);
+    return book;
+}
+
+void
+wave_book_destroy(WaveBook *book)
+{
+    if (book != NULL) {
+        prefix_view_destroy(book->records);
+        g_hash_table_destroy(book->entries);
+        free(book);
+    }
+}
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -102,6 +102,9 @@
 /* No new tasks there; lasting ones move away as their steps allow. */
 void AqScheduler_SetCordon(AqScheduler *scheduler, const char *vm,
                            bool is_cordoned);
+/* Stops what runs on the VM, but for lasting tasks, to be started elsewhere.
+ * Saved work is kept. */
+void AqScheduler_StopTasks(AqScheduler *scheduler, const char *vm, AqTime now);
 /* Whether nothing runs, starts or stops there. */
 bool AqScheduler_IsIdle(const AqScheduler *scheduler, const char *vm);
 
@@ -110,6 +113,7 @@
     const char *machine; /* borrowed */
     const char *rack;    /* borrowed */
     bool is_usable;      /* listed, answering, not draining or cordoned */
+    bool is_answering;
     bool is_cordoned;
     bool is_draining;
     size_t tasks;         /* running, starting and stopping */
@@ -187,7 +191,8 @@
     size_t ready_tasks;
     size_t jobs;                /* not finished */
     int64_t largest_cpu_millis; /* of one ready task */
-    AqTime oldest_wait_ms;      /* of a ready task */
+    AqTime longest_wait_ms;     /* of a ready task */
+    size_t widest_spread; /* VMs that a lasting step needs, one for a task */
     bool is_settled;            /* starts are allowed */
 } AqSchedulerLoad;
 
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -340,7 +340,8 @@
 static void
 note_presence(AqScheduler *s, Task *task, const AqRunningTask *row)
 {
-    if (task->step->spec->is_perpetual) {
+    /* One that is being stopped is listed for a while yet. */
+    if (task->step->spec->is_perpetual && task->state == TASK_RUNNING) {
         if (row->percent < 100 && task->pace >= 100) {
             if (task->absent_since == AQ_TIME_NEVER) {
                 task->absent_since = s->now;
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -605,6 +605,35 @@
     return due < latest ? due : latest;
 }
 
+static void
+add_step_load(const Step *step, AqTime now, AqSchedulerLoad *load)
+{
+    const AqStepSpec *spec = step->spec;
+    int64_t cpu = spec->is_filler ? 0 : spec->cpu_millis;
+    if (spec->is_perpetual && spec->max_per_vm > 0) {
+        size_t spread =
+            (spec->task_count + spec->max_per_vm - 1) / spec->max_per_vm;
+        if (spread > load->widest_spread) {
+            load->widest_spread = spread;
+        }
+    }
+    if (step->ready == 0) {
+        return;
+    }
+    load->ready_tasks += step->ready;
+    load->ready_cpu_millis += cpu * step->ready;
+    if (cpu > load->largest_cpu_millis) {
+        load->largest_cpu_millis = cpu;
+    }
+    for (uint32_t i = 0; i < spec->task_count; i++) {
+        const Task *task = &step->tasks[i];
+        if (task->state == TASK_READY &&
+            now - task->ready_at > load->longest_wait_ms) {
+            load->longest_wait_ms = now - task->ready_at;
+        }
+    }
+}
+
 void
 AqScheduler_GetLoad(const AqScheduler *s, AqTime now, AqSchedulerLoad *load)
 {
@@ -619,21 +648,7 @@
             const Occurrence *occurrence =
                 AqList_Entry(each, Occurrence, link);
             for (size_t i = 0; i < job->spec.step_count; i++) {
-                const Step *step = &occurrence->steps[i];
-                if (step->ready == 0) {
-                    continue;
-                }
-                int64_t cpu = step->spec->is_filler ? 0
-                                                    : step->spec->cpu_millis;
-                load->ready_tasks += step->ready;
-                load->ready_cpu_millis += cpu * step->ready;
-                if (cpu > load->largest_cpu_millis) {
-                    load->largest_cpu_millis = cpu;
-                }
-                AqTime wait = now - job->submitted_at;
-                if (wait > load->oldest_wait_ms) {
-                    load->oldest_wait_ms = wait;
-                }
+                add_step_load(&occurrence->steps[i], now, load);
             }
         }
     }
--- /dev/null
+++ b/packages/scheduler/sizing.c
@@ -0,0 +1,74 @@
+#include "aq_sizing.h"
+
+#include <string.h>
+
+enum {
+    /* Room that stays free of the room in use, in hundredths. */
+    RESERVE_PERCENT = 30,
+    RESERVE_VMS = 4, /* so that a turn can begin before VMs come */
+    MOST_TAKEN = 8,  /* in one decision */
+    STUCK_MS = 800   /* a task waits although there is room */
+};
+
+static size_t
+least_vms(const AqSizingInput *input)
+{
+    size_t spread = input->widest_spread + 1;
+    size_t lasting = input->lasting_vms;
+    size_t least = spread > lasting ? spread : lasting;
+    return least > RESERVE_VMS ? least : RESERVE_VMS;
+}
+
+static size_t
+vms_for(const AqSizingInput *input, int64_t cpu)
+{
+    if (cpu <= 0 || input->vm_cpu_millis <= 0) {
+        return 0;
+    }
+    return (size_t)((cpu + input->vm_cpu_millis - 1) / input->vm_cpu_millis);
+}
+
+static size_t
+decide_take(const AqSizingInput *input)
+{
+    int64_t coming = (int64_t)input->coming_vms * input->vm_cpu_millis;
+    int64_t need = input->used_cpu_millis + input->ready_cpu_millis;
+    size_t take = 0;
+    if (input->ready_cpu_millis > 0) {
+        take = vms_for(input, need - input->room_cpu_millis - coming);
+        bool is_stuck = input->longest_wait_ms > STUCK_MS && coming == 0;
+        take = take == 0 && is_stuck ? 1 : take;
+    }
+    size_t have = input->usable_vms + input->coming_vms;
+    size_t least = input->widest_spread + 1;
+    if (have < least && take < least - have) {
+        take = least - have;
+    }
+    return take < MOST_TAKEN ? take : MOST_TAKEN;
+}
+
+static size_t
+decide_give(const AqSizingInput *input)
+{
+    if (input->ready_cpu_millis > 0 || input->coming_vms > 0) {
+        return 0;
+    }
+    int64_t wanted =
+        input->used_cpu_millis + input->used_cpu_millis * RESERVE_PERCENT / 100;
+    size_t wanted_vms = vms_for(input, wanted) + RESERVE_VMS;
+    size_t least = least_vms(input);
+    size_t keep = wanted_vms > least ? wanted_vms : least;
+    size_t surplus =
+        input->usable_vms > keep ? input->usable_vms - keep : 0;
+    return surplus < input->idle_vms ? surplus : input->idle_vms;
+}
+
+void
+AqSizing_Decide(const AqSizingInput *input, AqSizingDecision *decision)
+{
+    memset(decision, 0, sizeof(*decision));
+    decision->take = decide_take(input);
+    if (decision->take == 0) {
+        decision->give = decide_give(input);
+    }
+}
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -349,6 +349,23 @@
     }
 }
 
+void
+AqScheduler_StopTasks(AqScheduler *s, const char *id, AqTime now)
+{
+    const Vm *vm = vms_find(s, id);
+    s->now = now;
+    if (vm == NULL) {
+        return;
+    }
+    AqList_ForEachSafe(at, after, &vm->tasks)
+    {
+        Task *task = AqList_Entry(at, Task, link);
+        if (!task->step->spec->is_perpetual) {
+            replies_order_stop(s, task);
+        }
+    }
+}
+
 bool
 AqScheduler_IsIdle(const AqScheduler *s, const char *id)
 {
@@ -369,6 +386,8 @@
             .machine = vm->report.machine,
             .rack = vm->report.rack,
             .is_usable = vms_is_usable(s, vm),
+            .is_answering = vm->has_answered &&
+                            vm->silent_since == AQ_TIME_NEVER,
             .is_cordoned = vm->is_cordoned,
             .is_draining = vm->report.is_draining,
             .tasks = vm->task_count,
--- /dev/null
+++ b/packages/scheduler/waves.c
@@ -0,0 +1,211 @@
+#include "aq_waves.h"
+
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "record_codec.h"
+
+enum {
+    /* Time that one VM takes: tasks end, upkeep, and it is seen back. */
+    VM_MS = 5000,
+    /* Tasks that have not ended after this are stopped. */
+    PATIENCE_MS = 5000,
+    SHORT_PATIENCE_MS = 1200, /* when the wave is about to be late */
+    /* A pool gives up at most this share of its VMs at a time. */
+    LARGEST_SHARE = 3
+};
+
+typedef struct {
+    char machine[AQ_VM_ID_SIZE];
+    AqWaveState state;
+} Entry;
+
+struct AqWave {
+    int64_t number;
+    uint32_t cap;
+    AqTime deadline;
+    Entry *entries;
+    size_t count;
+};
+
+AqWave *
+AqWave_Create(const AqWaveSpec *spec, AqTime now)
+{
+    AqWave *wave = calloc(1, sizeof(*wave));
+    wave->number = spec->number;
+    wave->cap = spec->cap;
+    wave->deadline = now + spec->within_ms;
+    wave->entries = calloc(spec->machine_count + 1, sizeof(*wave->entries));
+    for (size_t i = 0; i < spec->machine_count; i++) {
+        memcpy(wave->entries[i].machine, spec->machines[i], AQ_VM_ID_SIZE);
+    }
+    wave->count = spec->machine_count;
+    return wave;
+}
+
+void
+AqWave_Destroy(AqWave *wave)
+{
+    if (wave != NULL) {
+        free(wave->entries);
+        free(wave);
+    }
+}
+
+int64_t
+AqWave_Number(const AqWave *wave)
+{
+    return wave->number;
+}
+
+size_t
+AqWave_Count(const AqWave *wave)
+{
+    return wave->count;
+}
+
+const char *
+AqWave_Machine(const AqWave *wave, size_t at)
+{
+    return wave->entries[at].machine;
+}
+
+AqWaveState
+AqWave_State(const AqWave *wave, size_t at)
+{
+    return wave->entries[at].state;
+}
+
+int
+AqWave_Find(const AqWave *wave, const char *machine)
+{
+    for (size_t i = 0; i < wave->count; i++) {
+        if (strcmp(wave->entries[i].machine, machine) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+void
+AqWave_Set(AqWave *wave, size_t at, AqWaveState state)
+{
+    wave->entries[at].state = state;
+}
+
+/* ---- Record -------------------------------------------------------------- */
+
+void
+AqWave_Encode(const AqWave *wave, AqBuffer *out)
+{
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, out, record_write);
+    msgpack_pack_array(&packer, wave->count);
+    for (size_t i = 0; i < wave->count; i++) {
+        msgpack_pack_array(&packer, 2);
+        record_pack_text(&packer, wave->entries[i].machine);
+        msgpack_pack_int(&packer, (int)wave->entries[i].state);
+    }
+}
+
+static bool
+decode_entry(AqWave *wave, const msgpack_object *row)
+{
+    char *machine = NULL;
+    int64_t state;
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
+              row->via.array.size >= 2 &&
+              record_text(&row->via.array.ptr[0], &machine) &&
+              machine != NULL &&
+              record_int(&row->via.array.ptr[1], AQ_WAVE_WAITING, AQ_WAVE_GONE,
+                         &state);
+    if (ok) {
+        int at = AqWave_Find(wave, machine);
+        if (at >= 0) {
+            wave->entries[at].state = (AqWaveState)state;
+        }
+    }
+    free(machine);
+    return ok;
+}
+
+bool
+AqWave_Decode(AqWave *wave, const char *bytes, size_t size)
+{
+    msgpack_unpacked unpacked;
+    size_t offset = 0;
+    size_t space = (wave->count + 1) * sizeof(Entry);
+    Entry *before = malloc(space);
+    memcpy(before, wave->entries, space);
+    msgpack_unpacked_init(&unpacked);
+    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
+                  MSGPACK_UNPACK_SUCCESS &&
+              unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+    for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++) {
+        ok = decode_entry(wave, &unpacked.data.via.array.ptr[i]);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    if (!ok) {
+        memcpy(wave->entries, before, space);
+    }
+    free(before);
+    return ok;
+}
+
+/* ---- Decisions ----------------------------------------------------------- */
+
+static size_t
+count_state(const AqWave *wave, AqWaveState state)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < wave->count; i++) {
+        count += wave->entries[i].state == state;
+    }
+    return count;
+}
+
+bool
+AqWave_HasSlot(const AqWave *wave)
+{
+    return count_state(wave, AQ_WAVE_BEGUN) < wave->cap;
+}
+
+bool
+AqWave_IsCompleted(const AqWave *wave)
+{
+    return count_state(wave, AQ_WAVE_WAITING) == 0;
+}
+
+bool
+AqWave_IsOver(const AqWave *wave)
+{
+    return AqWave_IsCompleted(wave) && count_state(wave, AQ_WAVE_BEGUN) == 0;
+}
+
+size_t
+AqWave_Parallel(const AqWave *wave, size_t waiting, size_t pool_size,
+                AqTime now)
+{
+    AqTime left = wave->deadline - now;
+    size_t most = pool_size / LARGEST_SHARE;
+    /* Rounds that fit into the time that is left, with one in reserve. */
+    AqTime rounds = left / VM_MS - 1;
+    size_t parallel = rounds > 0 ? (waiting + (size_t)rounds - 1) /
+                                       (size_t)rounds
+                                 : waiting;
+    most = most > 0 ? most : 1;
+    if (parallel > wave->cap) {
+        parallel = wave->cap;
+    }
+    return parallel < most ? parallel : most;
+}
+
+bool
+AqWave_IsPressing(const AqWave *wave, size_t waiting, AqTime cordoned_at,
+                  AqTime now)
+{
+    bool is_late = wave->deadline - now < (AqTime)waiting * VM_MS / 2;
+    AqTime patience = is_late ? SHORT_PATIENCE_MS : PATIENCE_MS;
+    return now - cordoned_at > patience;
+}
