Pools: one node orders VMs about; sizes follow the work submitted

A VM given to the spare pool could not be taken by another owner for 3.5 s, the pause between two holders: pools at the height of a turn had 4 VMs for 6 s. Owners now ask the owner of one duty by a list in the store. Sizes look at the work submitted in the last second, not only at what waits; idle VMs go back after 0.4 s.

--- a/packages/pool/duty.c
+++ b/packages/pool/duty.c
@@ -11,28 +11,17 @@
     /* An order leaves so soon after its claim that no later holder can have
      * given one. */
     CLAIM_AGE_MS = 800,
-    PAUSE_RESERVE_MS = 500, /* clocks of nodes differ a little */
-    MOST_EXPECTS = 3,
-    MOST_PUTS = 3
+    PAUSE_RESERVE_MS = 500 /* clocks of nodes differ a little */
 };
 
-typedef struct {
-    char *key;
-    char *value;
-    size_t size;
-} OwnedPut;
-
 typedef struct {
     NodeContext *node;
     char pool[64];
     uint64_t pool_fence;
+    uint64_t duty_fence;
     char machine[AQ_VM_ID_SIZE];
     char to_pool[64];
     int64_t wave;
-    char *expect_key; /* or NULL */
-    uint64_t expect_index;
-    OwnedPut puts[2];
-    size_t put_count;
     uint64_t fence;
     AqTime claimed_at; /* when the claim was sent */
     DutyDone done;
@@ -49,12 +38,7 @@
                 call->machine, call->to_pool[0] != '\0' ? "move" : "upkeep",
                 call->to_pool, (long long)call->wave, call->pool,
                 (unsigned long long)call->fence, names[result], reason);
-    call->done(call->context, call->machine, result);
-    for (size_t i = 0; i < call->put_count; i++) {
-        free(call->puts[i].key);
-        free(call->puts[i].value);
-    }
-    free(call->expect_key);
+    call->done(call->context, result);
     free(call);
 }
 
@@ -129,31 +113,19 @@
 {
     AqStore *store = call->node->store;
     char holder[120];
-    AqStoreExpect expects[MOST_EXPECTS];
-    AqStorePut puts[MOST_PUTS];
-    size_t expect_count = 0;
-    size_t put_count = 0;
     const char *machine_key = key_of(KEY_MACHINE, call->machine);
     snprintf(holder, sizeof(holder), "%s %lld", call->node->settings->node_id,
              (long long)AqClock_ReadWall());
-    expects[expect_count++] =
-        (AqStoreExpect){key_of(KEY_OWNER, call->pool), call->pool_fence};
-    expects[expect_count++] = (AqStoreExpect){machine_key, machine_index};
-    if (call->expect_key != NULL) {
-        expects[expect_count++] =
-            (AqStoreExpect){call->expect_key, call->expect_index};
-    }
-    puts[put_count++] =
-        (AqStorePut){machine_key, holder, strlen(holder), 0};
-    for (size_t i = 0; i < call->put_count; i++) {
-        puts[put_count++] = (AqStorePut){call->puts[i].key,
-                                         call->puts[i].value,
-                                         call->puts[i].size, 0};
-    }
+    AqStoreExpect expects[] = {
+        {key_of(KEY_OWNER, MEMBER_MACHINE_DUTY), call->duty_fence},
+        {key_of(KEY_OWNER, call->pool), call->pool_fence},
+        {machine_key, machine_index},
+    };
+    AqStorePut put = {machine_key, holder, strlen(holder), 0};
     AqStoreCommit commit = {.expects = expects,
-                            .expect_count = expect_count,
-                            .puts = puts,
-                            .put_count = put_count};
+                            .expect_count = 3,
+                            .puts = &put,
+                            .put_count = 1};
     call->claimed_at = AqClock_ReadMonotonic();
     store->ops->commit(store, &commit, on_claimed, call);
 }
@@ -177,31 +149,19 @@
 }
 
 void
-duty_order(NodeContext *node, const char *pool, uint64_t fence,
-           const DutyOrder *order, DutyDone done, void *context)
+duty_order(NodeContext *node, const DutyOrder *order, DutyDone done,
+           void *context)
 {
     DutyCall *call = calloc(1, sizeof(*call));
     call->node = node;
-    call->pool_fence = fence;
+    call->pool_fence = order->pool_fence;
+    call->duty_fence = order->duty_fence;
     call->wave = order->wave;
     call->done = done;
     call->context = context;
-    g_strlcpy(call->pool, pool, sizeof(call->pool));
+    g_strlcpy(call->pool, order->pool, sizeof(call->pool));
     g_strlcpy(call->machine, order->machine, sizeof(call->machine));
-    if (order->to_pool != NULL) {
-        g_strlcpy(call->to_pool, order->to_pool, sizeof(call->to_pool));
-    }
-    if (order->expect_count > 0) {
-        call->expect_key = strdup(order->expects[0].key);
-        call->expect_index = order->expects[0].index;
-    }
-    for (size_t i = 0; i < order->put_count && i < 2; i++) {
-        OwnedPut *put = &call->puts[call->put_count++];
-        put->key = strdup(order->puts[i].key);
-        put->size = order->puts[i].size;
-        put->value = malloc(put->size + 1);
-        memcpy(put->value, order->puts[i].value, put->size);
-    }
+    g_strlcpy(call->to_pool, order->to_pool, sizeof(call->to_pool));
     node->store->ops->get(node->store, key_of(KEY_MACHINE, order->machine),
                           on_read, call);
 }
--- a/packages/pool/keys.c
+++ b/packages/pool/keys.c
@@ -23,6 +23,7 @@
         [KEY_MEMBER] = "aq/member/%s",   [KEY_OWNER] = "aq/owner/%s",
         [KEY_TERM] = "aq/term/%s",       [KEY_ROSTER] = "aq/roster/%s",
         [KEY_REPORT] = "aq/report/%s",   [KEY_MACHINE] = "aq/machine/%s",
+        [KEY_ASK] = "aq/ask/%s",
         [KEY_WAVE] = "aq/wave/%s",       [KEY_JOBS] = "aq/job/%s/",
         [KEY_PROGRESS] = "aq/progress/%s/",
     };
--- a/packages/pool/keys.h
+++ b/packages/pool/keys.h
@@ -14,11 +14,14 @@
  * aq/job/POOL/ID.c     any node: the job is cancelled, perhaps before it came
  * aq/progress/POOL/ID  the owner: stage, done tasks, failures
  * aq/report/POOL       the owner: jobs waiting of each queue
- * aq/machine/MACHINE   an owner: who gave the VM its last order, and when
+ * aq/ask/POOL          the owner: orders for VMs that it asks for
+ * aq/machine/MACHINE   the machine duty: who gave the VM its last order, when
  * aq/wave/N            an owner: VMs of the wave that are begun and done */
 
 #define KEYS_MEMBERS "aq/member/"
 #define KEYS_OWNERS "aq/owner/"
+#define KEYS_ASKS "aq/ask/"
+#define KEYS_WAVES "aq/wave/"
 
 typedef enum {
     KEY_MEMBER,
@@ -26,6 +29,7 @@
     KEY_TERM,
     KEY_ROSTER,
     KEY_REPORT,
+    KEY_ASK,
     KEY_MACHINE,
     KEY_WAVE,
     KEY_JOBS,    /* prefix of a pool's jobs */
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -12,6 +12,7 @@
 enum {
     KEEP_MS = 700,
     KEEP_RETRY_MS = 150,
+    ORDER_MS = 300, /* for an order to leave and be carried out */
     /* The clock of the store may run a little faster than ours. */
     LEASE_MARGIN_MS = 200,
     CONNECTED_MS = 1500, /* a node that has not heard from the store for so
@@ -196,10 +197,10 @@
     }
 }
 
-AqTime
-member_certain_until(const Member *member)
+bool
+member_may_order(const Member *member)
 {
-    return member->certain_until;
+    return AqLoop_Now(member->node->loop) + ORDER_MS < member->certain_until;
 }
 
 bool
@@ -535,6 +536,8 @@
     GHashTableIter iter;
     gpointer value;
     const AqSiteConfig *site = &member->node->site;
+    find_shard(member, MEMBER_MACHINE_DUTY)->is_wanted =
+        member->node->machines != NULL;
     for (size_t i = 0; i < site->pool_count; i++) {
         find_shard(member, site->pools[i].name)->is_wanted = true;
     }
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -13,6 +13,9 @@
 
 typedef struct Member Member;
 
+/* A name beside the pools: the duty of ordering VMs about. */
+#define MEMBER_MACHINE_DUTY "@machines"
+
 typedef struct {
     char pool[64];
     uint64_t fence;      /* index of the owner's key */
@@ -31,8 +34,9 @@
 
 /* The pools of the configuration may have changed. */
 void member_site_changed(Member *member);
-/* Until when this node's lease holds for certain; orders need more. */
-AqTime member_certain_until(const Member *member);
+/* Whether this node's lease holds for certain, and for long enough that an
+ * order given now is carried out within it. */
+bool member_may_order(const Member *member);
 /* Whether the store has answered lately. */
 bool member_is_connected(const Member *member);
 /* Another owner was seen, or a write of the owner conflicted. */
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -9,6 +9,7 @@
 #include "aq_platform.h"
 #include "aq_random.h"
 #include "front.h"
+#include "machine_desk.h"
 #include "member.h"
 #include "pool_machines.h"
 #include "pool_owner.h"
@@ -40,6 +41,7 @@
     PrefixView *worker_view;
     GHashTable *vms;    /* key -> AqVmReport */
     WaveBook *waves;
+    MachineDesk *desk; /* while this node has the machine duty */
     GHashTable *owners; /* pool -> OwnedPool */
     AqTimer stop_timer;
     AqTime stop_began;
@@ -210,6 +212,10 @@
     AqNode *node = context;
     GHashTableIter iter;
     gpointer value;
+    if (strcmp(ownership->pool, MEMBER_MACHINE_DUTY) == 0) {
+        node->desk = machine_desk_create(&node->context, ownership->fence);
+        return;
+    }
     OwnedPool *pool = calloc(1, sizeof(*pool));
     pool->owner = pool_owner_create(&node->context, node->member, ownership,
                                     &ops, node);
@@ -241,6 +247,11 @@
     AqNode *node = context;
     OwnedPool *owned = g_hash_table_lookup(node->owners, pool);
     (void)reason;
+    if (strcmp(pool, MEMBER_MACHINE_DUTY) == 0) {
+        machine_desk_drop(node->desk);
+        node->desk = NULL;
+        return;
+    }
     if (owned != NULL) {
         g_hash_table_remove(node->owners, pool);
         drop_pool(owned);
@@ -320,6 +331,10 @@
 {
     GHashTableIter iter;
     gpointer value;
+    if (node->desk != NULL) {
+        member_release(node->member, MEMBER_MACHINE_DUTY);
+        on_lost(node, MEMBER_MACHINE_DUTY, "released");
+    }
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Handover *handover = calloc(1, sizeof(*handover));
@@ -377,6 +392,9 @@
         }
     }
     g_list_free_full(pools, g_free);
+    if (node->desk != NULL) {
+        machine_desk_round(node->desk, member_may_order(node->member));
+    }
     return due;
 }
 
@@ -541,6 +559,7 @@
     }
     NodeContext *context = &node->context;
     AqTimer_Stop(&node->stop_timer);
+    machine_desk_drop(node->desk);
     drop_owners(node);
     if (context->http != NULL) {
         /* Ends all calls, whose contexts are still there. */
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "aq_asks.h"
 #include "aq_log.h"
 #include "aq_platform.h"
 #include "aq_sizing.h"
-#include "duty.h"
 #include "keys.h"
 
 enum {
@@ -15,27 +15,34 @@
     LOG_EVERY_MS = 1000,
     LIST_EVERY_MS = 2500, /* while VMs outside of the pools' view matter */
     LIST_FRESH_MS = 400,  /* a list is good for choosing spare VMs */
-    RETRY_MS = 300,       /* of an order that was not accepted */
-    COMING_MS = 4000,     /* a VM that has not come by then is not counted */
+    RETRY_MS = 150,       /* of a write that was not accepted */
+    ASK_MS = 6000,  /* a VM that has not moved by then is left where it is */
     BACK_MS = 4000, /* a VM that is there so long after its order is back */
     LASTING_WEIGHT = 100  /* a lasting task counts as so many others */
 };
 
 typedef enum {
-    VM_FREE,
     VM_CORDONED, /* being made empty */
-    VM_ORDERED,  /* an order is under way */
-    VM_AWAY,     /* it is down, or moving; expected back in this pool */
+    VM_CLAIMING, /* the wave's record is being written */
+    VM_ASKED,    /* the order is asked for */
     VM_BACK      /* it serves again; the wave's record is to say so */
 } VmPhase;
 
+typedef enum {
+    PLAN_UPKEEP,
+    PLAN_GIVE, /* to the spare pool */
+    PLAN_TAKE  /* from the spare pool */
+} PlanKind;
+
 /* What this owner is doing with one VM. */
 typedef struct {
     char machine[AQ_VM_ID_SIZE];
-    char vm[AQ_VM_ID_SIZE]; /* its life when we began */
+    char vm[AQ_VM_ID_SIZE]; /* its life when we began, or "" */
+    PlanKind kind;
     VmPhase phase;
-    bool is_upkeep; /* else it is given away or taken */
     bool is_repeat; /* an earlier owner may have ordered it already */
+    int64_t wave;
+    int64_t ask; /* number; 0: nothing is asked for */
     AqTime since;
     AqTime retry_at;
 } Plan;
@@ -50,6 +57,12 @@
     int calls;
     AqTime due;
     AqTime log_due;
+    int64_t last_ask;
+    bool are_asks_changed;
+    bool is_writing_asks;
+    AqTime asks_due;
+    bool is_writing_wave;
+    char claiming[AQ_VM_ID_SIZE]; /* VM of the write of a wave's record */
     GHashTable *plans; /* machine -> Plan */
     GArray *vms;       /* of VmCopy, of this round */
     /* The platform's list of VMs. */
@@ -118,16 +131,31 @@
     g_array_append_val(self->vms, copy);
 }
 
-static VmCopy *
+/* The life of a VM that answers, or else any; NULL when there is none. */
+static const VmCopy *
 find_vm(const PoolMachines *self, const char *machine)
 {
+    const VmCopy *found = NULL;
     for (guint i = 0; i < self->vms->len; i++) {
-        VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
-        if (strcmp(vm->machine, machine) == 0) {
-            return vm;
+        const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
+        if (strcmp(vm->machine, machine) == 0 &&
+            (found == NULL || vm->is_answering)) {
+            found = vm;
         }
     }
-    return NULL;
+    return found;
+}
+
+static bool
+is_life_over(const PoolMachines *self, const char *life)
+{
+    for (guint i = 0; i < self->vms->len; i++) {
+        const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
+        if (strcmp(vm->vm, life) == 0) {
+            return !vm->is_answering;
+        }
+    }
+    return true;
 }
 
 static int
@@ -151,12 +179,12 @@
 
 static Plan *
 add_plan(PoolMachines *self, const char *machine, const char *vm,
-         bool is_upkeep)
+         PlanKind kind)
 {
     Plan *plan = calloc(1, sizeof(*plan));
     g_strlcpy(plan->machine, machine, sizeof(plan->machine));
     g_strlcpy(plan->vm, vm, sizeof(plan->vm));
-    plan->is_upkeep = is_upkeep;
+    plan->kind = kind;
     plan->since = now_of(self);
     g_hash_table_replace(self->plans, plan->machine, plan);
     return plan;
@@ -169,14 +197,15 @@
     if (s != NULL && plan->vm[0] != '\0') {
         AqScheduler_SetCordon(s, plan->vm, false);
     }
+    self->are_asks_changed = self->are_asks_changed || plan->ask != 0;
     g_hash_table_remove(self->plans, plan->machine);
 }
 
 static Plan *
-cordon(PoolMachines *self, const VmCopy *vm, bool is_upkeep,
+cordon(PoolMachines *self, const VmCopy *vm, PlanKind kind,
        const char *reason)
 {
-    Plan *plan = add_plan(self, vm->machine, vm->vm, is_upkeep);
+    Plan *plan = add_plan(self, vm->machine, vm->vm, kind);
     plan->phase = VM_CORDONED;
     AqScheduler_SetCordon(pool_owner_scheduler(self->owner), vm->vm, true);
     AqLog_Event(AQ_LOG_INFO, "vm_cordoned",
@@ -187,58 +216,109 @@
 }
 
 static size_t
-count_plans(const PoolMachines *self, bool is_upkeep)
+count_plans(const PoolMachines *self, PlanKind kind)
 {
     GHashTableIter iter;
     gpointer value;
     size_t count = 0;
     g_hash_table_iter_init(&iter, self->plans);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        count += ((const Plan *)value)->is_upkeep == is_upkeep;
+        count += ((const Plan *)value)->kind == kind;
     }
     return count;
 }
 
 /* ---- Orders -------------------------------------------------------------- */
 
+static const char *
+spare_pool(const PoolMachines *self)
+{
+    const AqSiteConfig *site = &self->node->site;
+    for (size_t i = 0; i < site->pool_count; i++) {
+        if (site->pools[i].is_spare) {
+            return site->pools[i].name;
+        }
+    }
+    return NULL;
+}
+
 static void
-on_duty(void *context, const char *machine, DutyResult result)
+ask(PoolMachines *self, Plan *plan)
+{
+    plan->phase = VM_ASKED;
+    plan->since = now_of(self);
+    plan->ask = ++self->last_ask;
+    self->are_asks_changed = true;
+}
+
+static void
+on_asks_written(void *context, const AqStoreReply *reply)
 {
     PoolMachines *self = context;
     if (!end_call(self)) {
         return;
     }
-    Plan *plan = find_plan(self, machine);
-    AqScheduler *s = pool_owner_scheduler(self->owner);
-    if (plan == NULL) {
-        return;
+    self->is_writing_asks = false;
+    if (reply->status != AQ_STORE_OK) {
+        self->are_asks_changed = true;
+        self->asks_due = now_of(self) + RETRY_MS;
     }
-    if (result == DUTY_DONE) {
-        plan->phase = VM_AWAY;
-        plan->since = now_of(self);
-        if (s != NULL && plan->vm[0] != '\0' && !plan->is_repeat) {
-            AqScheduler_VmEnded(s, plan->vm, now_of(self));
+}
+
+static void
+fill_asks(const PoolMachines *self, AqAskList *list)
+{
+    GHashTableIter iter;
+    gpointer value;
+    const char *spare = spare_pool(self);
+    list->fence = self->fence;
+    list->count = 0;
+    g_hash_table_iter_init(&iter, self->plans);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Plan *plan = value;
+        if (plan->ask == 0 || list->count == AQ_ASKS_MAX) {
+            continue;
         }
-        if (!plan->is_upkeep && plan->vm[0] != '\0') {
-            g_hash_table_remove(self->plans, plan->machine); /* given away */
+        AqAsk *entry = &list->asks[list->count++];
+        memset(entry, 0, sizeof(*entry));
+        entry->number = plan->ask;
+        entry->wave = plan->wave;
+        g_strlcpy(entry->machine, plan->machine, sizeof(entry->machine));
+        if (plan->kind == PLAN_TAKE) {
+            g_strlcpy(entry->to_pool, self->pool, sizeof(entry->to_pool));
+        }
+        else if (plan->kind == PLAN_GIVE && spare != NULL) {
+            g_strlcpy(entry->to_pool, spare, sizeof(entry->to_pool));
         }
-        return;
-    }
-    plan->phase = VM_CORDONED;
-    plan->retry_at = now_of(self) + RETRY_MS;
-    if (!plan->is_upkeep || result == DUTY_REFUSED) {
-        /* One that could not be moved serves on; a refused upkeep is seen to
-         * by the list of VMs. */
-        remove_plan(self, plan);
     }
 }
 
 static void
-order(PoolMachines *self, Plan *plan, const DutyOrder *what)
+write_asks(PoolMachines *self)
 {
-    plan->phase = VM_ORDERED;
+    AqStore *store = self->node->store;
+    AqBuffer bytes;
+    if (!self->are_asks_changed || self->is_writing_asks ||
+        self->asks_due > now_of(self)) {
+        return;
+    }
+    AqAskList list = {.asks = calloc(AQ_ASKS_MAX, sizeof(AqAsk))};
+    fill_asks(self, &list);
+    AqBuffer_Init(&bytes);
+    AqAskList_Encode(&list, &bytes);
+    AqStoreExpect expect = {key_of(KEY_OWNER, self->pool), self->fence};
+    AqStorePut put = {key_of(KEY_ASK, self->pool), AqBuffer_Text(&bytes),
+                      bytes.size, 0};
+    AqStoreCommit commit = {.expects = &expect,
+                            .expect_count = 1,
+                            .puts = &put,
+                            .put_count = 1};
+    self->are_asks_changed = false;
+    self->is_writing_asks = true;
     self->calls++;
-    duty_order(self->node, self->pool, self->fence, what, on_duty, self);
+    store->ops->commit(store, &commit, on_asks_written, self);
+    AqBuffer_Clear(&bytes);
+    AqAskList_Clear(&list);
 }
 
 /* Fills the writes of a wave's record for a new state of one VM. */
@@ -267,7 +347,7 @@
     AqWave_Set(entry->wave, at, state);
     AqWave_Encode(entry->wave, &write->record);
     AqPlatform_WaveStatus(AqWave_Number(entry->wave),
-                          AqWave_IsCompleted(entry->wave), &write->status_key,
+                          AqWave_IsOver(entry->wave), &write->status_key,
                           &write->status);
     AqWave_Set(entry->wave, at, before);
     write->expect.key = AqBuffer_Text(&write->record_key);
@@ -290,46 +370,35 @@
 }
 
 static void
-order_upkeep(PoolMachines *self, WaveEntry *entry, size_t at, Plan *plan)
+on_wave_written(void *context, const AqStoreReply *reply)
 {
-    DutyOrder what = {.machine = plan->machine,
-                      .wave = AqWave_Number(entry->wave)};
-    if (plan->retry_at > now_of(self)) {
+    PoolMachines *self = context;
+    if (!end_call(self)) {
         return;
     }
-    if (AqWave_State(entry->wave, at) == AQ_WAVE_BEGUN) {
-        order(self, plan, &what);
+    self->is_writing_wave = false;
+    Plan *plan = find_plan(self, self->claiming);
+    if (plan == NULL || plan->phase != VM_CLAIMING) {
         return;
     }
-    if (!AqWave_HasSlot(entry->wave)) {
-        return;
+    if (reply->status == AQ_STORE_OK) {
+        ask(self, plan);
     }
-    WaveWrite write;
-    begin_wave_write(&write, entry, at, AQ_WAVE_BEGUN);
-    what.expects = &write.expect;
-    what.expect_count = 1;
-    what.puts = write.puts;
-    what.put_count = 2;
-    order(self, plan, &what);
-    end_wave_write(&write);
-}
-
-static void
-on_wave_written(void *context, const AqStoreReply *reply)
-{
-    PoolMachines *self = context;
-    if (end_call(self) && reply->status != AQ_STORE_OK) {
-        AqLog_Event(AQ_LOG_INFO, "wave_write_failed", "pool=%s status=%d",
-                    self->pool, (int)reply->status);
+    else {
+        plan->phase = VM_CORDONED;
+        plan->retry_at = now_of(self) + RETRY_MS;
     }
 }
 
-/* Writes a new state that needs no order. */
-static void
+/* Writes a new state of one VM; one write at a time. */
+static bool
 write_wave(PoolMachines *self, WaveEntry *entry, size_t at, AqWaveState state)
 {
     AqStore *store = self->node->store;
     WaveWrite write;
+    if (self->is_writing_wave) {
+        return false;
+    }
     begin_wave_write(&write, entry, at, state);
     AqStoreExpect expects[] = {
         {key_of(KEY_OWNER, self->pool), self->fence},
@@ -339,14 +408,35 @@
                             .expect_count = 2,
                             .puts = write.puts,
                             .put_count = 2};
+    self->is_writing_wave = true;
     self->calls++;
+    g_strlcpy(self->claiming, AqWave_Machine(entry->wave, at),
+              sizeof(self->claiming));
     AqLog_Event(AQ_LOG_INFO, "wave_state",
-                "wave=%lld machine=%s state=%d completed=%d",
+                "wave=%lld machine=%s state=%d pool=%s",
                 (long long)AqWave_Number(entry->wave),
-                AqWave_Machine(entry->wave, at), (int)state,
-                AqWave_IsCompleted(entry->wave));
+                AqWave_Machine(entry->wave, at), (int)state, self->pool);
     store->ops->commit(store, &commit, on_wave_written, self);
     end_wave_write(&write);
+    return true;
+}
+
+/* Has an empty VM taken down: claims a slot of the wave first, unless the
+ * record says that it has one. */
+static void
+order_upkeep(PoolMachines *self, WaveEntry *entry, size_t at, Plan *plan)
+{
+    plan->wave = AqWave_Number(entry->wave);
+    if (plan->retry_at > now_of(self)) {
+        return;
+    }
+    if (AqWave_State(entry->wave, at) == AQ_WAVE_BEGUN) {
+        ask(self, plan);
+    }
+    else if (AqWave_HasSlot(entry->wave) &&
+             write_wave(self, entry, at, AQ_WAVE_BEGUN)) {
+        plan->phase = VM_CLAIMING;
+    }
 }
 
 /* ---- The platform's list ------------------------------------------------- */
@@ -394,18 +484,6 @@
     return NULL;
 }
 
-static const char *
-spare_pool(const PoolMachines *self)
-{
-    const AqSiteConfig *site = &self->node->site;
-    for (size_t i = 0; i < site->pool_count; i++) {
-        if (site->pools[i].is_spare) {
-            return site->pools[i].name;
-        }
-    }
-    return NULL;
-}
-
 /* The owner of one pool sees to VMs that no scheduler knows: those that are
  * off, and those that are gone. */
 static bool
@@ -424,7 +502,6 @@
 typedef struct {
     PoolMachines *self;
     size_t waiting; /* VMs of the wave here that have not begun */
-    bool wrote;     /* one write of a record a round */
 } WaveRound;
 
 /* Says in the record that a VM is back, until the record says so. */
@@ -437,10 +514,9 @@
         AqScheduler_SetCordon(pool_owner_scheduler(self->owner), plan->vm,
                               false);
     }
-    if (!round->wrote && plan->retry_at <= now_of(self)) {
-        round->wrote = true;
+    if (plan->retry_at <= now_of(self) &&
+        write_wave(self, entry, at, AQ_WAVE_DONE)) {
         plan->retry_at = now_of(self) + RETRY_MS;
-        write_wave(self, entry, at, AQ_WAVE_DONE);
     }
 }
 
@@ -456,7 +532,7 @@
         if (vm != NULL && vm->is_usable) {
             /* Begun by an earlier owner, which may not have ordered it: order
              * it again, which does nothing when it was. */
-            cordon(self, vm, true, "wave_taken_over")->is_repeat = true;
+            cordon(self, vm, PLAN_UPKEEP, "wave_taken_over")->is_repeat = true;
         }
         return;
     }
@@ -473,7 +549,7 @@
         finish_wave_vm(round, entry, at, plan);
         return;
     }
-    if (plan->phase != VM_AWAY || vm == NULL) {
+    if (plan->phase != VM_ASKED || vm == NULL) {
         return;
     }
     /* One that was there before an order that did nothing keeps its life. */
@@ -490,7 +566,7 @@
 end_finished(PoolMachines *self, const WaveEntry *entry, size_t at)
 {
     const Plan *plan = find_plan(self, AqWave_Machine(entry->wave, at));
-    if (plan != NULL && plan->is_upkeep && plan->phase != VM_ORDERED) {
+    if (plan != NULL && plan->kind == PLAN_UPKEEP) {
         remove_plan(self, plan);
     }
 }
@@ -506,10 +582,7 @@
         return;
     }
     if (AqScheduler_IsIdle(s, plan->vm)) {
-        if (!round->wrote) {
-            round->wrote = true;
-            order_upkeep(self, entry, at, plan);
-        }
+        order_upkeep(self, entry, at, plan);
     }
     else if (AqWave_IsPressing(entry->wave, round->waiting, plan->since,
                                now_of(self))) {
@@ -539,7 +612,7 @@
     for (guint i = 0; i < self->vms->len; i++) {
         const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
         int at = AqWave_Find(entry->wave, vm->machine);
-        size_t busy = count_plans(self, true);
+        size_t busy = count_plans(self, PLAN_UPKEEP);
         if (at < 0 || !vm->is_usable ||
             AqWave_State(entry->wave, (size_t)at) != AQ_WAVE_WAITING ||
             find_plan(self, vm->machine) != NULL) {
@@ -547,8 +620,32 @@
         }
         size_t most = vm->tasks == 0 ? parallel + 2 : parallel;
         if (busy < most) {
-            cordon(self, vm, true, "wave");
+            cordon(self, vm, PLAN_UPKEEP, "wave");
+        }
+    }
+}
+
+/* A VM of the wave that is off, in the pool of the caretaker. */
+static void
+care_for_listed(WaveRound *round, WaveEntry *entry, size_t at,
+                const AqMachine *listed)
+{
+    PoolMachines *self = round->self;
+    Plan *plan = find_plan(self, listed->machine);
+    if (plan == NULL) {
+        if (AqWave_HasSlot(entry->wave) && !self->is_writing_wave) {
+            plan = add_plan(self, listed->machine, "", PLAN_UPKEEP);
+            order_upkeep(self, entry, at, plan);
         }
+        return;
+    }
+    if (plan->phase == VM_CORDONED) {
+        order_upkeep(self, entry, at, plan);
+    }
+    else if (plan->phase >= VM_ASKED &&
+             self->listed_at - plan->since > BACK_MS / 2) {
+        /* Listed as up again, by a list read after the upkeep. */
+        finish_wave_vm(round, entry, at, plan);
     }
 }
 
@@ -561,34 +658,17 @@
         return;
     }
     for (size_t i = 0; i < AqWave_Count(entry->wave); i++) {
-        const char *machine = AqWave_Machine(entry->wave, i);
-        AqWaveState state = AqWave_State(entry->wave, i);
-        const AqMachine *listed = find_listed(self, machine);
-        if (state >= AQ_WAVE_DONE || round->wrote) {
+        const AqMachine *listed =
+            find_listed(self, AqWave_Machine(entry->wave, i));
+        if (AqWave_State(entry->wave, i) >= AQ_WAVE_DONE) {
             continue;
         }
         if (listed == NULL) {
-            round->wrote = true;
             write_wave(self, entry, i, AQ_WAVE_GONE);
-            continue;
-        }
-        if (strcmp(listed->pool, self->pool) != 0 ||
-            listed->state != AQ_MACHINE_UP) {
-            continue;
-        }
-        Plan *plan = find_plan(self, machine);
-        if (plan == NULL && AqWave_HasSlot(entry->wave)) {
-            round->wrote = true;
-            plan = add_plan(self, machine, "", true);
-            plan->phase = VM_CORDONED;
-            order_upkeep(self, entry, i, plan);
-        }
-        else if (plan != NULL && plan->phase == VM_CORDONED) {
-            order_upkeep(self, entry, i, plan);
         }
-        else if (plan != NULL && plan->phase >= VM_AWAY &&
-                 self->listed_at - plan->since > BACK_MS / 2) {
-            finish_wave_vm(round, entry, i, plan);
+        else if (strcmp(listed->pool, self->pool) == 0 &&
+                 listed->state == AQ_MACHINE_UP) {
+            care_for_listed(round, entry, i, listed);
         }
     }
 }
@@ -610,7 +690,7 @@
             follow_begun(round, entry, i);
         }
         else if (state == AQ_WAVE_WAITING && plan != NULL &&
-                 plan->is_upkeep && plan->phase == VM_CORDONED &&
+                 plan->kind == PLAN_UPKEEP && plan->phase == VM_CORDONED &&
                  plan->vm[0] != '\0') {
             follow_cordoned(round, entry, i, plan, find_vm(self, machine));
         }
@@ -627,7 +707,7 @@
 /* ---- Sizes --------------------------------------------------------------- */
 
 static void
-give(PoolMachines *self, size_t count, const char *spare)
+give(PoolMachines *self, size_t count)
 {
     for (guint i = 0; i < self->vms->len && count > 0; i++) {
         const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
@@ -637,9 +717,7 @@
             wave_book_has(self->waves, vm->machine)) {
             continue;
         }
-        DutyOrder what = {.machine = vm->machine, .to_pool = spare};
-        cordon(self, vm, false, "surplus");
-        order(self, find_plan(self, vm->machine), &what);
+        ask(self, cordon(self, vm, PLAN_GIVE, "surplus"));
         count--;
     }
 }
@@ -661,38 +739,43 @@
             wave_book_has(self->waves, machine->machine)) {
             continue;
         }
-        DutyOrder what = {.machine = machine->machine, .to_pool = self->pool};
-        AqLog_Event(AQ_LOG_INFO, "vm_taken", "machine=%s pool=%s",
-                    machine->machine, self->pool);
-        order(self, add_plan(self, machine->machine, "", false), &what);
+        AqLog_Event(AQ_LOG_INFO, "vm_taken",
+                    "machine=%s pool=%s listed_ms_ago=%lld", machine->machine,
+                    self->pool, (long long)(now_of(self) - self->listed_at));
+        ask(self, add_plan(self, machine->machine, "", PLAN_TAKE));
         count--;
     }
 }
 
-/* Ends the plans of VMs that have come, or will not. */
-static size_t
-count_coming(PoolMachines *self)
+/* Whether a move has ended: the VM has come, or gone, or will not. */
+static bool
+is_move_over(const PoolMachines *self, const Plan *plan, const char *spare)
 {
-    GHashTableIter iter;
-    gpointer value;
-    size_t count = 0;
-    g_hash_table_iter_init(&iter, self->plans);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const Plan *plan = value;
-        if (plan->is_upkeep || plan->vm[0] != '\0') {
-            continue;
-        }
-        const VmCopy *vm = find_vm(self, plan->machine);
-        if ((vm != NULL && vm->is_usable) ||
-            (plan->phase == VM_AWAY &&
-             now_of(self) - plan->since > COMING_MS)) {
-            g_hash_table_iter_remove(&iter);
-        }
-        else {
-            count++;
+    if (now_of(self) - plan->since > ASK_MS) {
+        return true;
+    }
+    if (plan->kind == PLAN_GIVE) {
+        return is_life_over(self, plan->vm);
+    }
+    const VmCopy *vm = find_vm(self, plan->machine);
+    const AqMachine *listed = find_listed(self, plan->machine);
+    bool went_elsewhere = listed != NULL && self->listed_at > plan->since &&
+                          strcmp(listed->pool, self->pool) != 0 &&
+                          strcmp(listed->pool, spare) != 0;
+    return (vm != NULL && vm->is_usable) || went_elsewhere;
+}
+
+static void
+end_moves(PoolMachines *self, const char *spare)
+{
+    GList *plans = g_hash_table_get_values(self->plans);
+    for (GList *at = plans; at != NULL; at = at->next) {
+        const Plan *plan = at->data;
+        if (plan->kind != PLAN_UPKEEP && is_move_over(self, plan, spare)) {
+            remove_plan(self, plan);
         }
     }
-    return count;
+    g_list_free(plans);
 }
 
 static void
@@ -705,12 +788,13 @@
     self->log_due = now_of(self) + LOG_EVERY_MS;
     AqLog_Event(AQ_LOG_INFO, "pool_load",
                 "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
-                "used_cpu=%lld ready_cpu=%lld room_cpu=%lld wait_ms=%lld "
-                "take=%zu give=%zu",
+                "used_cpu=%lld ready_cpu=%lld offered_cpu=%lld room_cpu=%lld "
+                "wait_ms=%lld take=%zu give=%zu",
                 self->pool, jobs, input->usable_vms, input->idle_vms,
                 input->lasting_vms, input->coming_vms,
                 (long long)input->used_cpu_millis,
                 (long long)input->ready_cpu_millis,
+                (long long)input->offered_cpu_millis,
                 (long long)input->room_cpu_millis,
                 (long long)input->longest_wait_ms, decision->take,
                 decision->give);
@@ -723,19 +807,22 @@
     AqSchedulerLoad load;
     AqSizingDecision decision;
     AqTime now = now_of(self);
-    size_t coming = count_coming(self);
     AqScheduler_GetLoad(s, now, &load);
     if (spare == NULL || strcmp(spare, self->pool) == 0 ||
         !load.is_settled) {
         return;
     }
+    end_moves(self, spare);
     AqSizingInput input = {
         .now = now,
         .used_cpu_millis = load.used_cpu_millis,
         .ready_cpu_millis = load.ready_cpu_millis,
+        .lasting_cpu_millis = load.lasting_cpu_millis,
+        .offered_cpu_millis = load.offered_cpu_millis,
         .longest_wait_ms = load.longest_wait_ms,
         .room_cpu_millis = load.room_cpu_millis,
-        .coming_vms = coming + count_plans(self, true),
+        .coming_vms =
+            count_plans(self, PLAN_TAKE) + count_plans(self, PLAN_UPKEEP),
         .widest_spread = load.widest_spread,
     };
     for (guint i = 0; i < self->vms->len; i++) {
@@ -755,7 +842,7 @@
         take(self, decision.take, spare);
     }
     else if (decision.give > 0) {
-        give(self, decision.give, spare);
+        give(self, decision.give);
     }
 }
 
@@ -776,6 +863,7 @@
     WaveRound round = {.self = self};
     wave_book_each(self->waves, visit_wave, &round);
     resize(self, s);
+    write_asks(self);
 }
 
 PoolMachines *
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -17,7 +17,6 @@
     LOAD_RETRY_MS = 150,
     FINISH_LIMIT_MS = 600, /* longest time that a hand-over waits for saves */
     ORDER_LEASE_MS = 5000, /* of tasks, at most the platform's longest */
-    LEASE_RESERVE_MS = 300,
     CANCEL_SUFFIX = 2 /* bytes of ".c" */
 };
 
@@ -599,10 +598,7 @@
 bool
 pool_owner_may_order(const PoolOwner *owner)
 {
-    /* Time that passes before an order leaves and is carried out counts. */
-    return !owner->is_finishing &&
-           now_of(owner) + LEASE_RESERVE_MS <
-               member_certain_until(owner->member);
+    return !owner->is_finishing && member_may_order(owner->member);
 }
 
 AqTime
--- a/packages/pool/wave_book.c
+++ b/packages/pool/wave_book.c
@@ -8,8 +8,6 @@
 #include "keys.h"
 #include "prefix_view.h"
 
-static const char record_prefix[] = "aq/wave/";
-
 struct WaveBook {
     NodeContext *node;
     GHashTable *entries; /* number as text -> WaveEntry */
@@ -29,7 +27,7 @@
 {
     WaveBook *book = context;
     WaveEntry *entry =
-        g_hash_table_lookup(book->entries, item->key + strlen(record_prefix));
+        g_hash_table_lookup(book->entries, item->key + strlen(KEYS_WAVES));
     if (entry == NULL || item->index <= entry->index) {
         return;
     }
@@ -82,7 +80,7 @@
     /* A record that was listed before its wave was known is read again. */
     prefix_view_destroy(book->records);
     book->records =
-        prefix_view_create(book->node->loop, book->node->store, record_prefix,
+        prefix_view_create(book->node->loop, book->node->store, KEYS_WAVES,
                            &record_ops, book);
 }
 
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -187,7 +187,10 @@
 typedef struct {
     int64_t ready_cpu_millis;   /* of tasks that could start now */
     int64_t used_cpu_millis;
+    int64_t lasting_cpu_millis; /* of it by perpetual tasks */
     int64_t room_cpu_millis;    /* of usable VMs */
+    /* Cores that the work submitted lately needs, were it to go on so. */
+    int64_t offered_cpu_millis;
     size_t ready_tasks;
     size_t jobs;                /* not finished */
     int64_t largest_cpu_millis; /* of one ready task */
@@ -196,7 +199,7 @@
     bool is_settled;            /* starts are allowed */
 } AqSchedulerLoad;
 
-void AqScheduler_GetLoad(const AqScheduler *scheduler, AqTime now,
+void AqScheduler_GetLoad(AqScheduler *scheduler, AqTime now,
                          AqSchedulerLoad *load);
 
 /* Counters since the creation. */
--- a/packages/scheduler/Include/aq_sizing.h
+++ b/packages/scheduler/Include/aq_sizing.h
@@ -8,17 +8,19 @@
 #include "aq_clock.h"
 
 /* How many VMs a pool should have: it gives idle ones to the spare pool,
- * where they are off, and takes some back when work waits.
+ * where they are off, and takes some back when work comes.
  *
- * A move costs about as much as a VM does in MOVE_PAYBACK_MS (design page), so
- * a VM is given back only when it has been idle for longer than that, and
- * only while enough room stays for work to begin at once when the next turn
- * of the queue comes. */
+ * A VM takes more than a second to come, so the pool is sized for the work
+ * that is submitted, not only for what waits.  A move costs as much as a VM
+ * does in about a second, so VMs go back soon after a turn of the queue has
+ * ended; a few stay, so that the next turn can begin at once. */
 
 typedef struct {
     AqTime now;
     int64_t used_cpu_millis;  /* of running tasks */
     int64_t ready_cpu_millis; /* of tasks that wait */
+    int64_t lasting_cpu_millis; /* of running tasks that last */
+    int64_t offered_cpu_millis; /* needed for what is submitted lately */
     AqTime longest_wait_ms;   /* of a task that could start */
     int64_t room_cpu_millis;  /* of usable VMs */
     int64_t vm_cpu_millis;    /* of one VM, typically */
@@ -35,7 +37,7 @@
 } AqSizingDecision;
 
 enum {
-    AQ_SIZING_IDLE_MS = 1500
+    AQ_SIZING_IDLE_MS = 400
 };
 
 void AqSizing_Decide(const AqSizingInput *input, AqSizingDecision *decision);
--- a/packages/scheduler/lasting.c
+++ b/packages/scheduler/lasting.c
@@ -6,6 +6,7 @@
  * slowed before its users are harmed. */
 
 enum {
+    UNHEARD_MS = 900, /* two looks at a busy VM */
     /* Serving tasks: a filler is slowed from this share of the target on, and
      * sped up again below the other. */
     SLOW_PERCENT = 85,
@@ -16,25 +17,34 @@
     PACE_START = 100
 };
 
-/* Tasks of the step that are away by an order, or for any cause. */
+/* Whether a task is not at work, or may not be: nothing is known of it while
+ * its VM has not answered for a while. */
+static bool
+is_absent(const AqScheduler *s, const Task *task)
+{
+    return task->absent_since != AQ_TIME_NEVER || task->vm == NULL ||
+           task->vm->silent_since != AQ_TIME_NEVER ||
+           s->now - task->vm->clock_at > UNHEARD_MS;
+}
+
 static uint32_t
-count_absent(const Step *step, const Task *except)
+count_absent(const AqScheduler *s, const Step *step, const Task *except)
 {
     uint32_t count = 0;
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         const Task *task = &step->tasks[i];
-        count += task != except && task->absent_since != AQ_TIME_NEVER;
+        count += task != except && is_absent(s, task);
     }
     return count;
 }
 
 static bool
-may_take_away(const Vm *vm, const Task *task)
+may_take_away(const AqScheduler *s, const Vm *vm, const Task *task)
 {
     const AqStepSpec *spec = task->step->spec;
     return vm->report.is_draining || !spec->limits_missing ||
            task->absent_since != AQ_TIME_NEVER ||
-           count_absent(task->step, task) < spec->may_miss;
+           count_absent(s, task->step, task) < spec->may_miss;
 }
 
 static bool
@@ -60,7 +70,7 @@
     {
         Task *task = AqList_Entry(at, Task, link);
         if (!task->step->spec->is_perpetual ||
-            task->state != TASK_RUNNING || !may_take_away(vm, task) ||
+            task->state != TASK_RUNNING || !may_take_away(s, vm, task) ||
             !has_other_room(s, vm, task->step->spec)) {
             continue;
         }
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -1,5 +1,6 @@
 #include "aq_scheduler.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -258,6 +259,33 @@
     finish_job(s, job, AQ_STAGE_COMPLETED);
 }
 
+/* Work that has been submitted fades with this time constant. */
+static const double offered_ms = 1000.0;
+
+static void
+fade_offered(AqScheduler *s)
+{
+    double passed = (double)(s->now - s->offered_at);
+    if (passed > 0) {
+        s->offered *= exp(-passed / offered_ms);
+        s->offered_at = s->now;
+    }
+}
+
+static void
+count_offered(AqScheduler *s, const AqJobSpec *spec)
+{
+    fade_offered(s);
+    for (size_t i = 0; i < spec->step_count; i++) {
+        const AqStepSpec *step = &spec->steps[i];
+        if (!step->is_perpetual && spec->occurrences == 0) {
+            s->offered += (double)step->task_count *
+                          (double)step->cpu_millis / 1000.0 *
+                          (double)scheduler_estimate(s, step);
+        }
+    }
+}
+
 bool
 AqScheduler_AddJob(AqScheduler *s, AqJobSpec *spec, const char *record,
                    size_t size, AqTime now, AqError *error)
@@ -288,6 +316,9 @@
         job->finished_at = now;
         return true;
     }
+    if (s->is_loaded) {
+        count_offered(s, &job->spec);
+    }
     AqList_Append(&s->active, &job->link);
     AqList_ForEach(at, &job->occurrences)
     {
@@ -635,9 +666,12 @@
 }
 
 void
-AqScheduler_GetLoad(const AqScheduler *s, AqTime now, AqSchedulerLoad *load)
+AqScheduler_GetLoad(AqScheduler *s, AqTime now, AqSchedulerLoad *load)
 {
     memset(load, 0, sizeof(*load));
+    s->now = now;
+    fade_offered(s);
+    load->offered_cpu_millis = (int64_t)(s->offered / offered_ms * 1000.0);
     load->is_settled = s->is_settled;
     AqList_ForEach(at, &s->active)
     {
@@ -656,6 +690,7 @@
     {
         const Vm *vm = AqList_Entry(at, Vm, link);
         load->used_cpu_millis += vm->used_cpu;
+        load->lasting_cpu_millis += vm->lasting_cpu;
         if (vms_is_usable(s, vm)) {
             load->room_cpu_millis += vm->report.cpu_millis;
         }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -137,6 +137,7 @@
     AqTime quarantined_until;
     unsigned bad_ends; /* failed ends in a row */
     int64_t used_cpu;
+    int64_t lasting_cpu; /* of it by perpetual tasks */
     int64_t used_memory;
     int64_t used_gpus;
     int64_t foreign_cpu; /* of listed runs that are not ours */
@@ -174,6 +175,8 @@
     uint64_t roster_stored;
     bool place_again;
     AqTime next_place;
+    double offered; /* work submitted lately, core-milliseconds, fading */
+    AqTime offered_at;
     double duration_ratio; /* measured against declared durations */
     AqSchedulerCounters counters;
 };
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -5,8 +5,8 @@
 enum {
     /* Room that stays free of the room in use, in hundredths. */
     RESERVE_PERCENT = 30,
-    RESERVE_VMS = 4, /* so that a turn can begin before VMs come */
-    MOST_TAKEN = 8,  /* in one decision */
+    RESERVE_VMS = 3, /* so that a turn can begin before VMs come */
+    MOST_TAKEN = 16, /* in one decision */
     STUCK_MS = 800   /* a task waits although there is room */
 };
 
@@ -28,21 +28,32 @@
     return (size_t)((cpu + input->vm_cpu_millis - 1) / input->vm_cpu_millis);
 }
 
+/* Cores for what is submitted now, with some to spare. */
+static int64_t
+offered_need(const AqSizingInput *input)
+{
+    return input->lasting_cpu_millis + input->offered_cpu_millis +
+           input->offered_cpu_millis * RESERVE_PERCENT / 100;
+}
+
 static size_t
 decide_take(const AqSizingInput *input)
 {
     int64_t coming = (int64_t)input->coming_vms * input->vm_cpu_millis;
+    int64_t have = input->room_cpu_millis + coming;
     int64_t need = input->used_cpu_millis + input->ready_cpu_millis;
     size_t take = 0;
     if (input->ready_cpu_millis > 0) {
-        take = vms_for(input, need - input->room_cpu_millis - coming);
         bool is_stuck = input->longest_wait_ms > STUCK_MS && coming == 0;
+        take = vms_for(input, need - have);
         take = take == 0 && is_stuck ? 1 : take;
     }
-    size_t have = input->usable_vms + input->coming_vms;
+    size_t for_offered = vms_for(input, offered_need(input) - have);
+    take = for_offered > take ? for_offered : take;
+    size_t vms = input->usable_vms + input->coming_vms;
     size_t least = input->widest_spread + 1;
-    if (have < least && take < least - have) {
-        take = least - have;
+    if (vms < least && take < least - vms) {
+        take = least - vms;
     }
     return take < MOST_TAKEN ? take : MOST_TAKEN;
 }
@@ -53,11 +64,13 @@
     if (input->ready_cpu_millis > 0 || input->coming_vms > 0) {
         return 0;
     }
-    int64_t wanted =
-        input->used_cpu_millis + input->used_cpu_millis * RESERVE_PERCENT / 100;
-    size_t wanted_vms = vms_for(input, wanted) + RESERVE_VMS;
+    int64_t used = input->used_cpu_millis +
+                   input->used_cpu_millis * RESERVE_PERCENT / 100;
+    int64_t offered = offered_need(input);
+    size_t wanted =
+        vms_for(input, used > offered ? used : offered) + RESERVE_VMS;
     size_t least = least_vms(input);
-    size_t keep = wanted_vms > least ? wanted_vms : least;
+    size_t keep = wanted > least ? wanted : least;
     size_t surplus =
         input->usable_vms > keep ? input->usable_vms - keep : 0;
     return surplus < input->idle_vms ? surplus : input->idle_vms;
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -69,7 +69,9 @@
 static void
 count_room(Vm *vm, const AqStepSpec *spec, int sign)
 {
-    vm->used_cpu += sign * (spec->is_filler ? 0 : spec->cpu_millis);
+    int64_t cpu = sign * (spec->is_filler ? 0 : spec->cpu_millis);
+    vm->used_cpu += cpu;
+    vm->lasting_cpu += spec->is_perpetual ? cpu : 0;
     vm->used_memory += sign * spec->memory_mb;
     vm->used_gpus += sign * spec->gpus;
 }
