--- a/packages/pool/keys.h
+++ b/packages/pool/keys.h
@@ -5,8 +5,8 @@
 
 /* The product's keys in the store.  One line each: writer, contents.
  *
- * aq/member/NODE       the node, under its lease: its incarnation
- * aq/owner/POOL        the owner, under its lease: node and incarnation; the
+ * aq/node/member/NODE  the node, under its lease: its incarnation
+ * aq/node/owner/POOL   the owner, under its lease: node and incarnation; the
  *                      key's index is the fence of the pool's orders
  * aq/term/POOL         the owner: generation, node, incarnation, released
  * aq/roster/POOL       the owner: VMs that orders may have gone to
@@ -15,11 +15,13 @@
  * aq/progress/POOL/ID  the owner: stage, done tasks, failures
  * aq/report/POOL       the owner: jobs waiting of each queue
  * aq/ask/POOL          the owner: orders for VMs that it asks for
+ * aq/answer/POOL       the machine duty: asks that have ended
  * aq/machine/MACHINE   the machine duty: who gave the VM its last order, when
  * aq/wave/N            an owner: VMs of the wave that are begun and done */
 
-#define KEYS_MEMBERS "aq/member/"
-#define KEYS_OWNERS "aq/owner/"
+#define KEYS_NODES "aq/node/"
+#define KEYS_MEMBERS "aq/node/member/"
+#define KEYS_OWNERS "aq/node/owner/"
 #define KEYS_ASKS "aq/ask/"
 #define KEYS_WAVES "aq/wave/"
 
@@ -30,6 +32,7 @@
     KEY_ROSTER,
     KEY_REPORT,
     KEY_ASK,
+    KEY_ANSWER,
     KEY_MACHINE,
     KEY_WAVE,
     KEY_JOBS,    /* prefix of a pool's jobs */
--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -26,6 +26,7 @@
     char pool[64];
     uint64_t fence; /* of the pool's owner */
     AskState state;
+    bool is_refused;
     bool is_wanted;
     AqTime retry_at;
 } Entry;
@@ -35,6 +36,9 @@
     uint64_t fence;
     PrefixView *view;
     GPtrArray *entries; /* of Entry */
+    GHashTable *answers; /* pools with answers to be written */
+    bool is_answering;
+    AqTime answers_due;
     int calls;
     bool is_dropped;
 };
@@ -48,6 +52,7 @@
 free_desk(MachineDesk *desk)
 {
     g_ptr_array_free(desk->entries, TRUE);
+    g_hash_table_destroy(desk->answers);
     free(desk);
 }
 
@@ -85,6 +90,14 @@
     return false;
 }
 
+static void
+end_entry(MachineDesk *desk, Entry *entry, bool is_refused)
+{
+    entry->state = ASK_ENDED;
+    entry->is_refused = is_refused;
+    g_hash_table_add(desk->answers, g_strdup(entry->pool));
+}
+
 static void
 forget_unwanted(MachineDesk *desk)
 {
@@ -131,7 +144,7 @@
                 AqLog_Event(AQ_LOG_INFO, "ask_refused",
                             "machine=%s pool=%s reason=asked_by_other_pool",
                             entry->ask.machine, pool);
-                entry->state = ASK_ENDED;
+                end_entry(desk, entry, true);
             }
             g_ptr_array_add(desk->entries, entry);
         }
@@ -157,6 +170,78 @@
 
 static const PrefixViewOps ask_ops = {on_put, on_removed, on_listed};
 
+/* ---- Answers ------------------------------------------------------------- */
+
+static void
+on_answered(void *context, const AqStoreReply *reply)
+{
+    MachineDesk *desk = context;
+    desk->is_answering = false;
+    desk->calls--;
+    if (reply->status != AQ_STORE_OK) {
+        /* All answers of the pools are written again. */
+        for (guint i = 0; i < desk->entries->len; i++) {
+            const Entry *entry = g_ptr_array_index(desk->entries, i);
+            if (entry->state == ASK_ENDED) {
+                g_hash_table_add(desk->answers, g_strdup(entry->pool));
+            }
+        }
+        desk->answers_due = AqLoop_Now(desk->node->loop) + RETRY_MS;
+    }
+    if (desk->is_dropped && desk->calls == 0) {
+        free_desk(desk);
+    }
+}
+
+static void
+write_answers(MachineDesk *desk, const char *pool)
+{
+    AqStore *store = desk->node->store;
+    AqBuffer bytes;
+    AqAskList list = {.asks = calloc(AQ_ASKS_MAX, sizeof(AqAsk))};
+    for (guint i = 0; i < desk->entries->len; i++) {
+        const Entry *entry = g_ptr_array_index(desk->entries, i);
+        if (entry->state == ASK_ENDED && entry->is_wanted &&
+            strcmp(entry->pool, pool) == 0 && list.count < AQ_ASKS_MAX) {
+            list.fence = entry->fence;
+            list.asks[list.count] = entry->ask;
+            list.asks[list.count++].is_refused = entry->is_refused;
+        }
+    }
+    AqBuffer_Init(&bytes);
+    AqAskList_Encode(&list, &bytes);
+    AqStoreExpect expect = {key_of(KEY_OWNER, MEMBER_MACHINE_DUTY),
+                            desk->fence};
+    AqStorePut put = {key_of(KEY_ANSWER, pool), AqBuffer_Text(&bytes),
+                      bytes.size, 0};
+    AqStoreCommit commit = {.expects = &expect,
+                            .expect_count = 1,
+                            .puts = &put,
+                            .put_count = 1};
+    desk->is_answering = true;
+    desk->calls++;
+    store->ops->commit(store, &commit, on_answered, desk);
+    AqBuffer_Clear(&bytes);
+    AqAskList_Clear(&list);
+}
+
+static void
+write_next_answers(MachineDesk *desk)
+{
+    GHashTableIter iter;
+    gpointer key;
+    if (desk->is_answering || desk->answers_due > AqLoop_Now(desk->node->loop)) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, desk->answers);
+    if (g_hash_table_iter_next(&iter, &key, NULL)) {
+        char *pool = g_strdup(key);
+        g_hash_table_remove(desk->answers, pool);
+        write_answers(desk, pool);
+        g_free(pool);
+    }
+}
+
 /* ---- Orders -------------------------------------------------------------- */
 
 static void
@@ -168,7 +253,7 @@
     free(call);
     desk->calls--;
     if (result == DUTY_DONE || result == DUTY_REFUSED) {
-        entry->state = ASK_ENDED;
+        end_entry(desk, entry, result == DUTY_REFUSED);
     }
     else {
         entry->state = ASK_WAITING;
@@ -210,6 +295,7 @@
             give_order(desk, entry);
         }
     }
+    write_next_answers(desk);
 }
 
 MachineDesk *
@@ -219,6 +305,8 @@
     desk->node = node;
     desk->fence = fence;
     desk->entries = g_ptr_array_new_with_free_func(free);
+    desk->answers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     desk->view = prefix_view_create(node->loop, node->store, KEYS_ASKS,
                                     &ask_ops, desk);
     return desk;
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -58,8 +58,7 @@
     NodeContext *node;
     MemberOps ops;
     void *context;
-    PrefixView *members;
-    PrefixView *owners;
+    PrefixView *nodes;
     GHashTable *incarnations; /* node -> incarnation */
     GHashTable *shards;       /* pool -> Shard */
     AqTimer keep_timer;
@@ -438,8 +437,7 @@
     Member *member = shard->member;
     if (shard->state != CLAIM_NONE || !shard->is_wanted ||
         member->joined_at == AQ_TIME_NEVER || member->node->is_stopping ||
-        !prefix_view_is_listed(member->owners) ||
-        !prefix_view_is_listed(member->members) || !is_vacant(shard)) {
+        !prefix_view_is_listed(member->nodes) || !is_vacant(shard)) {
         return;
     }
     shard->state = CLAIM_WAITING;
@@ -517,16 +515,41 @@
     g_hash_table_remove(member->incarnations, key + strlen(KEYS_MEMBERS));
 }
 
+static bool
+is_member_key(const char *key)
+{
+    return strncmp(key, KEYS_MEMBERS, strlen(KEYS_MEMBERS)) == 0;
+}
+
+static void
+on_put(void *context, const AqStoreItem *item)
+{
+    if (is_member_key(item->key)) {
+        on_member_put(context, item);
+    }
+    else {
+        on_owner_put(context, item);
+    }
+}
+
+static void
+on_removed(void *context, const char *key)
+{
+    if (is_member_key(key)) {
+        on_member_removed(context, key);
+    }
+    else {
+        on_owner_removed(context, key);
+    }
+}
+
 static void
 on_listed(void *context)
 {
     consider_all(context);
 }
 
-static const PrefixViewOps owner_ops = {on_owner_put, on_owner_removed,
-                                        on_listed};
-static const PrefixViewOps member_view_ops = {on_member_put,
-                                              on_member_removed, on_listed};
+static const PrefixViewOps node_ops = {on_put, on_removed, on_listed};
 
 /* ---- Interface ----------------------------------------------------------- */
 
@@ -625,10 +648,8 @@
     member->shards =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     AqTimer_Init(&member->keep_timer, on_keep_due, member);
-    member->members = prefix_view_create(node->loop, node->store, KEYS_MEMBERS,
-                                         &member_view_ops, member);
-    member->owners = prefix_view_create(node->loop, node->store, KEYS_OWNERS,
-                                        &owner_ops, member);
+    member->nodes = prefix_view_create(node->loop, node->store, KEYS_NODES,
+                                       &node_ops, member);
     schedule_keep(member, 0);
     return member;
 }
@@ -646,8 +667,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         AqTimer_Stop(&((Shard *)value)->timer);
     }
-    prefix_view_destroy(member->members);
-    prefix_view_destroy(member->owners);
+    prefix_view_destroy(member->nodes);
     g_hash_table_destroy(member->incarnations);
     g_hash_table_destroy(member->shards);
     free(member);
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -16,13 +16,13 @@
 #include "prefix_view.h"
 
 enum {
-    STORE_TIMEOUT_MS = 1200,  /* a slow store answers within 0.3 s */
+    STORE_TIMEOUT_MS = 800,   /* a slow store answers within 0.3 s */
     ORDER_TIMEOUT_MS = 600,   /* a VM answers in milliseconds */
     MACHINE_TIMEOUT_MS = 1500,
     ADVICE_TIMEOUT_MS = 3000, /* it answers one call after the other */
     MAX_JOB_BYTES = 262144,
     IDLE_TIMEOUT_S = 30,
-    CURRENT_MS = 7000, /* a watch answers every 5 s at least */
+    CURRENT_MS = 4000, /* a watch answers every 2 s at least */
     /* A stop: not ready first, so that callers go elsewhere; then answers
      * close their connections; then the end. */
     STOP_CLOSE_MS = 3000,
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -9,6 +9,7 @@
 #include "aq_platform.h"
 #include "aq_sizing.h"
 #include "keys.h"
+#include "prefix_view.h"
 
 enum {
     ROUND_MS = 100,
@@ -40,9 +41,10 @@
     char vm[AQ_VM_ID_SIZE]; /* its life when we began, or "" */
     PlanKind kind;
     VmPhase phase;
-    bool is_repeat; /* an earlier owner may have ordered it already */
     int64_t wave;
     int64_t ask; /* number; 0: nothing is asked for */
+    bool is_ordered; /* the answer says that the order was accepted */
+    AqTime ordered_at;
     AqTime since;
     AqTime retry_at;
 } Plan;
@@ -61,6 +63,7 @@
     bool are_asks_changed;
     bool is_writing_asks;
     AqTime asks_due;
+    PrefixView *answers;
     bool is_writing_wave;
     char claiming[AQ_VM_ID_SIZE]; /* VM of the write of a wave's record */
     GHashTable *plans; /* machine -> Plan */
@@ -98,6 +101,24 @@
     free(self);
 }
 
+static void on_answer(void *context, const AqStoreItem *item);
+
+static void
+ignore_removed(void *context, const char *key)
+{
+    (void)context;
+    (void)key;
+}
+
+static void
+ignore_listed(void *context)
+{
+    (void)context;
+}
+
+static const PrefixViewOps answer_ops = {on_answer, ignore_removed,
+                                         ignore_listed};
+
 static bool
 end_call(PoolMachines *self)
 {
@@ -248,9 +269,52 @@
     plan->phase = VM_ASKED;
     plan->since = now_of(self);
     plan->ask = ++self->last_ask;
+    plan->is_ordered = false;
     self->are_asks_changed = true;
 }
 
+/* The machine duty has ended some of our asks. */
+static void
+take_answer(PoolMachines *self, const AqAsk *answer)
+{
+    Plan *plan = find_plan(self, answer->machine);
+    AqScheduler *s = pool_owner_scheduler(self->owner);
+    if (plan == NULL || plan->ask != answer->number || plan->is_ordered) {
+        return;
+    }
+    if (answer->is_refused) {
+        AqLog_Event(AQ_LOG_WARNING, "ask_refused",
+                    "machine=%s pool=%s wave=%lld", answer->machine,
+                    self->pool, (long long)answer->wave);
+        remove_plan(self, plan);
+        return;
+    }
+    plan->is_ordered = true;
+    plan->ordered_at = now_of(self);
+    if (s != NULL && plan->kind == PLAN_GIVE) {
+        AqScheduler_VmEnded(s, plan->vm, now_of(self));
+    }
+}
+
+static void
+on_answer(void *context, const AqStoreItem *item)
+{
+    PoolMachines *self = context;
+    AqAskList list;
+    if (strcmp(item->key, key_of(KEY_ANSWER, self->pool)) != 0) {
+        return; /* of a pool whose name begins with ours */
+    }
+    if (!AqAskList_Decode(item->value, item->size, &list)) {
+        AqLog_Event(AQ_LOG_ERROR, "answers_unreadable", "pool=%s index=%llu",
+                    self->pool, (unsigned long long)item->index);
+        return;
+    }
+    for (size_t i = 0; i < list.count && list.fence == self->fence; i++) {
+        take_answer(self, &list.asks[i]);
+    }
+    AqAskList_Clear(&list);
+}
+
 static void
 on_asks_written(void *context, const AqStoreReply *reply)
 {
@@ -532,7 +596,7 @@
         if (vm != NULL && vm->is_usable) {
             /* Begun by an earlier owner, which may not have ordered it: order
              * it again, which does nothing when it was. */
-            cordon(self, vm, PLAN_UPKEEP, "wave_taken_over")->is_repeat = true;
+            cordon(self, vm, PLAN_UPKEEP, "wave_taken_over");
         }
         return;
     }
@@ -549,13 +613,13 @@
         finish_wave_vm(round, entry, at, plan);
         return;
     }
-    if (plan->phase != VM_ASKED || vm == NULL) {
+    if (plan->phase != VM_ASKED || vm == NULL || !plan->is_ordered) {
         return;
     }
-    /* One that was there before an order that did nothing keeps its life. */
+    /* One whose upkeep an earlier owner had ordered keeps its life. */
     bool is_new_life = strcmp(vm->vm, plan->vm) != 0 && vm->is_usable;
-    bool is_settled = now_of(self) - plan->since > BACK_MS &&
-                      plan->is_repeat && vm->is_answering;
+    bool is_settled =
+        now_of(self) - plan->ordered_at > BACK_MS && vm->is_answering;
     if (is_new_life || is_settled) {
         finish_wave_vm(round, entry, at, plan);
     }
@@ -642,8 +706,8 @@
     if (plan->phase == VM_CORDONED) {
         order_upkeep(self, entry, at, plan);
     }
-    else if (plan->phase >= VM_ASKED &&
-             self->listed_at - plan->since > BACK_MS / 2) {
+    else if (plan->phase >= VM_ASKED && plan->is_ordered &&
+             self->listed_at - plan->ordered_at > BACK_MS / 2) {
         /* Listed as up again, by a list read after the upkeep. */
         finish_wave_vm(round, entry, at, plan);
     }
@@ -755,7 +819,7 @@
         return true;
     }
     if (plan->kind == PLAN_GIVE) {
-        return is_life_over(self, plan->vm);
+        return plan->is_ordered || is_life_over(self, plan->vm);
     }
     const VmCopy *vm = find_vm(self, plan->machine);
     const AqMachine *listed = find_listed(self, plan->machine);
@@ -876,6 +940,9 @@
     self->fence = pool_owner_fence(owner);
     self->listed_at = -LIST_EVERY_MS;
     g_strlcpy(self->pool, pool_owner_pool(owner), sizeof(self->pool));
+    self->answers =
+        prefix_view_create(node->loop, node->store,
+                           key_of(KEY_ANSWER, self->pool), &answer_ops, self);
     self->plans = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     self->vms = g_array_new(FALSE, FALSE, sizeof(VmCopy));
     self->list = g_array_new(FALSE, FALSE, sizeof(AqMachine));
@@ -886,6 +953,7 @@
 pool_machines_drop(PoolMachines *self)
 {
     self->is_dropped = true;
+    prefix_view_destroy(self->answers);
     if (self->calls == 0) {
         free_machines(self);
     }
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -7,9 +7,10 @@
 #include "aq_log.h"
 
 enum {
-    /* A watch whose connection has gone silent is noticed after this and the
-     * store's time-out. */
-    WATCH_WAIT_MS = 5000,
+    /* A watch that hears nothing although there are changes, or whose
+     * connection has gone silent, is noticed after this and the store's
+     * time-out. */
+    WATCH_WAIT_MS = 2000,
     RETRY_MS = 120,
     LONGEST_RETRY_MS = 500
 };
--- a/packages/scheduler/Include/aq_asks.h
+++ b/packages/scheduler/Include/aq_asks.h
@@ -8,9 +8,10 @@
 #include "aq_buffer.h"
 #include "aq_machines.h"
 
-/* What the owner of a pool asks the one node that orders VMs about to do.
- * The whole list is stored under one key and written anew at each change; an
- * ask that is not in it any more is dropped. */
+/* What the owner of a pool asks the one node that orders VMs about to do, and
+ * its answers: the asks that have ended.  Each list is stored whole under one
+ * key and written anew at each change; an ask that is not in it any more is
+ * dropped. */
 
 enum {
     AQ_ASKS_MAX = 256 /* of one pool */
@@ -21,6 +22,7 @@
     char machine[AQ_VM_ID_SIZE];
     char to_pool[64]; /* a move; "": upkeep */
     int64_t wave;     /* of an upkeep */
+    bool is_refused;  /* answers only: it can't be done */
 } AqAsk;
 
 typedef struct {
--- a/packages/scheduler/asks.c
+++ b/packages/scheduler/asks.c
@@ -7,7 +7,7 @@
 #include "record_codec.h"
 
 enum {
-    ASK_FIELDS = 4
+    ASK_FIELDS = 5
 };
 
 void
@@ -32,6 +32,7 @@
         record_pack_text(&packer, ask->machine);
         record_pack_text(&packer, ask->to_pool);
         msgpack_pack_int64(&packer, ask->wave);
+        msgpack_pack_int(&packer, ask->is_refused);
     }
 }
 
@@ -54,6 +55,11 @@
         return false;
     }
     const msgpack_object *at = row->via.array.ptr;
+    int64_t is_refused;
+    if (!record_int(&at[4], 0, 1, &is_refused)) {
+        return false;
+    }
+    ask->is_refused = is_refused != 0;
     return record_int(&at[0], 0, INT64_MAX, &ask->number) &&
            copy_text(&at[1], ask->machine, sizeof(ask->machine)) &&
            copy_text(&at[2], ask->to_pool, sizeof(ask->to_pool)) &&
