Pools: give idle VMs back during a wave; take ahead of need when full

A pool kept up to 28 idle VMs for 10 s because VMs away for upkeep counted as coming, so the next pool's turn found no spare ones; and a few large jobs in one second looked like a demand of 1,600 cores. Now VMs for upkeep count only for taking, and offered work only from 70% of the room on.

--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -600,6 +600,9 @@
         }
         return;
     }
+    if (plan->kind != PLAN_UPKEEP) {
+        return; /* it comes or goes; its upkeep is seen to then */
+    }
     if (plan->phase == VM_CORDONED) {
         bool is_empty = plan->vm[0] == '\0' || vm == NULL ||
                         AqScheduler_IsIdle(pool_owner_scheduler(self->owner),
@@ -696,6 +699,9 @@
 {
     PoolMachines *self = round->self;
     Plan *plan = find_plan(self, listed->machine);
+    if (plan != NULL && plan->kind != PLAN_UPKEEP) {
+        return;
+    }
     if (plan == NULL) {
         if (AqWave_HasSlot(entry->wave) && !self->is_writing_wave) {
             plan = add_plan(self, listed->machine, "", PLAN_UPKEEP);
@@ -885,8 +891,8 @@
         .offered_cpu_millis = load.offered_cpu_millis,
         .longest_wait_ms = load.longest_wait_ms,
         .room_cpu_millis = load.room_cpu_millis,
-        .coming_vms =
-            count_plans(self, PLAN_TAKE) + count_plans(self, PLAN_UPKEEP),
+        .coming_vms = count_plans(self, PLAN_TAKE),
+        .upkeep_vms = count_plans(self, PLAN_UPKEEP),
         .widest_spread = load.widest_spread,
     };
     for (guint i = 0; i < self->vms->len; i++) {
--- a/packages/scheduler/Include/aq_sizing.h
+++ b/packages/scheduler/Include/aq_sizing.h
@@ -27,7 +27,8 @@
     size_t usable_vms;
     size_t idle_vms;    /* idle for AQ_SIZING_IDLE_MS */
     size_t lasting_vms; /* with lasting tasks */
-    size_t coming_vms;  /* ordered, not here yet */
+    size_t coming_vms;  /* asked for, not here yet */
+    size_t upkeep_vms;  /* away for upkeep, or about to be */
     size_t widest_spread; /* VMs that a step needs that wants one each */
 } AqSizingInput;
 
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -7,6 +7,7 @@
     RESERVE_PERCENT = 30,
     RESERVE_VMS = 3, /* so that a turn can begin before VMs come */
     MOST_TAKEN = 16, /* in one decision */
+    FULL_PERCENT = 70, /* of the room: VMs are taken ahead of need */
     STUCK_MS = 800   /* a task waits although there is room */
 };
 
@@ -39,7 +40,8 @@
 static size_t
 decide_take(const AqSizingInput *input)
 {
-    int64_t coming = (int64_t)input->coming_vms * input->vm_cpu_millis;
+    size_t coming_vms = input->coming_vms + input->upkeep_vms;
+    int64_t coming = (int64_t)coming_vms * input->vm_cpu_millis;
     int64_t have = input->room_cpu_millis + coming;
     int64_t need = input->used_cpu_millis + input->ready_cpu_millis;
     size_t take = 0;
@@ -48,9 +50,13 @@
         take = vms_for(input, need - have);
         take = take == 0 && is_stuck ? 1 : take;
     }
-    size_t for_offered = vms_for(input, offered_need(input) - have);
-    take = for_offered > take ? for_offered : take;
-    size_t vms = input->usable_vms + input->coming_vms;
+    /* What is submitted counts only once the pool fills up: a few large jobs
+     * look like a lot for a moment. */
+    if (need * 100 > input->room_cpu_millis * FULL_PERCENT) {
+        size_t for_offered = vms_for(input, offered_need(input) - have);
+        take = for_offered > take ? for_offered : take;
+    }
+    size_t vms = input->usable_vms + coming_vms;
     size_t least = input->widest_spread + 1;
     if (vms < least && take < least - vms) {
         take = least - vms;
