Pools: order the writes of an owner by a lane key

Ruled out: takeover (the owner's key was unchanged) and lost acknowledgements. Each write of an ownership now renews a lane key that it requires at its last index, and a write without an answer is looked up before the next one.

--- a/packages/pool/keys.c
+++ b/packages/pool/keys.c
@@ -22,6 +22,7 @@
     static const char *const formats[] = {
         [KEY_MEMBER] = "aq/node/member/%s",
         [KEY_OWNER] = "aq/node/owner/%s",
+        [KEY_LANE] = "aq/lane/%s",
         [KEY_TERM] = "aq/term/%s",       [KEY_ROSTER] = "aq/roster/%s",
         [KEY_REPORT] = "aq/report/%s",   [KEY_MACHINE] = "aq/machine/%s",
         [KEY_ASK] = "aq/ask/%s",
--- a/packages/pool/keys.h
+++ b/packages/pool/keys.h
@@ -9,6 +9,7 @@
  * aq/node/owner/POOL   the owner, under its lease: node and incarnation; the
  *                      key's index is the fence of the pool's orders
  * aq/term/POOL         the owner: generation, node, incarnation, released
+ * aq/lane/POOL         the owner: stamp of its last write (owner_writer.h)
  * aq/roster/POOL       the owner: VMs that orders may have gone to
  * aq/job/POOL/ID       the node that accepted it: the job (AqJobSpec)
  * aq/job/POOL/ID.c     any node: the job is cancelled, perhaps before it came
@@ -29,6 +30,7 @@
     KEY_MEMBER,
     KEY_OWNER,
     KEY_TERM,
+    KEY_LANE,
     KEY_ROSTER,
     KEY_REPORT,
     KEY_ASK,
--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -7,6 +7,7 @@
 #include "aq_log.h"
 #include "duty.h"
 #include "keys.h"
+#include "owner_writer.h"
 #include "prefix_view.h"
 
 enum {
@@ -35,6 +36,7 @@
     NodeContext *node;
     uint64_t fence;
     PrefixView *view;
+    OwnerWriter *writer;
     GPtrArray *entries; /* of Entry */
     GHashTable *answers; /* pools with answers to be written */
     bool is_answering;
@@ -173,12 +175,12 @@
 /* ---- Answers ------------------------------------------------------------- */
 
 static void
-on_answered(void *context, const AqStoreReply *reply)
+on_answered(void *context, AqStoreStatus status)
 {
     MachineDesk *desk = context;
     desk->is_answering = false;
     desk->calls--;
-    if (reply->status != AQ_STORE_OK) {
+    if (status != AQ_STORE_OK) {
         /* All answers of the pools are written again. */
         for (guint i = 0; i < desk->entries->len; i++) {
             const Entry *entry = g_ptr_array_index(desk->entries, i);
@@ -196,7 +198,6 @@
 static void
 write_answers(MachineDesk *desk, const char *pool)
 {
-    AqStore *store = desk->node->store;
     AqBuffer bytes;
     AqAskList list = {.asks = calloc(AQ_ASKS_MAX, sizeof(AqAsk))};
     for (guint i = 0; i < desk->entries->len; i++) {
@@ -210,17 +211,11 @@
     }
     AqBuffer_Init(&bytes);
     AqAskList_Encode(&list, &bytes);
-    AqStoreExpect expect = {key_of(KEY_OWNER, MEMBER_MACHINE_DUTY),
-                            desk->fence};
     AqStorePut put = {key_of(KEY_ANSWER, pool), AqBuffer_Text(&bytes),
                       bytes.size, 0};
-    AqStoreCommit commit = {.expects = &expect,
-                            .expect_count = 1,
-                            .puts = &put,
-                            .put_count = 1};
     desk->is_answering = true;
     desk->calls++;
-    store->ops->commit(store, &commit, on_answered, desk);
+    owner_writer_commit(desk->writer, NULL, 0, &put, 1, on_answered, desk);
     AqBuffer_Clear(&bytes);
     AqAskList_Clear(&list);
 }
@@ -307,6 +302,7 @@
     desk->entries = g_ptr_array_new_with_free_func(free);
     desk->answers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    desk->writer = owner_writer_create(node, MEMBER_MACHINE_DUTY, fence);
     desk->view = prefix_view_create(node->loop, node->store, KEYS_ASKS,
                                     &ask_ops, desk);
     return desk;
@@ -319,6 +315,9 @@
         return;
     }
     prefix_view_destroy(desk->view);
+    desk->calls++; /* the writer may end calls now */
+    owner_writer_drop(desk->writer);
+    desk->calls--;
     desk->is_dropped = true;
     if (desk->calls == 0) {
         free_desk(desk);
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -237,7 +237,12 @@
 static bool
 is_vacant(const Shard *shard)
 {
-    return shard->owner_index == 0 ||
+    /* A claim of ours that was carried out late leaves a key of ours. */
+    bool is_ours =
+        shard->state != CLAIM_OWNED &&
+        strcmp(shard->owner_incarnation,
+               shard->member->node->incarnation) == 0;
+    return shard->owner_index == 0 || is_ours ||
            is_replaced(shard->member, shard->owner_node,
                        shard->owner_incarnation);
 }
--- /dev/null
+++ b/packages/pool/owner_writer.c
@@ -0,0 +1,309 @@
+#include "owner_writer.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "keys.h"
+
+enum {
+    RETRY_MS = 150 /* of reading the lane */
+};
+
+typedef struct {
+    AqLink link;
+    GPtrArray *memory; /* what the rows point to */
+    AqStoreExpect expects[AQ_STORE_COMMIT_ENTRIES];
+    size_t expect_count;
+    AqStorePut puts[AQ_STORE_COMMIT_ENTRIES];
+    size_t put_count;
+    char stamp[80]; /* value of the lane that says it took effect */
+    OwnerWriteDone done;
+    void *context;
+} Write;
+
+struct OwnerWriter {
+    NodeContext *node;
+    char pool[64];
+    uint64_t fence;
+    AqLink writes;       /* the first one is under way */
+    uint64_t lane_index; /* as last known */
+    bool is_lane_known;
+    uint64_t stamps;
+    bool is_busy;
+    bool is_dropped;
+    AqTimer retry;
+};
+
+static void next(OwnerWriter *writer);
+
+static void
+free_write(Write *write)
+{
+    AqList_Remove(&write->link);
+    g_ptr_array_free(write->memory, TRUE);
+    free(write);
+}
+
+static void
+free_writer(OwnerWriter *writer)
+{
+    AqTimer_Stop(&writer->retry);
+    free(writer);
+}
+
+static Write *
+first(const OwnerWriter *writer)
+{
+    return AqList_IsEmpty(&writer->writes)
+               ? NULL
+               : AqList_Entry(writer->writes.next, Write, link);
+}
+
+/* Ends the first write; the writer may be freed. */
+static void
+finish(OwnerWriter *writer, AqStoreStatus status)
+{
+    Write *write = first(writer);
+    OwnerWriteDone done = write->done;
+    void *context = write->context;
+    free_write(write);
+    writer->is_busy = false;
+    done(context, status);
+    next(writer);
+}
+
+static void
+read_later(OwnerWriter *writer)
+{
+    AqTimer_Start(writer->node->loop, &writer->retry,
+                  AqLoop_Now(writer->node->loop) + RETRY_MS);
+}
+
+/* ---- Outcomes ------------------------------------------------------------ */
+
+static const AqStoreItem *
+find_item(const AqStoreReply *reply, const char *key)
+{
+    for (size_t i = 0; i < reply->count; i++) {
+        if (strcmp(reply->items[i].key, key) == 0) {
+            return &reply->items[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_stamped(const AqStoreItem *lane, const Write *write)
+{
+    size_t size = strlen(write->stamp);
+    return lane != NULL && lane->size == size &&
+           memcmp(lane->value, write->stamp, size) == 0;
+}
+
+static void
+on_conflict(OwnerWriter *writer, const AqStoreReply *reply)
+{
+    const Write *write = first(writer);
+    const AqStoreItem *lane =
+        find_item(reply, key_of(KEY_LANE, writer->pool));
+    const AqStoreItem *owner =
+        find_item(reply, key_of(KEY_OWNER, writer->pool));
+    uint64_t lane_index = lane != NULL ? lane->index : 0;
+    if (is_stamped(lane, write)) {
+        /* The library sent it twice: the first one took effect. */
+        writer->lane_index = lane_index;
+        finish(writer, AQ_STORE_OK);
+    }
+    else if (owner == NULL || owner->index != writer->fence) {
+        finish(writer, AQ_STORE_ABSENT);
+    }
+    else if (lane_index != writer->lane_index) {
+        /* A write that was given up took effect in between. */
+        writer->lane_index = lane_index;
+        writer->is_busy = false;
+        next(writer);
+    }
+    else {
+        finish(writer, AQ_STORE_CONFLICT);
+    }
+}
+
+static void
+on_committed(void *context, const AqStoreReply *reply)
+{
+    OwnerWriter *writer = context;
+    switch (reply->status) {
+    case AQ_STORE_OK:
+        writer->lane_index = reply->index;
+        finish(writer, AQ_STORE_OK);
+        break;
+    case AQ_STORE_CONFLICT:
+        on_conflict(writer, reply);
+        break;
+    case AQ_STORE_UNKNOWN:
+        AqLog_Event(AQ_LOG_INFO, "write_unanswered", "pool=%s fence=%" PRIu64,
+                    writer->pool, writer->fence);
+        writer->is_lane_known = false;
+        read_later(writer);
+        break;
+    default:
+        finish(writer, AQ_STORE_UNAVAILABLE);
+        break;
+    }
+}
+
+static void
+on_lane(void *context, const AqStoreReply *reply)
+{
+    OwnerWriter *writer = context;
+    const Write *write = first(writer);
+    bool is_there = reply->status == AQ_STORE_OK && reply->count == 1;
+    if (!is_there && reply->status != AQ_STORE_ABSENT) {
+        if (writer->is_dropped) {
+            finish(writer, AQ_STORE_UNAVAILABLE);
+        }
+        else {
+            read_later(writer);
+        }
+        return;
+    }
+    writer->lane_index = is_there ? reply->items[0].index : 0;
+    writer->is_lane_known = true;
+    if (is_there && is_stamped(&reply->items[0], write)) {
+        finish(writer, AQ_STORE_OK);
+        return;
+    }
+    /* It has not taken effect; a late one fails once the lane moves on. */
+    writer->is_busy = false;
+    next(writer);
+}
+
+/* ---- Sending ------------------------------------------------------------- */
+
+static void
+read_lane(OwnerWriter *writer)
+{
+    AqStore *store = writer->node->store;
+    store->ops->get(store, key_of(KEY_LANE, writer->pool), on_lane, writer);
+}
+
+static void
+on_retry(void *context)
+{
+    read_lane(context);
+}
+
+static void
+send(OwnerWriter *writer, Write *write)
+{
+    AqStore *store = writer->node->store;
+    AqStoreExpect expects[AQ_STORE_COMMIT_ENTRIES];
+    AqStorePut puts[AQ_STORE_COMMIT_ENTRIES];
+    const char *lane = key_of(KEY_LANE, writer->pool);
+    size_t expect_count = 0;
+    size_t put_count = 0;
+    snprintf(write->stamp, sizeof(write->stamp), "%s %" PRIu64,
+             writer->node->incarnation, ++writer->stamps);
+    expects[expect_count++] =
+        (AqStoreExpect){key_of(KEY_OWNER, writer->pool), writer->fence};
+    expects[expect_count++] = (AqStoreExpect){lane, writer->lane_index};
+    puts[put_count++] =
+        (AqStorePut){lane, write->stamp, strlen(write->stamp), 0};
+    for (size_t i = 0; i < write->expect_count; i++) {
+        expects[expect_count++] = write->expects[i];
+    }
+    for (size_t i = 0; i < write->put_count; i++) {
+        puts[put_count++] = write->puts[i];
+    }
+    AqStoreCommit commit = {.expects = expects,
+                            .expect_count = expect_count,
+                            .puts = puts,
+                            .put_count = put_count};
+    store->ops->commit(store, &commit, on_committed, writer);
+}
+
+static void
+next(OwnerWriter *writer)
+{
+    Write *write = first(writer);
+    if (writer->is_busy) {
+        return;
+    }
+    if (write == NULL) {
+        if (writer->is_dropped) {
+            free_writer(writer);
+        }
+        return;
+    }
+    writer->is_busy = true;
+    if (writer->is_dropped) {
+        finish(writer, AQ_STORE_UNAVAILABLE);
+    }
+    else if (!writer->is_lane_known) {
+        read_lane(writer);
+    }
+    else {
+        send(writer, write);
+    }
+}
+
+/* ---- Interface ----------------------------------------------------------- */
+
+static char *
+keep(Write *write, const void *bytes, size_t size)
+{
+    char *copy = malloc(size + 1);
+    memcpy(copy, bytes, size);
+    copy[size] = '\0';
+    g_ptr_array_add(write->memory, copy);
+    return copy;
+}
+
+void
+owner_writer_commit(OwnerWriter *writer, const AqStoreExpect *expects,
+                    size_t expect_count, const AqStorePut *puts,
+                    size_t put_count, OwnerWriteDone done, void *context)
+{
+    Write *write = calloc(1, sizeof(*write));
+    write->memory = g_ptr_array_new_with_free_func(free);
+    write->done = done;
+    write->context = context;
+    for (size_t i = 0; i < expect_count; i++) {
+        AqStoreExpect *expect = &write->expects[write->expect_count++];
+        expect->key = keep(write, expects[i].key, strlen(expects[i].key));
+        expect->index = expects[i].index;
+    }
+    for (size_t i = 0; i < put_count; i++) {
+        AqStorePut *put = &write->puts[write->put_count++];
+        put->key = keep(write, puts[i].key, strlen(puts[i].key));
+        put->value = keep(write, puts[i].value, puts[i].size);
+        put->size = puts[i].size;
+        put->lease = puts[i].lease;
+    }
+    AqList_Append(&writer->writes, &write->link);
+    next(writer);
+}
+
+OwnerWriter *
+owner_writer_create(NodeContext *node, const char *pool, uint64_t fence)
+{
+    OwnerWriter *writer = calloc(1, sizeof(*writer));
+    writer->node = node;
+    writer->fence = fence;
+    g_strlcpy(writer->pool, pool, sizeof(writer->pool));
+    AqList_Init(&writer->writes);
+    AqTimer_Init(&writer->retry, on_retry, writer);
+    return writer;
+}
+
+void
+owner_writer_drop(OwnerWriter *writer)
+{
+    writer->is_dropped = true;
+    if (!writer->is_busy) {
+        next(writer);
+    }
+}
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -316,14 +316,14 @@
 }
 
 static void
-on_asks_written(void *context, const AqStoreReply *reply)
+on_asks_written(void *context, AqStoreStatus status)
 {
     PoolMachines *self = context;
     if (!end_call(self)) {
         return;
     }
     self->is_writing_asks = false;
-    if (reply->status != AQ_STORE_OK) {
+    if (status != AQ_STORE_OK) {
         self->are_asks_changed = true;
         self->asks_due = now_of(self) + RETRY_MS;
     }
@@ -360,7 +360,6 @@
 static void
 write_asks(PoolMachines *self)
 {
-    AqStore *store = self->node->store;
     AqBuffer bytes;
     if (!self->are_asks_changed || self->is_writing_asks ||
         self->asks_due > now_of(self)) {
@@ -370,17 +369,13 @@
     fill_asks(self, &list);
     AqBuffer_Init(&bytes);
     AqAskList_Encode(&list, &bytes);
-    AqStoreExpect expect = {key_of(KEY_OWNER, self->pool), self->fence};
     AqStorePut put = {key_of(KEY_ASK, self->pool), AqBuffer_Text(&bytes),
                       bytes.size, 0};
-    AqStoreCommit commit = {.expects = &expect,
-                            .expect_count = 1,
-                            .puts = &put,
-                            .put_count = 1};
     self->are_asks_changed = false;
     self->is_writing_asks = true;
     self->calls++;
-    store->ops->commit(store, &commit, on_asks_written, self);
+    owner_writer_commit(pool_owner_writer(self->owner), NULL, 0, &put, 1,
+                        on_asks_written, self);
     AqBuffer_Clear(&bytes);
     AqAskList_Clear(&list);
 }
@@ -434,7 +429,7 @@
 }
 
 static void
-on_wave_written(void *context, const AqStoreReply *reply)
+on_wave_written(void *context, AqStoreStatus status)
 {
     PoolMachines *self = context;
     if (!end_call(self)) {
@@ -445,7 +440,7 @@
     if (plan == NULL || plan->phase != VM_CLAIMING) {
         return;
     }
-    if (reply->status == AQ_STORE_OK) {
+    if (status == AQ_STORE_OK) {
         ask(self, plan);
     }
     else {
@@ -458,20 +453,11 @@
 static bool
 write_wave(PoolMachines *self, WaveEntry *entry, size_t at, AqWaveState state)
 {
-    AqStore *store = self->node->store;
     WaveWrite write;
     if (self->is_writing_wave) {
         return false;
     }
     begin_wave_write(&write, entry, at, state);
-    AqStoreExpect expects[] = {
-        {key_of(KEY_OWNER, self->pool), self->fence},
-        write.expect,
-    };
-    AqStoreCommit commit = {.expects = expects,
-                            .expect_count = 2,
-                            .puts = write.puts,
-                            .put_count = 2};
     self->is_writing_wave = true;
     self->calls++;
     g_strlcpy(self->claiming, AqWave_Machine(entry->wave, at),
@@ -480,7 +466,8 @@
                 "wave=%lld machine=%s state=%d pool=%s",
                 (long long)AqWave_Number(entry->wave),
                 AqWave_Machine(entry->wave, at), (int)state, self->pool);
-    store->ops->commit(store, &commit, on_wave_written, self);
+    owner_writer_commit(pool_owner_writer(self->owner), &write.expect, 1,
+                        write.puts, 2, on_wave_written, self);
     end_wave_write(&write);
     return true;
 }
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -6,13 +6,14 @@
 
 #include "aq_log.h"
 #include "keys.h"
+#include "owner_writer.h"
 #include "prefix_view.h"
 
 enum {
     /* Changes are stored together: one write a batch. */
     SAVE_EVERY_MS = 60,
     SAVE_RETRY_MS = 150,
-    SAVES = AQ_STORE_COMMIT_ENTRIES - 2, /* the owner's key is expected */
+    SAVES = AQ_STORE_COMMIT_ENTRIES - 3, /* the writer adds three rows */
     REPORT_EVERY_MS = 800,
     LOAD_RETRY_MS = 150,
     FINISH_LIMIT_MS = 600, /* longest time that a hand-over waits for saves */
@@ -42,6 +43,7 @@
     PrefixView *jobs;
     bool is_dropped;
     bool is_finishing;
+    OwnerWriter *writer;
     int calls; /* under way, each with a pointer to this owner */
     /* Saving */
     AqJobSave saves[SAVES];
@@ -420,34 +422,29 @@
 
 static void
 commit_as_owner(PoolOwner *owner, const AqStorePut *puts, size_t count,
-                AqStoreDone done)
+                OwnerWriteDone done)
 {
-    AqStore *store = owner->node->store;
-    AqStoreExpect expect = {key_of(KEY_OWNER, owner->ownership.pool),
-                            owner->ownership.fence};
-    AqStoreCommit commit = {.expects = &expect,
-                            .expect_count = 1,
-                            .puts = puts,
-                            .put_count = count};
     owner->calls++;
-    store->ops->commit(store, &commit, done, owner);
+    owner_writer_commit(owner->writer, NULL, 0, puts, count, done, owner);
 }
 
 static void
-on_saved(void *context, const AqStoreReply *reply)
+on_saved(void *context, AqStoreStatus status)
 {
     PoolOwner *owner = context;
     if (!end_call(owner)) {
         return;
     }
-    bool is_stored = reply->status == AQ_STORE_OK;
+    bool is_stored = status == AQ_STORE_OK;
     owner->is_saving = false;
     for (size_t i = 0; i < owner->save_count && is_stored; i++) {
         if (owner->saves[i].stage >= AQ_STAGE_COMPLETED) {
             AqLog_Event(AQ_LOG_INFO, "job_finished",
-                        "request=%s stage=%d index=%llu", owner->saves[i].id,
-                        (int)owner->saves[i].stage,
-                        (unsigned long long)reply->index);
+                        "request=%s stage=%s pool=%s fence=%llu",
+                        owner->saves[i].id,
+                        AqJobStage_Name(owner->saves[i].stage),
+                        owner->ownership.pool,
+                        (unsigned long long)owner->ownership.fence);
         }
     }
     AqScheduler_EndSave(owner->scheduler, owner->saves, owner->save_count,
@@ -455,12 +452,12 @@
     owner->save_count = 0;
     owner->save_due =
         now_of(owner) + (is_stored ? SAVE_EVERY_MS : SAVE_RETRY_MS);
-    if (reply->status == AQ_STORE_CONFLICT) {
+    if (status == AQ_STORE_ABSENT) {
         depose(owner, "save_conflict");
     }
     else if (!is_stored) {
         AqLog_Event(AQ_LOG_WARNING, "save_failed", "pool=%s status=%d",
-                    owner->ownership.pool, (int)reply->status);
+                    owner->ownership.pool, (int)status);
     }
 }
 
@@ -492,18 +489,18 @@
 }
 
 static void
-on_roster_written(void *context, const AqStoreReply *reply)
+on_roster_written(void *context, AqStoreStatus status)
 {
     PoolOwner *owner = context;
     if (!end_call(owner)) {
         return;
     }
     owner->is_writing_roster = false;
-    if (reply->status == AQ_STORE_OK) {
+    if (status == AQ_STORE_OK) {
         owner->roster_written = owner->roster_sent;
         AqScheduler_RosterSaved(owner->scheduler, owner->roster_written);
     }
-    else if (reply->status == AQ_STORE_CONFLICT) {
+    else if (status == AQ_STORE_ABSENT) {
         depose(owner, "roster_conflict");
     }
     else {
@@ -533,18 +530,18 @@
 /* ---- Report -------------------------------------------------------------- */
 
 static void
-on_reported(void *context, const AqStoreReply *reply)
+on_reported(void *context, AqStoreStatus status)
 {
     PoolOwner *owner = context;
     if (!end_call(owner)) {
         return;
     }
     owner->is_reporting = false;
-    if (reply->status != AQ_STORE_OK) {
+    if (status != AQ_STORE_OK) {
         free(owner->report);
         owner->report = NULL;
     }
-    if (reply->status == AQ_STORE_CONFLICT) {
+    if (status == AQ_STORE_ABSENT) {
         depose(owner, "report_conflict");
     }
 }
@@ -658,6 +655,8 @@
                                            (GDestroyNotify)g_bytes_unref);
     owner->cancelled =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    owner->writer =
+        owner_writer_create(node, ownership->pool, ownership->fence);
     owner->scheduler =
         AqScheduler_Create(&config, &actions, owner, now_of(owner));
     AqScheduler_SetSite(owner->scheduler, &node->site);
@@ -675,6 +674,9 @@
     AqTimer_Stop(&owner->load_timer);
     prefix_view_destroy(owner->jobs);
     owner->jobs = NULL;
+    owner->calls++; /* the writer may end calls now */
+    owner_writer_drop(owner->writer);
+    owner->calls--;
     for (size_t i = 0; i < owner->save_count; i++) {
         AqBuffer_Clear(&owner->saves[i].record);
     }
@@ -684,6 +686,12 @@
     }
 }
 
+OwnerWriter *
+pool_owner_writer(PoolOwner *owner)
+{
+    return owner->writer;
+}
+
 const char *
 pool_owner_pool(const PoolOwner *owner)
 {
--- a/packages/pool/pool_owner.h
+++ b/packages/pool/pool_owner.h
@@ -4,6 +4,7 @@
 #include "aq_scheduler.h"
 #include "member.h"
 #include "node.h"
+#include "owner_writer.h"
 
 /* One pool that this node owns: loads its jobs from the store, runs its
  * scheduler, and stores what the scheduler has to remember. */
@@ -25,6 +26,8 @@
 /* NULL until the jobs are loaded. */
 AqScheduler *pool_owner_scheduler(PoolOwner *owner);
 uint64_t pool_owner_fence(const PoolOwner *owner);
+/* For all writes of this ownership; borrowed. */
+OwnerWriter *pool_owner_writer(PoolOwner *owner);
 
 /* Whether this node is certain to be the owner, for a while yet. */
 bool pool_owner_may_order(const PoolOwner *owner);
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -36,6 +36,9 @@
     AQ_STAGE_CANCELLED
 } AqJobStage;
 
+/* Static storage. */
+const char *AqJobStage_Name(AqJobStage stage);
+
 typedef struct {
     char pool[64];
     uint64_t fence;     /* of this ownership; above all earlier ones */
--- a/packages/scheduler/names.c
+++ b/packages/scheduler/names.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "aq_machines.h"
+#include "aq_scheduler.h"
 #include "aq_worker_calls.h"
 
 const char *
@@ -18,6 +19,17 @@
     return names[result];
 }
 
+const char *
+AqJobStage_Name(AqJobStage stage)
+{
+    static const char *const names[] = {
+        [AQ_STAGE_WAITING] = "waiting",     [AQ_STAGE_RUNNING] = "running",
+        [AQ_STAGE_COMPLETED] = "completed", [AQ_STAGE_FAILED] = "failed",
+        [AQ_STAGE_CANCELLED] = "cancelled",
+    };
+    return names[stage];
+}
+
 const char *
 AqMachineResult_Name(AqMachineResult result)
 {
