--- a/packages/pool/owner_writer.c
+++ b/packages/pool/owner_writer.c
@@ -34,6 +34,7 @@
     uint64_t stamps;
     bool is_busy;
     bool is_dropped;
+    bool is_telling; /* in a caller's "done", which may drop the writer */
     AqTimer retry;
 };
 
@@ -71,7 +72,9 @@
     void *context = write->context;
     free_write(write);
     writer->is_busy = false;
+    writer->is_telling = true;
     done(context, status);
+    writer->is_telling = false;
     next(writer);
 }
 
@@ -229,7 +232,7 @@
 next(OwnerWriter *writer)
 {
     Write *write = first(writer);
-    if (writer->is_busy) {
+    if (writer->is_busy || writer->is_telling) {
         return;
     }
     if (write == NULL) {
@@ -303,7 +306,5 @@
 owner_writer_drop(OwnerWriter *writer)
 {
     writer->is_dropped = true;
-    if (!writer->is_busy) {
-        next(writer);
-    }
+    next(writer);
 }
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -577,6 +577,7 @@
 
 /* ---- Rounds -------------------------------------------------------------- */
 
+/* May free the owner. */
 static void
 check_finished(PoolOwner *owner)
 {
@@ -613,11 +614,11 @@
     if (!owner->is_finishing) {
         write_report(owner);
     }
-    check_finished(owner);
     if (AqScheduler_HasUnsaved(owner->scheduler) && !owner->is_saving &&
         owner->save_due < due) {
         due = owner->save_due;
     }
+    check_finished(owner);
     return due;
 }
 
