--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -38,9 +38,10 @@
 {
     char line[LINE_SIZE + 256];
     if (dropped > dropped_reported) {
-        int size = snprintf(line, sizeof(line),
-                            "level=warning event=log_lines_dropped count=%lu\n",
-                            dropped - dropped_reported);
+        int size =
+            snprintf(line, sizeof(line),
+                     "level=warning event=log_lines_dropped count=%lu\n",
+                     dropped - dropped_reported);
         if (!write_whole(line, (size_t)size)) {
             dropped++;
             return;
--- a/packages/pool/duty.c
+++ b/packages/pool/duty.c
@@ -97,7 +97,8 @@
     char text[120] = "";
     char holder[64];
     long long at;
-    size_t size = item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
+    size_t size =
+        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
     memcpy(text, item->value, size);
     if (sscanf(text, "%63s %lld", holder, &at) != 2) {
         return false;
@@ -122,10 +123,8 @@
         {machine_key, machine_index},
     };
     AqStorePut put = {machine_key, holder, strlen(holder), 0};
-    AqStoreCommit commit = {.expects = expects,
-                            .expect_count = 3,
-                            .puts = &put,
-                            .put_count = 1};
+    AqStoreCommit commit = {
+        .expects = expects, .expect_count = 3, .puts = &put, .put_count = 1};
     call->claimed_at = AqClock_ReadMonotonic();
     store->ops->commit(store, &commit, on_claimed, call);
 }
--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -50,7 +50,8 @@
     return AqLoop_Now(front->node->loop);
 }
 
-/* ---- Answers ------------------------------------------------------------- */
+/* ---- Answers -------------------------------------------------------------
+ */
 
 static void
 respond(AqExchange *exchange, int status, const char *body)
@@ -91,13 +92,15 @@
 finish_unavailable(Request *request, bool is_certain)
 {
     if (is_certain) {
-        finish(request, 503, "{\"error\":\"the store can't be reached; come "
-                             "back later\"}",
+        finish(request, 503,
+               "{\"error\":\"the store can't be reached; come "
+               "back later\"}",
                "store_unavailable");
     }
     else {
-        finish(request, 504, "{\"error\":\"the outcome is not known; ask "
-                             "again with the same id\"}",
+        finish(request, 504,
+               "{\"error\":\"the outcome is not known; ask "
+               "again with the same id\"}",
                "store_silent");
     }
 }
@@ -121,7 +124,8 @@
     return true;
 }
 
-/* ---- Submission ---------------------------------------------------------- */
+/* ---- Submission ----------------------------------------------------------
+ */
 
 static void
 on_submitted(void *context, const AqStoreReply *reply)
@@ -158,10 +162,8 @@
     };
     AqStorePut put = {expects[0].key, AqBuffer_Text(&request->job),
                       request->job.size, 0};
-    AqStoreCommit commit = {.expects = expects,
-                            .expect_count = 2,
-                            .puts = &put,
-                            .put_count = 1};
+    AqStoreCommit commit = {
+        .expects = expects, .expect_count = 2, .puts = &put, .put_count = 1};
     request->tries++;
     store->ops->commit(store, &commit, on_submitted, request);
 }
@@ -178,7 +180,7 @@
                "malformed");
         return;
     }
-    strcpy(spec.id, request->id);
+    g_strlcpy(spec.id, request->id, sizeof(spec.id));
     spec.queue = strdup(request->queue);
     spec.submitted_ms = AqClock_ReadWall();
     if (!AqJobSpec_Check(&spec, &error)) {
@@ -195,7 +197,8 @@
     try_submit(request);
 }
 
-/* ---- State --------------------------------------------------------------- */
+/* ---- State ---------------------------------------------------------------
+ */
 
 static void
 finish_state(Request *request, AqJobState state)
@@ -215,8 +218,7 @@
         finish_state(request, AQ_JOB_QUEUED);
     }
     else if (reply->status == AQ_STORE_ABSENT) {
-        finish(request, 410, "{\"error\":\"there is no such job\"}",
-               "absent");
+        finish(request, 410, "{\"error\":\"there is no such job\"}", "absent");
     }
     else if (!try_again(request)) {
         finish_unavailable(request, true);
@@ -248,9 +250,8 @@
     }
     else if (!AqScheduler_ReadStage(reply->items[0].value,
                                     reply->items[0].size, &stage, &error)) {
-        AqLog_Event(AQ_LOG_ERROR, "progress_unreadable",
-                    "request=%s error=%s", request->id,
-                    AqLog_Quote(error.message));
+        AqLog_Event(AQ_LOG_ERROR, "progress_unreadable", "request=%s error=%s",
+                    request->id, AqLog_Quote(error.message));
         finish(request, 500, "{\"error\":\"the job's record is damaged\"}",
                "damaged");
     }
@@ -269,7 +270,8 @@
                     on_progress_read, request);
 }
 
-/* ---- Cancelling ---------------------------------------------------------- */
+/* ---- Cancelling ----------------------------------------------------------
+ */
 
 static void
 on_cancelled(void *context, const AqStoreReply *reply)
@@ -290,10 +292,8 @@
     AqStore *store = request->front->node->store;
     AqStoreExpect expect = {key_of_job(request->pool, request->id), job_index};
     AqStorePut put = {key_of_cancel(request->pool, request->id), "1", 1, 0};
-    AqStoreCommit commit = {.expects = &expect,
-                            .expect_count = 1,
-                            .puts = &put,
-                            .put_count = 1};
+    AqStoreCommit commit = {
+        .expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
     store->ops->commit(store, &commit, on_cancelled, request);
 }
 
@@ -322,15 +322,14 @@
     AqStore *store = request->front->node->store;
     AqStoreExpect expect = {key_of_job(request->pool, request->id), 0};
     AqStorePut put = {key_of_cancel(request->pool, request->id), "1", 1, 0};
-    AqStoreCommit commit = {.expects = &expect,
-                            .expect_count = 1,
-                            .puts = &put,
-                            .put_count = 1};
+    AqStoreCommit commit = {
+        .expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
     request->tries++;
     store->ops->commit(store, &commit, on_cancel_first, request);
 }
 
-/* ---- Waiting jobs -------------------------------------------------------- */
+/* ---- Waiting jobs --------------------------------------------------------
+ */
 
 static int64_t
 find_waiting(const char *report, const char *queue)
@@ -370,11 +369,10 @@
     Request *request = context;
     if (reply->status == AQ_STORE_OK && reply->count == 1) {
         Report *report = calloc(1, sizeof(*report));
-        report->text =
-            strndup(reply->items[0].value, reply->items[0].size);
+        report->text = strndup(reply->items[0].value, reply->items[0].size);
         report->read_at = now_of(request->front);
-        g_hash_table_replace(request->front->reports,
-                             g_strdup(request->pool), report);
+        g_hash_table_replace(request->front->reports, g_strdup(request->pool),
+                             report);
         finish_waiting(request, report->text);
     }
     else if (reply->status == AQ_STORE_ABSENT) {
@@ -402,7 +400,8 @@
                     request);
 }
 
-/* ---- Dispatch ------------------------------------------------------------ */
+/* ---- Dispatch ------------------------------------------------------------
+ */
 
 static bool
 is_id(const char *text)
@@ -471,16 +470,17 @@
                       "back later");
         return;
     }
-    const AqQueueConfig *queue = AqSiteConfig_Match(
-        &front->node->site, host != NULL ? host : "", path);
+    const AqQueueConfig *queue =
+        AqSiteConfig_Match(&front->node->site, host != NULL ? host : "", path);
     const char *id = queue != NULL ? path + strlen(queue->prefix) : "";
     if (queue == NULL || !is_id(id)) {
         AqLog_Event(AQ_LOG_INFO, "refused",
                     "path=%s host=%s reason=no_queue config=%lld",
                     AqLog_Quote(path), AqLog_Quote(host != NULL ? host : ""),
                     (long long)front->node->site.version);
-        respond_error(exchange, 404, "there is no such queue; check the host "
-                                     "and the path");
+        respond_error(exchange, 404,
+                      "there is no such queue; check the host "
+                      "and the path");
         return;
     }
     dispatch(new_request(front, exchange, queue, id));
@@ -493,8 +493,8 @@
     front->node = node;
     front->ops = *ops;
     front->context = context;
-    front->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                           free_report);
+    front->reports =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_report);
     return front;
 }
 
--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -37,7 +37,7 @@
     uint64_t fence;
     PrefixView *view;
     OwnerWriter *writer;
-    GPtrArray *entries; /* of Entry */
+    GPtrArray *entries;  /* of Entry */
     GHashTable *answers; /* pools with answers to be written */
     bool is_answering;
     AqTime answers_due;
@@ -58,7 +58,8 @@
     free(desk);
 }
 
-/* ---- What is asked for --------------------------------------------------- */
+/* ---- What is asked for ---------------------------------------------------
+ */
 
 static Entry *
 find_entry(const MachineDesk *desk, const char *pool, uint64_t fence,
@@ -135,8 +136,7 @@
     }
     set_unwanted(desk, pool);
     for (size_t i = 0; i < list.count; i++) {
-        Entry *entry =
-            find_entry(desk, pool, list.fence, list.asks[i].number);
+        Entry *entry = find_entry(desk, pool, list.fence, list.asks[i].number);
         if (entry == NULL) {
             entry = calloc(1, sizeof(*entry));
             entry->ask = list.asks[i];
@@ -172,7 +172,8 @@
 
 static const PrefixViewOps ask_ops = {on_put, on_removed, on_listed};
 
-/* ---- Answers ------------------------------------------------------------- */
+/* ---- Answers -------------------------------------------------------------
+ */
 
 static void
 on_answered(void *context, AqStoreStatus status)
@@ -225,7 +226,8 @@
 {
     GHashTableIter iter;
     gpointer key;
-    if (desk->is_answering || desk->answers_due > AqLoop_Now(desk->node->loop)) {
+    if (desk->is_answering ||
+        desk->answers_due > AqLoop_Now(desk->node->loop)) {
         return;
     }
     g_hash_table_iter_init(&iter, desk->answers);
@@ -237,7 +239,8 @@
     }
 }
 
-/* ---- Orders -------------------------------------------------------------- */
+/* ---- Orders --------------------------------------------------------------
+ */
 
 static void
 on_done(void *context, DutyResult result)
@@ -303,8 +306,8 @@
     desk->answers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     desk->writer = owner_writer_create(node, MEMBER_MACHINE_DUTY, fence);
-    desk->view = prefix_view_create(node->loop, node->store, KEYS_ASKS,
-                                    &ask_ops, desk);
+    desk->view =
+        prefix_view_create(node->loop, node->store, KEYS_ASKS, &ask_ops, desk);
     return desk;
 }
 
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -72,7 +72,8 @@
 
 static void consider(Shard *shard);
 
-/* ---- Lease --------------------------------------------------------------- */
+/* ---- Lease ---------------------------------------------------------------
+ */
 
 static void
 lose_all(Member *member, const char *reason)
@@ -127,8 +128,7 @@
         return;
     }
     AqLog_Event(AQ_LOG_INFO, "member_joined", "lease=%llu incarnation=%s",
-                (unsigned long long)member->lease,
-                member->node->incarnation);
+                (unsigned long long)member->lease, member->node->incarnation);
     member->joined_at = AqLoop_Now(member->node->loop);
     note_heard(member, member->keep_sent_at);
     schedule_keep(member, KEEP_MS);
@@ -187,8 +187,8 @@
     }
     member->keep_sent_at = AqLoop_Now(node->loop);
     if (member->lease == 0) {
-        node->store->ops->lease_grant(node->store, MEMBER_LEASE_MS,
-                                      on_granted, member);
+        node->store->ops->lease_grant(node->store, MEMBER_LEASE_MS, on_granted,
+                                      member);
     }
     else {
         node->store->ops->lease_keep(node->store, member->lease, on_kept,
@@ -208,7 +208,8 @@
     return AqLoop_Now(member->node->loop) - member->heard_at < CONNECTED_MS;
 }
 
-/* ---- Claims -------------------------------------------------------------- */
+/* ---- Claims --------------------------------------------------------------
+ */
 
 static size_t
 count_owned(const Member *member)
@@ -219,7 +220,8 @@
     g_hash_table_iter_init(&iter, member->shards);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const Shard *shard = value;
-        count += shard->state == CLAIM_OWNED || shard->state == CLAIM_READING ||
+        count += shard->state == CLAIM_OWNED ||
+                 shard->state == CLAIM_READING ||
                  shard->state == CLAIM_WRITING;
     }
     return count;
@@ -238,10 +240,9 @@
 is_vacant(const Shard *shard)
 {
     /* A claim of ours that was carried out late leaves a key of ours. */
-    bool is_ours =
-        shard->state != CLAIM_OWNED &&
-        strcmp(shard->owner_incarnation,
-               shard->member->node->incarnation) == 0;
+    bool is_ours = shard->state != CLAIM_OWNED &&
+                   strcmp(shard->owner_incarnation,
+                          shard->member->node->incarnation) == 0;
     return shard->owner_index == 0 || is_ours ||
            is_replaced(shard->member, shard->owner_node,
                        shard->owner_incarnation);
@@ -267,9 +268,11 @@
     shard->state = CLAIM_OWNED;
     shard->fence = fence;
     shard->owner_index = fence;
-    strcpy(shard->owner_node, member->node->settings->node_id);
-    strcpy(shard->owner_incarnation, member->node->incarnation);
-    strcpy(ownership.pool, shard->pool);
+    g_strlcpy(shard->owner_node, member->node->settings->node_id,
+              sizeof(shard->owner_node));
+    g_strlcpy(shard->owner_incarnation, member->node->incarnation,
+              sizeof(shard->owner_incarnation));
+    g_strlcpy(ownership.pool, shard->pool, sizeof(ownership.pool));
     AqLog_Event(AQ_LOG_INFO, "pool_gained",
                 "pool=%s fence=%llu generation=%lld rival=%d", shard->pool,
                 (unsigned long long)fence, (long long)shard->generation,
@@ -332,7 +335,8 @@
         return;
     }
     const AqStoreItem *item = &reply->items[0];
-    size_t size = item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
+    size_t size =
+        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
     memcpy(text, item->value, size);
     shard->term_index = item->index;
     if (sscanf(text, "%lld %63s %39s %d", &generation, shard->term_node,
@@ -386,10 +390,8 @@
         {key_of(KEY_OWNER, shard->pool), owner, strlen(owner), member->lease},
         {key_of(KEY_TERM, shard->pool), term, term_size, 0},
     };
-    AqStoreCommit commit = {.expects = expects,
-                            .expect_count = 2,
-                            .puts = puts,
-                            .put_count = 2};
+    AqStoreCommit commit = {
+        .expects = expects, .expect_count = 2, .puts = puts, .put_count = 2};
     shard->state = CLAIM_WRITING;
     node->store->ops->commit(node->store, &commit, on_claimed, shard);
 }
@@ -400,13 +402,12 @@
 {
     const Member *member = shard->member;
     const char *id = member->node->settings->node_id;
-    uint64_t weight = AqHash_Rendezvous(AqHash_String(shard->pool),
-                                        AqHash_String(id));
+    uint64_t weight =
+        AqHash_Rendezvous(AqHash_String(shard->pool), AqHash_String(id));
     AqTime wait = (AqTime)(weight % SPREAD_WAIT_MS) +
                   (AqTime)OWNED_WAIT_MS * (AqTime)count_owned(member);
     AqTime joined = member->joined_at + START_WAIT_MS;
-    AqTime since =
-        shard->vacant_since > joined ? shard->vacant_since : joined;
+    AqTime since = shard->vacant_since > joined ? shard->vacant_since : joined;
     return since + wait;
 }
 
@@ -450,7 +451,8 @@
     AqTimer_Start(member->node->loop, &shard->timer, claim_due(shard));
 }
 
-/* ---- Views --------------------------------------------------------------- */
+/* ---- Views ---------------------------------------------------------------
+ */
 
 static Shard *
 find_shard(Member *member, const char *pool)
@@ -472,7 +474,8 @@
     Member *member = context;
     Shard *shard = find_shard(member, item->key + strlen(KEYS_OWNERS));
     char text[120] = "";
-    size_t size = item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
+    size_t size =
+        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
     memcpy(text, item->value, size);
     if (shard->state == CLAIM_OWNED) {
         if (item->index > shard->fence) {
@@ -556,7 +559,8 @@
 
 static const PrefixViewOps node_ops = {on_put, on_removed, on_listed};
 
-/* ---- Interface ----------------------------------------------------------- */
+/* ---- Interface -----------------------------------------------------------
+ */
 
 void
 member_site_changed(Member *member)
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -16,8 +16,8 @@
 #include "prefix_view.h"
 
 enum {
-    STORE_TIMEOUT_MS = 800,   /* a slow store answers within 0.3 s */
-    ORDER_TIMEOUT_MS = 600,   /* a VM answers in milliseconds */
+    STORE_TIMEOUT_MS = 800, /* a slow store answers within 0.3 s */
+    ORDER_TIMEOUT_MS = 600, /* a VM answers in milliseconds */
     MACHINE_TIMEOUT_MS = 1500,
     ADVICE_TIMEOUT_MS = 3000, /* it answers one call after the other */
     MAX_JOB_BYTES = 262144,
@@ -39,9 +39,9 @@
     Member *member;
     PrefixView *operator_view;
     PrefixView *worker_view;
-    GHashTable *vms;    /* key -> AqVmReport */
+    GHashTable *vms; /* key -> AqVmReport */
     WaveBook *waves;
-    MachineDesk *desk; /* while this node has the machine duty */
+    MachineDesk *desk;  /* while this node has the machine duty */
     GHashTable *owners; /* pool -> OwnedPool */
     AqTimer stop_timer;
     AqTime stop_began;
@@ -55,7 +55,8 @@
     PoolMachines *machines;
 } OwnedPool;
 
-/* ---- Configuration ------------------------------------------------------- */
+/* ---- Configuration -------------------------------------------------------
+ */
 
 static void
 each_owner(AqNode *node, void (*visit)(PoolOwner *owner))
@@ -146,7 +147,8 @@
            AqLoop_Now(node->context.loop) - heard < CURRENT_MS;
 }
 
-/* ---- VMs ----------------------------------------------------------------- */
+/* ---- VMs -----------------------------------------------------------------
+ */
 
 static void
 on_worker_put(void *context, const AqStoreItem *item)
@@ -196,7 +198,8 @@
 static const PrefixViewOps worker_ops = {on_worker_put, on_worker_removed,
                                          ignore_listed};
 
-/* ---- Pools --------------------------------------------------------------- */
+/* ---- Pools ---------------------------------------------------------------
+ */
 
 static void
 on_deposed(void *context, const char *pool, const char *reason)
@@ -217,15 +220,15 @@
         return;
     }
     OwnedPool *pool = calloc(1, sizeof(*pool));
-    pool->owner = pool_owner_create(&node->context, node->member, ownership,
-                                    &ops, node);
+    pool->owner =
+        pool_owner_create(&node->context, node->member, ownership, &ops, node);
     pool->machines =
         pool_machines_create(&node->context, node->waves, pool->owner);
     g_hash_table_insert(node->owners, g_strdup(ownership->pool), pool);
     if (node->worker_view == NULL) {
-        node->worker_view = prefix_view_create(
-            node->context.loop, node->context.store, AqPlatform_WorkerPrefix,
-            &worker_ops, node);
+        node->worker_view =
+            prefix_view_create(node->context.loop, node->context.store,
+                               AqPlatform_WorkerPrefix, &worker_ops, node);
     }
     g_hash_table_iter_init(&iter, node->vms);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -258,7 +261,8 @@
     }
 }
 
-/* ---- Readiness ----------------------------------------------------------- */
+/* ---- Readiness -----------------------------------------------------------
+ */
 
 static bool
 is_ready(AqNode *node)
@@ -287,7 +291,8 @@
     AqExchange_Respond(exchange, is_ready(node) ? 200 : 503, NULL, 0, "", 0);
 }
 
-/* ---- Stopping ------------------------------------------------------------ */
+/* ---- Stopping ------------------------------------------------------------
+ */
 
 static void
 on_stop_due(void *context)
@@ -366,7 +371,8 @@
     on_stop_due(node);
 }
 
-/* ---- Lifecycle ----------------------------------------------------------- */
+/* ---- Lifecycle -----------------------------------------------------------
+ */
 
 static AqTime
 on_round(void *context)
@@ -478,8 +484,8 @@
 name_incarnation(NodeContext *context)
 {
     AqRandom random;
-    uint64_t seed = (uint64_t)AqClock_ReadWall() * 1000003U +
-                    (uint64_t)(uintptr_t)context;
+    uint64_t seed =
+        (uint64_t)AqClock_ReadWall() * 1000003U + (uint64_t)(uintptr_t)context;
     for (const char *at = context->settings->node_id; *at != '\0'; at++) {
         seed = seed * 31U + (unsigned char)*at;
     }
--- a/packages/pool/owner_writer.c
+++ b/packages/pool/owner_writer.c
@@ -13,7 +13,6 @@
 };
 
 typedef struct {
-    AqLink link;
     GPtrArray *memory; /* what the rows point to */
     AqStoreExpect expects[AQ_STORE_COMMIT_ENTRIES];
     size_t expect_count;
@@ -28,7 +27,7 @@
     NodeContext *node;
     char pool[64];
     uint64_t fence;
-    AqLink writes;       /* the first one is under way */
+    GQueue *writes;      /* of Write; the first one is under way */
     uint64_t lane_index; /* as last known */
     bool is_lane_known;
     uint64_t stamps;
@@ -43,7 +42,6 @@
 static void
 free_write(Write *write)
 {
-    AqList_Remove(&write->link);
     g_ptr_array_free(write->memory, TRUE);
     free(write);
 }
@@ -52,22 +50,15 @@
 free_writer(OwnerWriter *writer)
 {
     AqTimer_Stop(&writer->retry);
+    g_queue_free(writer->writes);
     free(writer);
 }
 
-static Write *
-first(const OwnerWriter *writer)
-{
-    return AqList_IsEmpty(&writer->writes)
-               ? NULL
-               : AqList_Entry(writer->writes.next, Write, link);
-}
-
 /* Ends the first write; the writer may be freed. */
 static void
 finish(OwnerWriter *writer, AqStoreStatus status)
 {
-    Write *write = first(writer);
+    Write *write = g_queue_pop_head(writer->writes);
     OwnerWriteDone done = write->done;
     void *context = write->context;
     free_write(write);
@@ -85,7 +76,8 @@
                   AqLoop_Now(writer->node->loop) + RETRY_MS);
 }
 
-/* ---- Outcomes ------------------------------------------------------------ */
+/* ---- Outcomes ------------------------------------------------------------
+ */
 
 static const AqStoreItem *
 find_item(const AqStoreReply *reply, const char *key)
@@ -101,17 +93,18 @@
 static bool
 is_stamped(const AqStoreItem *lane, const Write *write)
 {
+    if (lane == NULL || lane->value == NULL) {
+        return false;
+    }
     size_t size = strlen(write->stamp);
-    return lane != NULL && lane->size == size &&
-           memcmp(lane->value, write->stamp, size) == 0;
+    return lane->size == size && memcmp(lane->value, write->stamp, size) == 0;
 }
 
 static void
 on_conflict(OwnerWriter *writer, const AqStoreReply *reply)
 {
-    const Write *write = first(writer);
-    const AqStoreItem *lane =
-        find_item(reply, key_of(KEY_LANE, writer->pool));
+    const Write *write = g_queue_peek_head(writer->writes);
+    const AqStoreItem *lane = find_item(reply, key_of(KEY_LANE, writer->pool));
     const AqStoreItem *owner =
         find_item(reply, key_of(KEY_OWNER, writer->pool));
     uint64_t lane_index = lane != NULL ? lane->index : 0;
@@ -162,7 +155,7 @@
 on_lane(void *context, const AqStoreReply *reply)
 {
     OwnerWriter *writer = context;
-    const Write *write = first(writer);
+    const Write *write = g_queue_peek_head(writer->writes);
     bool is_there = reply->status == AQ_STORE_OK && reply->count == 1;
     if (!is_there && reply->status != AQ_STORE_ABSENT) {
         if (writer->is_dropped) {
@@ -184,7 +177,8 @@
     next(writer);
 }
 
-/* ---- Sending ------------------------------------------------------------- */
+/* ---- Sending -------------------------------------------------------------
+ */
 
 static void
 read_lane(OwnerWriter *writer)
@@ -231,7 +225,7 @@
 static void
 next(OwnerWriter *writer)
 {
-    Write *write = first(writer);
+    Write *write = g_queue_peek_head(writer->writes);
     if (writer->is_busy || writer->is_telling) {
         return;
     }
@@ -253,7 +247,8 @@
     }
 }
 
-/* ---- Interface ----------------------------------------------------------- */
+/* ---- Interface -----------------------------------------------------------
+ */
 
 static char *
 keep(Write *write, const void *bytes, size_t size)
@@ -286,7 +281,7 @@
         put->size = puts[i].size;
         put->lease = puts[i].lease;
     }
-    AqList_Append(&writer->writes, &write->link);
+    g_queue_push_tail(writer->writes, write);
     next(writer);
 }
 
@@ -297,7 +292,7 @@
     writer->node = node;
     writer->fence = fence;
     g_strlcpy(writer->pool, pool, sizeof(writer->pool));
-    AqList_Init(&writer->writes);
+    writer->writes = g_queue_new();
     AqTimer_Init(&writer->retry, on_retry, writer);
     return writer;
 }
--- a/packages/pool/owner_writer.h
+++ b/packages/pool/owner_writer.h
@@ -28,7 +28,6 @@
  * copied. */
 void owner_writer_commit(OwnerWriter *writer, const AqStoreExpect *expects,
                          size_t expect_count, const AqStorePut *puts,
-                         size_t put_count, OwnerWriteDone done,
-                         void *context);
+                         size_t put_count, OwnerWriteDone done, void *context);
 
 #endif
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -19,7 +19,7 @@
     RETRY_MS = 150,       /* of a write that was not accepted */
     ASK_MS = 6000,  /* a VM that has not moved by then is left where it is */
     BACK_MS = 4000, /* a VM that is there so long after its order is back */
-    LASTING_WEIGHT = 100  /* a lasting task counts as so many others */
+    LASTING_WEIGHT = 100 /* a lasting task counts as so many others */
 };
 
 typedef enum {
@@ -42,7 +42,7 @@
     PlanKind kind;
     VmPhase phase;
     int64_t wave;
-    int64_t ask; /* number; 0: nothing is asked for */
+    int64_t ask;     /* number; 0: nothing is asked for */
     bool is_ordered; /* the answer says that the order was accepted */
     AqTime ordered_at;
     AqTime since;
@@ -66,8 +66,8 @@
     PrefixView *answers;
     bool is_writing_wave;
     char claiming[AQ_VM_ID_SIZE]; /* VM of the write of a wave's record */
-    GHashTable *plans; /* machine -> Plan */
-    GArray *vms;       /* of VmCopy, of this round */
+    GHashTable *plans;            /* machine -> Plan */
+    GArray *vms;                  /* of VmCopy, of this round */
     /* The platform's list of VMs. */
     GArray *list; /* of AqMachine */
     AqTime listed_at;
@@ -132,7 +132,8 @@
     return false;
 }
 
-/* ---- What is there ------------------------------------------------------- */
+/* ---- What is there -------------------------------------------------------
+ */
 
 static void
 copy_vm(void *context, const AqVmView *view)
@@ -223,8 +224,7 @@
 }
 
 static Plan *
-cordon(PoolMachines *self, const VmCopy *vm, PlanKind kind,
-       const char *reason)
+cordon(PoolMachines *self, const VmCopy *vm, PlanKind kind, const char *reason)
 {
     Plan *plan = add_plan(self, vm->machine, vm->vm, kind);
     plan->phase = VM_CORDONED;
@@ -249,7 +249,8 @@
     return count;
 }
 
-/* ---- Orders -------------------------------------------------------------- */
+/* ---- Orders --------------------------------------------------------------
+ */
 
 static const char *
 spare_pool(const PoolMachines *self)
@@ -490,7 +491,8 @@
     }
 }
 
-/* ---- The platform's list ------------------------------------------------- */
+/* ---- The platform's list -------------------------------------------------
+ */
 
 static void
 on_list(void *context, const AqMachineList *list)
@@ -548,7 +550,8 @@
     return spare != NULL && strcmp(spare, self->pool) == 0;
 }
 
-/* ---- Waves --------------------------------------------------------------- */
+/* ---- Waves ---------------------------------------------------------------
+ */
 
 typedef struct {
     PoolMachines *self;
@@ -591,9 +594,9 @@
         return; /* it comes or goes; its upkeep is seen to then */
     }
     if (plan->phase == VM_CORDONED) {
-        bool is_empty = plan->vm[0] == '\0' || vm == NULL ||
-                        AqScheduler_IsIdle(pool_owner_scheduler(self->owner),
-                                           plan->vm);
+        bool is_empty =
+            plan->vm[0] == '\0' || vm == NULL ||
+            AqScheduler_IsIdle(pool_owner_scheduler(self->owner), plan->vm);
         if (is_empty) {
             order_upkeep(self, entry, at, plan);
         }
@@ -761,7 +764,8 @@
     }
 }
 
-/* ---- Sizes --------------------------------------------------------------- */
+/* ---- Sizes ---------------------------------------------------------------
+ */
 
 static void
 give(PoolMachines *self, size_t count)
@@ -843,18 +847,17 @@
         return;
     }
     self->log_due = now_of(self) + LOG_EVERY_MS;
-    AqLog_Event(AQ_LOG_INFO, "pool_load",
-                "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
-                "used_cpu=%lld ready_cpu=%lld offered_cpu=%lld room_cpu=%lld "
-                "wait_ms=%lld take=%zu give=%zu",
-                self->pool, jobs, input->usable_vms, input->idle_vms,
-                input->lasting_vms, input->coming_vms,
-                (long long)input->used_cpu_millis,
-                (long long)input->ready_cpu_millis,
-                (long long)input->offered_cpu_millis,
-                (long long)input->room_cpu_millis,
-                (long long)input->longest_wait_ms, decision->take,
-                decision->give);
+    AqLog_Event(
+        AQ_LOG_INFO, "pool_load",
+        "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
+        "used_cpu=%lld ready_cpu=%lld offered_cpu=%lld room_cpu=%lld "
+        "wait_ms=%lld take=%zu give=%zu",
+        self->pool, jobs, input->usable_vms, input->idle_vms,
+        input->lasting_vms, input->coming_vms,
+        (long long)input->used_cpu_millis, (long long)input->ready_cpu_millis,
+        (long long)input->offered_cpu_millis,
+        (long long)input->room_cpu_millis, (long long)input->longest_wait_ms,
+        decision->take, decision->give);
 }
 
 static void
@@ -865,8 +868,7 @@
     AqSizingDecision decision;
     AqTime now = now_of(self);
     AqScheduler_GetLoad(s, now, &load);
-    if (spare == NULL || strcmp(spare, self->pool) == 0 ||
-        !load.is_settled) {
+    if (spare == NULL || strcmp(spare, self->pool) == 0 || !load.is_settled) {
         return;
     }
     end_moves(self, spare);
@@ -903,7 +905,8 @@
     }
 }
 
-/* ---- Rounds -------------------------------------------------------------- */
+/* ---- Rounds --------------------------------------------------------------
+ */
 
 void
 pool_machines_round(PoolMachines *self, bool may_order)
--- a/packages/pool/pool_machines.h
+++ b/packages/pool/pool_machines.h
@@ -14,9 +14,9 @@
 PoolMachines *pool_machines_create(NodeContext *node, WaveBook *waves,
                                    PoolOwner *owner);
 /* No orders from now on; frees it when its calls have ended. */
-void pool_machines_drop(PoolMachines *machines);
+void pool_machines_drop(PoolMachines *self);
 
 /* Runs what is due; "may_order" as of the pool's ownership. */
-void pool_machines_round(PoolMachines *machines, bool may_order);
+void pool_machines_round(PoolMachines *self, bool may_order);
 
 #endif
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -18,7 +18,7 @@
     LOAD_RETRY_MS = 150,
     FINISH_LIMIT_MS = 600, /* longest time that a hand-over waits for saves */
     ORDER_LEASE_MS = 5000, /* of tasks, at most the platform's longest */
-    CANCEL_SUFFIX = 2 /* bytes of ".c" */
+    CANCEL_SUFFIX = 2      /* bytes of ".c" */
 };
 
 typedef enum {
@@ -29,40 +29,37 @@
 } LoadState;
 
 struct PoolOwner {
+    AqJobSave saves[SAVES];
+    size_t save_count;
     NodeContext *node;
     Member *member;
     PoolOwnerOps ops;
     void *context;
     Ownership ownership;
     AqScheduler *scheduler;
-    LoadState load;
     AqTimer load_timer;
     GHashTable *records;   /* id -> GBytes, while loading */
     GHashTable *cancelled; /* ids cancelled before their job was seen */
     char *progress_after;
     PrefixView *jobs;
-    bool is_dropped;
-    bool is_finishing;
     OwnerWriter *writer;
-    int calls; /* under way, each with a pointer to this owner */
-    /* Saving */
-    AqJobSave saves[SAVES];
-    size_t save_count;
-    bool is_saving;
     AqTime save_due;
-    /* Roster */
-    bool is_writing_roster;
     uint64_t roster_written;
     uint64_t roster_sent;
     AqTime roster_due;
-    /* Report */
-    char *report;
-    bool is_reporting;
+    char *report; /* as written last; NULL: not written */
     AqTime report_due;
-    /* Hand-over */
+    /* Of a hand-over. */
     void (*finished)(void *context);
     void *finished_context;
     AqTime finish_limit;
+    LoadState load;
+    int calls; /* under way, each with a pointer to this owner */
+    bool is_dropped;
+    bool is_finishing;
+    bool is_saving;
+    bool is_writing_roster;
+    bool is_reporting;
 };
 
 static void
@@ -104,7 +101,8 @@
     owner->ops.deposed(owner->context, owner->ownership.pool, reason);
 }
 
-/* ---- Orders -------------------------------------------------------------- */
+/* ---- Orders --------------------------------------------------------------
+ */
 
 typedef enum {
     ORDER_START,
@@ -218,10 +216,9 @@
     AqTime now = now_of(owner);
     if (end_call(owner)) {
         for (size_t i = 0; i < reply->count; i++) {
-            AqScheduler_OnTicket(owner->scheduler, &call->step,
-                                 reply->tickets[i].vm,
-                                 reply->tickets[i].ticket, reply->valid_ms,
-                                 now);
+            AqScheduler_OnTicket(
+                owner->scheduler, &call->step, reply->tickets[i].vm,
+                reply->tickets[i].ticket, reply->valid_ms, now);
         }
         AqScheduler_OnTicketsEnd(owner->scheduler, &call->step,
                                  reply->result == AQ_ORDER_DONE, now);
@@ -253,7 +250,8 @@
     depose(context, "later_fence_at_vm");
 }
 
-/* ---- Loading ------------------------------------------------------------- */
+/* ---- Loading -------------------------------------------------------------
+ */
 
 static void load_next(PoolOwner *owner);
 
@@ -409,16 +407,16 @@
                                owner);
         break;
     case LOADING_JOBS:
-        owner->jobs = prefix_view_create(owner->node->loop, store,
-                                         key_of(KEY_JOBS, pool), &job_ops,
-                                         owner);
+        owner->jobs = prefix_view_create(
+            owner->node->loop, store, key_of(KEY_JOBS, pool), &job_ops, owner);
         break;
     case LOADED:
         break;
     }
 }
 
-/* ---- Storing ------------------------------------------------------------- */
+/* ---- Storing -------------------------------------------------------------
+ */
 
 static void
 commit_as_owner(PoolOwner *owner, const AqStorePut *puts, size_t count,
@@ -439,12 +437,11 @@
     owner->is_saving = false;
     for (size_t i = 0; i < owner->save_count && is_stored; i++) {
         if (owner->saves[i].stage >= AQ_STAGE_COMPLETED) {
-            AqLog_Event(AQ_LOG_INFO, "job_finished",
-                        "request=%s stage=%s pool=%s fence=%llu",
-                        owner->saves[i].id,
-                        AqJobStage_Name(owner->saves[i].stage),
-                        owner->ownership.pool,
-                        (unsigned long long)owner->ownership.fence);
+            AqLog_Event(
+                AQ_LOG_INFO, "job_finished",
+                "request=%s stage=%s pool=%s fence=%llu", owner->saves[i].id,
+                AqJobStage_Name(owner->saves[i].stage), owner->ownership.pool,
+                (unsigned long long)owner->ownership.fence);
         }
     }
     AqScheduler_EndSave(owner->scheduler, owner->saves, owner->save_count,
@@ -527,7 +524,8 @@
     AqBuffer_Clear(&bytes);
 }
 
-/* ---- Report -------------------------------------------------------------- */
+/* ---- Report --------------------------------------------------------------
+ */
 
 static void
 on_reported(void *context, AqStoreStatus status)
@@ -558,9 +556,9 @@
     AqBuffer_Init(&text);
     for (size_t i = 0; i < site->queue_count; i++) {
         if (strcmp(site->queues[i].pool, owner->ownership.pool) == 0) {
-            AqBuffer_Printf(&text, "%s %zu\n", site->queues[i].name,
-                            AqScheduler_Waiting(owner->scheduler,
-                                                site->queues[i].name));
+            AqBuffer_Printf(
+                &text, "%s %zu\n", site->queues[i].name,
+                AqScheduler_Waiting(owner->scheduler, site->queues[i].name));
         }
     }
     if (owner->report == NULL ||
@@ -575,7 +573,8 @@
     AqBuffer_Clear(&text);
 }
 
-/* ---- Rounds -------------------------------------------------------------- */
+/* ---- Rounds --------------------------------------------------------------
+ */
 
 /* May free the owner. */
 static void
@@ -584,8 +583,8 @@
     if (owner->finished == NULL) {
         return;
     }
-    bool is_saved = owner->load != LOADED ||
-                    !AqScheduler_HasUnsaved(owner->scheduler);
+    bool is_saved =
+        owner->load != LOADED || !AqScheduler_HasUnsaved(owner->scheduler);
     if (is_saved || now_of(owner) >= owner->finish_limit) {
         void (*done)(void *context) = owner->finished;
         owner->finished = NULL;
@@ -622,7 +621,8 @@
     return due;
 }
 
-/* ---- Interface ----------------------------------------------------------- */
+/* ---- Interface -----------------------------------------------------------
+ */
 
 PoolOwner *
 pool_owner_create(NodeContext *node, Member *member,
@@ -630,7 +630,7 @@
                   void *context)
 {
     static const AqSchedulerActions actions = {
-        order_start, order_stop, order_hold,
+        order_start, order_stop,  order_hold,
         order_pace,  ask_tickets, on_deposed,
     };
     PoolOwner *owner = calloc(1, sizeof(*owner));
@@ -645,7 +645,7 @@
     if (config.lease_ms > node->settings->limits_longest_lease_ms) {
         config.lease_ms = node->settings->limits_longest_lease_ms;
     }
-    strcpy(config.pool, ownership->pool);
+    g_strlcpy(config.pool, ownership->pool, sizeof(config.pool));
     owner->node = node;
     owner->member = member;
     owner->ops = *ops;
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -68,7 +68,8 @@
 static void
 retry_later(PrefixView *view)
 {
-    AqTime wait = (AqTime)RETRY_MS << (view->failures < 3 ? view->failures : 3);
+    AqTime wait = (AqTime)RETRY_MS
+                  << (view->failures < 3 ? view->failures : 3);
     view->failures++;
     if (wait > LONGEST_RETRY_MS) {
         wait = LONGEST_RETRY_MS;
@@ -76,7 +77,8 @@
     AqTimer_Start(view->loop, &view->retry, AqLoop_Now(view->loop) + wait);
 }
 
-/* ---- Applying ------------------------------------------------------------ */
+/* ---- Applying ------------------------------------------------------------
+ */
 
 static void
 apply_put(PrefixView *view, const AqStoreItem *item)
@@ -132,7 +134,8 @@
     g_ptr_array_free(gone, TRUE);
 }
 
-/* ---- Calls --------------------------------------------------------------- */
+/* ---- Calls ---------------------------------------------------------------
+ */
 
 /* Ends the handling of a reply; false when the view was destroyed. */
 static bool
@@ -241,8 +244,8 @@
         free(view->after);
         view->after = strdup("");
     }
-    view->store->ops->list_after(view->store, view->prefix, view->after,
-                                 false, on_page, view);
+    view->store->ops->list_after(view->store, view->prefix, view->after, false,
+                                 on_page, view);
 }
 
 static void
@@ -251,7 +254,8 @@
     begin(context);
 }
 
-/* ---- Lifecycle ----------------------------------------------------------- */
+/* ---- Lifecycle -----------------------------------------------------------
+ */
 
 PrefixView *
 prefix_view_create(AqLoop *loop, AqStore *store, const char *prefix,
--- a/packages/pool/wave_book.c
+++ b/packages/pool/wave_book.c
@@ -79,9 +79,8 @@
     g_hash_table_insert(book->entries, g_strdup(name), entry);
     /* A record that was listed before its wave was known is read again. */
     prefix_view_destroy(book->records);
-    book->records =
-        prefix_view_create(book->node->loop, book->node->store, KEYS_WAVES,
-                           &record_ops, book);
+    book->records = prefix_view_create(book->node->loop, book->node->store,
+                                       KEYS_WAVES, &record_ops, book);
 }
 
 void
@@ -108,8 +107,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const WaveEntry *entry = value;
         int at = AqWave_Find(entry->wave, machine);
-        if (at >= 0 && AqWave_State(entry->wave, (size_t)at) <
-                           AQ_WAVE_DONE) {
+        if (at >= 0 && AqWave_State(entry->wave, (size_t)at) < AQ_WAVE_DONE) {
             return true;
         }
     }
@@ -121,8 +119,8 @@
 {
     WaveBook *book = calloc(1, sizeof(*book));
     book->node = node;
-    book->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                          free_entry);
+    book->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry);
     return book;
 }
 
--- a/packages/scheduler/Include/aq_job_spec.h
+++ b/packages/scheduler/Include/aq_job_spec.h
@@ -26,25 +26,25 @@
     int64_t estimate_ms; /* declared duration; 0: none */
     uint32_t *after;     /* earlier steps that must be done; owned */
     size_t after_count;
-    bool is_gang;          /* tasks work only while all of them run */
-    bool wants_one_rack;   /* slower when spread over racks */
+    bool is_gang;        /* tasks work only while all of them run */
+    bool wants_one_rack; /* slower when spread over racks */
     bool is_checkpointable;
-    bool allows_copies;    /* copies of a task may run beside it */
-    bool is_perpetual;     /* runs until the job is cancelled */
-    bool is_filler;        /* uses only the processor that others leave */
-    char *required_label;  /* or NULL; owned */
-    char *near_rack;       /* rack of the data, or NULL; owned */
-    char *image;           /* what the tasks run, or NULL; owned */
-    uint32_t max_per_vm;   /* most tasks of the step on one VM; 0: no limit */
+    bool allows_copies;   /* copies of a task may run beside it */
+    bool is_perpetual;    /* runs until the job is cancelled */
+    bool is_filler;       /* uses only the processor that others leave */
+    char *required_label; /* or NULL; owned */
+    char *near_rack;      /* rack of the data, or NULL; owned */
+    char *image;          /* what the tasks run, or NULL; owned */
+    uint32_t max_per_vm;  /* most tasks of the step on one VM; 0: no limit */
     int64_t latency_target_ms; /* of a serving task's tail; 0: none */
-    uint32_t may_miss; /* tasks that orders may take away at a time */
-    bool limits_missing; /* may_miss was given */
+    uint32_t may_miss;         /* tasks that orders may take away at a time */
+    bool limits_missing;       /* may_miss was given */
 } AqStepSpec;
 
 typedef struct {
     char id[AQ_JOB_ID_SIZE];
-    char *queue; /* name of the route that it came by; owned */
-    char *text;  /* handed to the workers as it is; owned */
+    char *queue;       /* name of the route that it came by; owned */
+    char *text;        /* handed to the workers as it is; owned */
     AqStepSpec *steps; /* owned */
     size_t step_count;
     int64_t first_due_ms; /* Unix ms; 0: due at once */
--- a/packages/scheduler/Include/aq_machines.h
+++ b/packages/scheduler/Include/aq_machines.h
@@ -41,7 +41,7 @@
 const char *AqMachineResult_Name(AqMachineResult result);
 
 typedef struct {
-    bool is_whole; /* all pages were read */
+    bool is_whole;             /* all pages were read */
     const AqMachine *machines; /* borrowed */
     size_t count;
 } AqMachineList;
@@ -52,14 +52,13 @@
 typedef void (*AqMachineOrderDone)(void *context, AqMachineResult result);
 
 typedef struct {
-    void (*list)(AqMachineCalls *calls, AqMachineListDone done,
-                 void *context);
+    void (*list)(AqMachineCalls *calls, AqMachineListDone done, void *context);
     void (*move)(AqMachineCalls *calls, const char *machine, const char *pool,
                  const char *holder, uint64_t fence, AqMachineOrderDone done,
                  void *context);
     void (*upkeep)(AqMachineCalls *calls, const char *machine, int64_t wave,
-                   const char *holder, uint64_t fence,
-                   AqMachineOrderDone done, void *context);
+                   const char *holder, uint64_t fence, AqMachineOrderDone done,
+                   void *context);
     void (*destroy)(AqMachineCalls *calls);
 } AqMachineCallsOps;
 
@@ -86,7 +85,7 @@
 } AqTicket;
 
 typedef struct {
-    AqOrderResult result; /* done, unhealthy (too many calls) or unknown */
+    AqOrderResult result;    /* done, unhealthy (too many calls) or unknown */
     const AqTicket *tickets; /* borrowed */
     size_t count;
     AqTime valid_ms;
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -97,19 +97,19 @@
 void AqScheduler_SetVm(AqScheduler *scheduler, const AqVmReport *report,
                        AqTime now);
 /* The store has no entry of the VM any more. */
-void AqScheduler_VmUnlisted(AqScheduler *scheduler, const char *vm,
+void AqScheduler_VmUnlisted(AqScheduler *scheduler, const char *id,
                             AqTime now);
 /* The VM has gone down or to another pool by an order: all that ran there has
  * ended. */
-void AqScheduler_VmEnded(AqScheduler *scheduler, const char *vm, AqTime now);
+void AqScheduler_VmEnded(AqScheduler *scheduler, const char *id, AqTime now);
 /* No new tasks there; lasting ones move away as their steps allow. */
-void AqScheduler_SetCordon(AqScheduler *scheduler, const char *vm,
+void AqScheduler_SetCordon(AqScheduler *scheduler, const char *id,
                            bool is_cordoned);
 /* Stops what runs on the VM, but for lasting tasks, to be started elsewhere.
  * Saved work is kept. */
-void AqScheduler_StopTasks(AqScheduler *scheduler, const char *vm, AqTime now);
+void AqScheduler_StopTasks(AqScheduler *scheduler, const char *id, AqTime now);
 /* Whether nothing runs, starts or stops there. */
-bool AqScheduler_IsIdle(const AqScheduler *scheduler, const char *vm);
+bool AqScheduler_IsIdle(const AqScheduler *scheduler, const char *id);
 
 typedef struct {
     const char *vm;      /* borrowed */
@@ -145,20 +145,20 @@
 
 /* ---- Replies ---- */
 
-void AqScheduler_OnStart(AqScheduler *scheduler, const char *vm,
-                         const AqTaskName *task, int64_t run,
+void AqScheduler_OnStart(AqScheduler *scheduler, const char *id,
+                         const AqTaskName *name, int64_t run,
                          const AqOrderReply *reply, AqTime now);
-void AqScheduler_OnStop(AqScheduler *scheduler, const char *vm,
-                        const AqTaskName *task, int64_t run,
+void AqScheduler_OnStop(AqScheduler *scheduler, const char *id,
+                        const AqTaskName *name, int64_t run,
                         const AqOrderReply *reply, AqTime now);
 /* "sent_at" is when the hold was ordered. */
-void AqScheduler_OnHold(AqScheduler *scheduler, const char *vm, AqTime sent_at,
+void AqScheduler_OnHold(AqScheduler *scheduler, const char *id, AqTime sent_at,
                         const AqOrderReply *reply, AqTime now);
 /* Tickets for a step; "valid_ms" from now.  No VMs: ask again later. */
-void AqScheduler_OnTicket(AqScheduler *scheduler, const AqTaskName *step,
+void AqScheduler_OnTicket(AqScheduler *scheduler, const AqTaskName *name,
                           const char *vm, const char *ticket, AqTime valid_ms,
                           AqTime now);
-void AqScheduler_OnTicketsEnd(AqScheduler *scheduler, const AqTaskName *step,
+void AqScheduler_OnTicketsEnd(AqScheduler *scheduler, const AqTaskName *name,
                               bool is_answered, AqTime now);
 
 /* ---- Durability ---- */
@@ -188,7 +188,7 @@
                         bool may_order);
 
 typedef struct {
-    int64_t ready_cpu_millis;   /* of tasks that could start now */
+    int64_t ready_cpu_millis; /* of tasks that could start now */
     int64_t used_cpu_millis;
     int64_t lasting_cpu_millis; /* of it by perpetual tasks */
     int64_t room_cpu_millis;    /* of usable VMs */
@@ -199,7 +199,7 @@
     int64_t largest_cpu_millis; /* of one ready task */
     AqTime longest_wait_ms;     /* of a ready task */
     size_t widest_spread; /* VMs that a lasting step needs, one for a task */
-    bool is_settled;            /* starts are allowed */
+    bool is_settled;      /* starts are allowed */
 } AqSchedulerLoad;
 
 void AqScheduler_GetLoad(AqScheduler *scheduler, AqTime now,
@@ -216,8 +216,7 @@
     uint64_t paced;
 } AqSchedulerCounters;
 
-const AqSchedulerCounters *
-AqScheduler_Counters(const AqScheduler *scheduler);
+const AqSchedulerCounters *AqScheduler_Counters(const AqScheduler *scheduler);
 
 /* Fails with a message when an invariant does not hold; for tests. */
 bool AqScheduler_CheckConsistency(const AqScheduler *scheduler,
--- a/packages/scheduler/Include/aq_site_config.h
+++ b/packages/scheduler/Include/aq_site_config.h
@@ -14,11 +14,11 @@
     char *prefix; /* of the path; the job's id follows it */
     char *pool;
     int64_t timeout_ms;
-    int64_t target_ms;   /* added to "stretch" times the longest chain */
+    int64_t target_ms; /* added to "stretch" times the longest chain */
     double stretch;
-    int priority;        /* 0 comes first */
+    int priority;          /* 0 comes first */
     uint32_t max_attempts; /* failed runs of a task; 0: no limit */
-    bool needs_tickets;  /* starts need a ticket of the advice service */
+    bool needs_tickets;    /* starts need a ticket of the advice service */
     int64_t ticket_valid_ms;
 } AqQueueConfig;
 
--- a/packages/scheduler/Include/aq_sizing.h
+++ b/packages/scheduler/Include/aq_sizing.h
@@ -17,18 +17,18 @@
 
 typedef struct {
     AqTime now;
-    int64_t used_cpu_millis;  /* of running tasks */
-    int64_t ready_cpu_millis; /* of tasks that wait */
+    int64_t used_cpu_millis;    /* of running tasks */
+    int64_t ready_cpu_millis;   /* of tasks that wait */
     int64_t lasting_cpu_millis; /* of running tasks that last */
     int64_t offered_cpu_millis; /* needed for what is submitted lately */
-    AqTime longest_wait_ms;   /* of a task that could start */
-    int64_t room_cpu_millis;  /* of usable VMs */
-    int64_t vm_cpu_millis;    /* of one VM, typically */
+    AqTime longest_wait_ms;     /* of a task that could start */
+    int64_t room_cpu_millis;    /* of usable VMs */
+    int64_t vm_cpu_millis;      /* of one VM, typically */
     size_t usable_vms;
-    size_t idle_vms;    /* idle for AQ_SIZING_IDLE_MS */
-    size_t lasting_vms; /* with lasting tasks */
-    size_t coming_vms;  /* asked for, not here yet */
-    size_t upkeep_vms;  /* away for upkeep, or about to be */
+    size_t idle_vms;      /* idle for AQ_SIZING_IDLE_MS */
+    size_t lasting_vms;   /* with lasting tasks */
+    size_t coming_vms;    /* asked for, not here yet */
+    size_t upkeep_vms;    /* away for upkeep, or about to be */
     size_t widest_spread; /* VMs that a step needs that wants one each */
 } AqSizingInput;
 
--- a/packages/scheduler/Include/aq_worker_calls.h
+++ b/packages/scheduler/Include/aq_worker_calls.h
@@ -42,9 +42,9 @@
 
 typedef enum {
     AQ_ORDER_DONE,
-    AQ_ORDER_FENCED,     /* a later owner has given orders */
-    AQ_ORDER_OLD_RUN,    /* a higher run was stopped or ended there */
-    AQ_ORDER_LATE,       /* the deadline has passed on the VM's clock */
+    AQ_ORDER_FENCED,  /* a later owner has given orders */
+    AQ_ORDER_OLD_RUN, /* a higher run was stopped or ended there */
+    AQ_ORDER_LATE,    /* the deadline has passed on the VM's clock */
     AQ_ORDER_NO_ROOM,
     AQ_ORDER_NO_TICKET,
     AQ_ORDER_OTHER_LIFE, /* another life of the VM answered */
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -99,7 +99,8 @@
     return work;
 }
 
-/* ---- Stored form --------------------------------------------------------- */
+/* ---- Stored form ---------------------------------------------------------
+ */
 
 static int64_t
 step_flags(const AqStepSpec *step)
@@ -238,7 +239,7 @@
         free(id);
         return false;
     }
-    strcpy(spec->id, id);
+    memcpy(spec->id, id, strlen(id) + 1);
     free(id);
     if (!record_text(&at[2], &spec->queue) ||
         !record_text(&at[3], &spec->text) ||
--- a/packages/scheduler/lasting.c
+++ b/packages/scheduler/lasting.c
@@ -43,7 +43,6 @@
 {
     const AqStepSpec *spec = task->step->spec;
     return vm->report.is_draining || !spec->limits_missing ||
-           task->absent_since != AQ_TIME_NEVER ||
            count_absent(s, task->step, task) < spec->may_miss;
 }
 
@@ -69,8 +68,8 @@
     AqList_ForEachSafe(at, after, &vm->tasks)
     {
         Task *task = AqList_Entry(at, Task, link);
-        if (!task->step->spec->is_perpetual ||
-            task->state != TASK_RUNNING || !may_take_away(s, vm, task) ||
+        if (!task->step->spec->is_perpetual || task->state != TASK_RUNNING ||
+            !may_take_away(s, vm, task) ||
             !has_other_room(s, vm, task->step->spec)) {
             continue;
         }
@@ -87,11 +86,12 @@
     }
 }
 
-/* ---- Pacing -------------------------------------------------------------- */
+/* ---- Pacing --------------------------------------------------------------
+ */
 
 typedef struct {
-    bool is_pressed;  /* a serving task is near its target */
-    bool is_relaxed;  /* all are far below it */
+    bool is_pressed; /* a serving task is near its target */
+    bool is_relaxed; /* all are far below it */
     bool has_serving;
 } Pressure;
 
@@ -150,8 +150,7 @@
         else if (task->pace < PACE_START && since >= PACE_UP_MS &&
                  (pressure.is_relaxed || !pressure.has_serving)) {
             int percent = task->pace + PACE_STEP_UP;
-            set_pace(s, vm, task,
-                     percent > PACE_START ? PACE_START : percent);
+            set_pace(s, vm, task, percent > PACE_START ? PACE_START : percent);
         }
     }
 }
--- a/packages/scheduler/names.c
+++ b/packages/scheduler/names.c
@@ -9,12 +9,17 @@
 AqOrderResult_Name(AqOrderResult result)
 {
     static const char *const names[] = {
-        [AQ_ORDER_DONE] = "done",           [AQ_ORDER_FENCED] = "fenced",
-        [AQ_ORDER_OLD_RUN] = "old_run",     [AQ_ORDER_LATE] = "late",
-        [AQ_ORDER_NO_ROOM] = "no_room",     [AQ_ORDER_NO_TICKET] = "no_ticket",
+        [AQ_ORDER_DONE] = "done",
+        [AQ_ORDER_FENCED] = "fenced",
+        [AQ_ORDER_OLD_RUN] = "old_run",
+        [AQ_ORDER_LATE] = "late",
+        [AQ_ORDER_NO_ROOM] = "no_room",
+        [AQ_ORDER_NO_TICKET] = "no_ticket",
         [AQ_ORDER_OTHER_LIFE] = "other_life",
-        [AQ_ORDER_UNHEALTHY] = "unhealthy", [AQ_ORDER_INVALID] = "invalid",
-        [AQ_ORDER_NOT_SENT] = "not_sent",   [AQ_ORDER_UNKNOWN] = "unknown",
+        [AQ_ORDER_UNHEALTHY] = "unhealthy",
+        [AQ_ORDER_INVALID] = "invalid",
+        [AQ_ORDER_NOT_SENT] = "not_sent",
+        [AQ_ORDER_UNKNOWN] = "unknown",
     };
     return names[result];
 }
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -62,7 +62,9 @@
 static const char *
 find_ticket(const AqScheduler *s, const Step *step, const Vm *vm)
 {
-    enum { TICKET_MARGIN_MS = 300 }; /* for the order to arrive */
+    enum {
+        TICKET_MARGIN_MS = 300
+    }; /* for the order to arrive */
     for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
         const Ticket *ticket = &g_array_index(step->tickets, Ticket, i);
         if (ticket->until > s->now + TICKET_MARGIN_MS &&
@@ -241,7 +243,7 @@
     for (uint32_t i = 0; i < count; i++) {
         run = step->tasks[i].run > run ? step->tasks[i].run : run;
     }
-    int64_t *earlier = calloc(count, sizeof(*earlier));
+    int64_t *earlier = calloc(count + 1, sizeof(*earlier));
     for (; placed < count; placed++) {
         Task *task = &step->tasks[placed];
         Vm *vm = choose_vm(s, task, rack);
@@ -281,8 +283,9 @@
         AqList_ForEach(at, &s->vms)
         {
             const Vm *vm = AqList_Entry(at, Vm, link);
-            if (vms_is_usable(s, vm) &&
-                place_gang_on(s, step, vm->report.rack)) {
+            char rack[sizeof(vm->report.rack)];
+            g_strlcpy(rack, vm->report.rack, sizeof(rack));
+            if (vms_is_usable(s, vm) && place_gang_on(s, step, rack)) {
                 return;
             }
         }
@@ -320,11 +323,13 @@
     if (!s->is_settled || (!s->place_again && s->now < s->next_place)) {
         return;
     }
-    enum { PLACE_EVERY_MS = 100 }; /* for pauses that end without an event */
+    enum {
+        PLACE_EVERY_MS = 100
+    }; /* for pauses that end without an event */
     s->place_again = false;
     s->next_place = s->now + PLACE_EVERY_MS;
     size_t count = 0;
-    Job **jobs = malloc((AqList_Length(&s->active) + 1) * sizeof(*jobs));
+    Job **jobs = malloc((AqList_Length(&s->active) + 1) * sizeof(Job *));
     AqList_ForEach(at, &s->active)
     {
         Job *job = AqList_Entry(at, Job, link);
@@ -332,14 +337,15 @@
             jobs[count++] = job;
         }
     }
-    qsort(jobs, count, sizeof(*jobs), ranking_compare);
+    qsort(jobs, count, sizeof(Job *), ranking_compare);
     for (size_t i = 0; i < count; i++) {
         place_job(s, jobs[i]);
     }
     free(jobs);
 }
 
-/* ---- Tickets ------------------------------------------------------------- */
+/* ---- Tickets -------------------------------------------------------------
+ */
 
 static Step *
 find_step(const AqScheduler *s, const AqTaskName *name)
@@ -379,7 +385,9 @@
 AqScheduler_OnTicketsEnd(AqScheduler *s, const AqTaskName *name,
                          bool is_answered, AqTime now)
 {
-    enum { ASK_AGAIN_MS = 1000 };
+    enum {
+        ASK_AGAIN_MS = 1000
+    };
     Step *step = find_step(s, name);
     s->now = now;
     if (step != NULL) {
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -32,7 +32,8 @@
                 (long long)(vm != NULL ? s->now - vm->clock_at : -1));
 }
 
-/* ---- Stops --------------------------------------------------------------- */
+/* ---- Stops ---------------------------------------------------------------
+ */
 
 static void
 send_stop(AqScheduler *s, Task *task)
@@ -79,6 +80,20 @@
     }
 }
 
+/* Stops the run of a task that is superseded.  It takes room until its VM no
+ * longer lists it. */
+static void
+stop_superseded(AqScheduler *s, Task *task)
+{
+    const AqStepSpec *spec = task->step->spec;
+    AqTaskName name;
+    scheduler_name_task(task, &name);
+    task->vm->foreign_cpu += spec->is_filler ? 0 : spec->cpu_millis;
+    task->vm->foreign_memory += spec->memory_mb;
+    stop_stray(s, task->vm, &name, task->run);
+    vms_detach(s, task);
+}
+
 static bool
 note_common(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
 {
@@ -112,7 +127,8 @@
     return task != NULL && task->vm == vm && task->run == run ? task : NULL;
 }
 
-/* ---- Start --------------------------------------------------------------- */
+/* ---- Start ---------------------------------------------------------------
+ */
 
 static void
 start_confirmed(AqScheduler *s, Task *task)
@@ -205,7 +221,8 @@
     }
 }
 
-/* ---- Stop ---------------------------------------------------------------- */
+/* ---- Stop ----------------------------------------------------------------
+ */
 
 void
 AqScheduler_OnStop(AqScheduler *s, const char *id, const AqTaskName *name,
@@ -233,14 +250,14 @@
     }
 }
 
-/* ---- Hold: ends ---------------------------------------------------------- */
+/* ---- Hold: ends ----------------------------------------------------------
+ */
 
 static void
 set_checkpoint(Task *task, const char *checkpoint)
 {
-    if (checkpoint[0] == '\0' ||
-        (task->checkpoint != NULL &&
-         strcmp(task->checkpoint, checkpoint) == 0)) {
+    if (checkpoint[0] == '\0' || (task->checkpoint != NULL &&
+                                  strcmp(task->checkpoint, checkpoint) == 0)) {
         return;
     }
     free(task->checkpoint);
@@ -250,15 +267,13 @@
 static void
 apply_end(AqScheduler *s, Vm *vm, Task *task, const AqEndedTask *end)
 {
-    static const char *const names[] = {"done",   "failed", "stopped", "lapsed",
-                                        "broken", "alone",  "other"};
+    static const char *const names[] = {
+        "done", "failed", "stopped", "lapsed", "broken", "alone", "other"};
     log_task(AQ_LOG_INFO, "run_ended", task, vm, s, names[end->kind]);
     if (end->kind == AQ_END_DONE) {
         vms_note_end(s, vm, task, false);
         if (task->vm != NULL && (task->vm != vm || task->run != end->run)) {
-            AqTaskName name;
-            scheduler_name_task(task, &name);
-            stop_stray(s, task->vm, &name, task->run);
+            stop_superseded(s, task);
         }
         scheduler_task_done(s, task);
         return;
@@ -266,8 +281,8 @@
     if (task->state == TASK_DONE) {
         return;
     }
-    bool is_latest = end->run >= task->run &&
-                     (task->vm == NULL || task->vm == vm);
+    bool is_latest =
+        end->run >= task->run && (task->vm == NULL || task->vm == vm);
     if (is_latest) {
         task->run = end->run;
         set_checkpoint(task, end->checkpoint);
@@ -275,7 +290,7 @@
     }
     if (end->kind == AQ_END_FAILED) {
         vms_note_end(s, vm, task, true);
-        strcpy(task->avoid, vm->report.id);
+        g_strlcpy(task->avoid, vm->report.id, sizeof(task->avoid));
         scheduler_task_failed(s, task, end->run);
     }
     else if (is_latest && end->kind != AQ_END_STOPPED) {
@@ -311,7 +326,8 @@
     return true;
 }
 
-/* ---- Hold: runs ---------------------------------------------------------- */
+/* ---- Hold: runs ----------------------------------------------------------
+ */
 
 static void
 check_stall(AqScheduler *s, Vm *vm, Task *task, const AqRunningTask *row)
@@ -360,9 +376,7 @@
 adopt(AqScheduler *s, Vm *vm, Task *task, const AqRunningTask *row)
 {
     if (task->vm != NULL && task->vm != vm) {
-        AqTaskName name;
-        scheduler_name_task(task, &name);
-        stop_stray(s, task->vm, &name, task->run);
+        stop_superseded(s, task);
     }
     if (task->state == TASK_READY) {
         task->step->ready--;
@@ -388,7 +402,8 @@
             task->seen_in = vm->holds;
             return; /* its stop is under way */
         }
-        vm->foreign_cpu += task != NULL ? task->step->spec->cpu_millis : 1;
+        bool takes_cpu = task != NULL && !task->step->spec->is_filler;
+        vm->foreign_cpu += takes_cpu ? task->step->spec->cpu_millis : 1;
         vm->foreign_memory += task != NULL ? task->step->spec->memory_mb : 0;
         if (job != NULL || vms_is_foreign_old(s, vm)) {
             stop_stray(s, vm, &row->task, row->run);
@@ -481,7 +496,8 @@
     }
 }
 
-/* ---- Orders that are due again ------------------------------------------- */
+/* ---- Orders that are due again -------------------------------------------
+ */
 
 void
 replies_tick(AqScheduler *s)
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -7,10 +7,11 @@
 #include "scheduler_internal.h"
 
 enum {
-    TICK_MS = 100            /* longest time between two ticks with work */
+    TICK_MS = 100 /* longest time between two ticks with work */
 };
 
-/* ---- Jobs ---------------------------------------------------------------- */
+/* ---- Jobs ----------------------------------------------------------------
+ */
 
 Job *
 scheduler_find_job(const AqScheduler *s, const char *id)
@@ -27,9 +28,8 @@
 const AqQueueConfig *
 scheduler_queue(const AqScheduler *s, const Job *job)
 {
-    return s->site != NULL
-               ? AqSiteConfig_FindQueue(s->site, job->spec.queue)
-               : NULL;
+    return s->site != NULL ? AqSiteConfig_FindQueue(s->site, job->spec.queue)
+                           : NULL;
 }
 
 static Occurrence *
@@ -65,7 +65,7 @@
 {
     const Step *step = task->step;
     memset(name, 0, sizeof(*name));
-    strcpy(name->job, step->occurrence->job->spec.id);
+    g_strlcpy(name->job, step->occurrence->job->spec.id, sizeof(name->job));
     name->occurrence = step->occurrence->number;
     name->step = step->number;
     name->index = task->index;
@@ -279,9 +279,8 @@
     for (size_t i = 0; i < spec->step_count; i++) {
         const AqStepSpec *step = &spec->steps[i];
         if (!step->is_perpetual && spec->occurrences == 0) {
-            s->offered += (double)step->task_count *
-                          (double)step->cpu_millis / 1000.0 *
-                          (double)scheduler_estimate(s, step);
+            s->offered += (double)step->task_count * (double)step->cpu_millis /
+                          1000.0 * (double)scheduler_estimate(s, step);
         }
     }
 }
@@ -378,12 +377,15 @@
     return count;
 }
 
-/* ---- Ends of tasks ------------------------------------------------------- */
+/* ---- Ends of tasks -------------------------------------------------------
+ */
 
 static void
 measure_duration(AqScheduler *s, const Task *task)
 {
-    enum { SHARE = 16 }; /* of one measurement in the mean */
+    enum {
+        SHARE = 16
+    }; /* of one measurement in the mean */
     AqTime declared = task->step->spec->estimate_ms;
     AqTime taken = s->now - task->started_at;
     if (declared > 0 && task->started_at > 0 && taken > 0 &&
@@ -420,7 +422,7 @@
     if (task->state == TASK_READY) {
         step->ready--;
     }
-    vms_detach(s, task);
+    vms_detach(s, task); /* of a gang's members, which end together */
     task->state = TASK_DONE;
     step->done++;
 }
@@ -518,11 +520,12 @@
         /* One that fails at once each time must not take all orders. */
         pause *= task->failures < 50 ? task->failures : 50;
     }
-    task->not_before = s->now + (pause < LONGEST_PAUSE_MS ? pause
-                                                          : LONGEST_PAUSE_MS);
+    task->not_before =
+        s->now + (pause < LONGEST_PAUSE_MS ? pause : LONGEST_PAUSE_MS);
 }
 
-/* ---- Durability ---------------------------------------------------------- */
+/* ---- Durability ----------------------------------------------------------
+ */
 
 size_t
 AqScheduler_BeginSave(AqScheduler *s, AqJobSave *saves, size_t most)
@@ -540,7 +543,7 @@
         AqJobSave *save = &saves[count++];
         job->is_saving = true;
         job->dirty_seq = 0;
-        strcpy(save->id, job->spec.id);
+        g_strlcpy(save->id, job->spec.id, sizeof(save->id));
         save->stage = job->stage;
         AqBuffer_Init(&save->record);
         progress_encode(job, &save->record);
@@ -612,7 +615,8 @@
     return s->saving > 0 || !AqList_IsEmpty(&s->dirty);
 }
 
-/* ---- Time ---------------------------------------------------------------- */
+/* ---- Time ----------------------------------------------------------------
+ */
 
 AqTime
 AqScheduler_Tick(AqScheduler *s, AqTime now, int64_t wall, bool may_order)
@@ -703,7 +707,8 @@
     return &s->counters;
 }
 
-/* ---- Lifecycle ----------------------------------------------------------- */
+/* ---- Lifecycle -----------------------------------------------------------
+ */
 
 AqScheduler *
 AqScheduler_Create(const AqSchedulerConfig *config,
@@ -753,7 +758,8 @@
     s->place_again = true;
 }
 
-/* ---- Consistency --------------------------------------------------------- */
+/* ---- Consistency ---------------------------------------------------------
+ */
 
 static bool
 check_task(const Task *task, AqError *error)
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -36,28 +36,28 @@
     uint32_t failures;
     int64_t *failed_runs; /* numbers of "failures" runs; owned; not kept of
                            * lasting tasks, which may fail for ever */
-    Vm *vm;      /* of the run that may be alive; borrowed */
-    AqLink link; /* in vm->tasks */
-    bool is_order_out;  /* a start or stop has no answer yet */
-    bool is_uncertain;  /* an order had no answer and may come late */
-    bool must_stop;     /* stop once the order under way is answered */
-    bool is_stop_acked; /* the VM has confirmed the stop */
+    Vm *vm;               /* of the run that may be alive; borrowed */
+    AqLink link;          /* in vm->tasks */
+    bool is_order_out;    /* a start or stop has no answer yet */
+    bool is_uncertain;    /* an order had no answer and may come late */
+    bool must_stop;       /* stop once the order under way is answered */
+    bool is_stop_acked;   /* the VM has confirmed the stop */
     AqTime resend_at;
-    AqTime ready_at;      /* became ready */
-    AqTime not_before;    /* of the next start */
-    AqTime started_at;    /* the start was confirmed */
-    AqTime listed_after;  /* a hold sent later must list the run */
-    AqTime progress_at;   /* "percent" last changed */
+    AqTime ready_at;     /* became ready */
+    AqTime not_before;   /* of the next start */
+    AqTime started_at;   /* the start was confirmed */
+    AqTime listed_after; /* a hold sent later must list the run */
+    AqTime progress_at;  /* "percent" last changed */
     int64_t percent;
     int64_t usage;
-    int pace;             /* percent it may work at */
+    int pace; /* percent it may work at */
     AqTime paced_at;
     AqTime absent_since;  /* lasting: not at work; AQ_TIME_NEVER: at work */
     bool was_ordered_off; /* lasting: an order of ours took it away */
     AqTime over_since;    /* serving: over its target; AQ_TIME_NEVER: not */
     AqTime under_since;
-    uint64_t seen_in; /* the VM's hold that listed it last */
-    char *checkpoint; /* or NULL; owned */
+    uint64_t seen_in;          /* the VM's hold that listed it last */
+    char *checkpoint;          /* or NULL; owned */
     char avoid[AQ_VM_ID_SIZE]; /* VM of the last failed run */
 } Task;
 
--- /dev/null
+++ b/packages/scheduler/tests/test_records.c
@@ -0,0 +1,339 @@
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_asks.h"
+#include "aq_job_spec.h"
+#include "aq_random.h"
+#include "aq_scheduler.h"
+#include "aq_site_config.h"
+#include "aq_waves.h"
+
+/* ---- Jobs ---------------------------------------------------------------- */
+
+static void
+fill_job(AqJobSpec *spec)
+{
+    memset(spec, 0, sizeof(*spec));
+    strcpy(spec->id, "5c0e7a21d94b36f8");
+    spec->queue = strdup("queue");
+    spec->text = strdup("text with \"quotes\" and \n");
+    spec->first_due_ms = 1700000000000;
+    spec->interval_ms = 500;
+    spec->occurrences = 3;
+    spec->submitted_ms = 1700000000001;
+    spec->step_count = 2;
+    spec->steps = calloc(2, sizeof(*spec->steps));
+    spec->steps[0] = (AqStepSpec){.task_count = 4,
+                                  .cpu_millis = 500,
+                                  .memory_mb = 256,
+                                  .gpus = 1,
+                                  .estimate_ms = 900,
+                                  .is_gang = true,
+                                  .wants_one_rack = true,
+                                  .near_rack = strdup("r1-3")};
+    spec->steps[1] = (AqStepSpec){.task_count = 20,
+                                  .is_checkpointable = true,
+                                  .allows_copies = true,
+                                  .is_perpetual = true,
+                                  .is_filler = true,
+                                  .required_label = strdup("a"),
+                                  .image = strdup("image"),
+                                  .max_per_vm = 2,
+                                  .latency_target_ms = 80,
+                                  .may_miss = 0,
+                                  .limits_missing = true};
+    spec->steps[1].after = calloc(1, sizeof(uint32_t));
+    spec->steps[1].after_count = 1;
+}
+
+/* Guards against a field that is lost or changed between acceptance and the
+ * pool's owner. */
+static void
+test_job_round_trip(void)
+{
+    AqJobSpec spec;
+    AqJobSpec copy;
+    AqBuffer first;
+    AqBuffer second;
+    fill_job(&spec);
+    AqBuffer_Init(&first);
+    AqBuffer_Init(&second);
+    AqJobSpec_Encode(&spec, &first);
+    CU_ASSERT_TRUE_FATAL(
+        AqJobSpec_Decode(AqBuffer_Text(&first), first.size, &copy, NULL));
+    AqJobSpec_Encode(&copy, &second);
+    CU_ASSERT_EQUAL_FATAL(first.size, second.size);
+    CU_ASSERT_EQUAL(memcmp(first.bytes, second.bytes, first.size), 0);
+    CU_ASSERT_STRING_EQUAL(copy.id, spec.id);
+    CU_ASSERT_STRING_EQUAL(copy.steps[0].near_rack, "r1-3");
+    CU_ASSERT_TRUE(copy.steps[1].is_perpetual && copy.steps[1].is_filler);
+    CU_ASSERT_TRUE(copy.steps[1].limits_missing);
+    CU_ASSERT_EQUAL(copy.steps[1].after[0], 0);
+    AqJobSpec_Clear(&spec);
+    AqJobSpec_Clear(&copy);
+    AqBuffer_Clear(&first);
+    AqBuffer_Clear(&second);
+}
+
+/* Guards against crashes and wild sizes from damaged records: every prefix
+ * and many changed bytes are refused or decode to a checked job. */
+static void
+test_damaged_job(void)
+{
+    AqJobSpec spec;
+    AqBuffer bytes;
+    AqRandom random;
+    fill_job(&spec);
+    AqBuffer_Init(&bytes);
+    AqJobSpec_Encode(&spec, &bytes);
+    AqJobSpec_Clear(&spec);
+    for (size_t i = 0; i < bytes.size; i++) {
+        CU_ASSERT_FALSE(AqJobSpec_Decode(bytes.bytes, i, &spec, NULL));
+    }
+    AqRandom_Seed(&random, 4);
+    for (int i = 0; i < 20000; i++) {
+        char *copy = malloc(bytes.size);
+        memcpy(copy, bytes.bytes, bytes.size);
+        for (int j = 0; j < 3; j++) {
+            copy[AqRandom_Below(&random, bytes.size)] =
+                (char)AqRandom_Next(&random);
+        }
+        if (AqJobSpec_Decode(copy, bytes.size, &spec, NULL)) {
+            CU_ASSERT_TRUE(AqJobSpec_Check(&spec, NULL));
+            AqJobSpec_Clear(&spec);
+        }
+        free(copy);
+    }
+    AqBuffer_Clear(&bytes);
+}
+
+/* Guards against jobs that the scheduler could not hold. */
+static void
+test_job_limits(void)
+{
+    static const struct {
+        uint32_t tasks;
+        uint32_t after;
+        size_t steps;
+        const char *text;
+    } cases[] = {
+        {0, 0, 2, "has 0 tasks"},
+        {AQ_JOB_MAX_TASKS + 1, 0, 2, "20001 tasks"},
+        {AQ_JOB_MAX_TASKS, 0, 2, "the job has 40000 tasks"},
+        {1, 1, 2, "not earlier"},
+        {1, 0, 0, "no steps"},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        AqError error;
+        uint32_t after[1] = {cases[i].after};
+        AqStepSpec steps[2] = {
+            {.task_count = cases[i].tasks},
+            {.task_count = cases[i].tasks, .after = after, .after_count = 1},
+        };
+        AqJobSpec spec = {.steps = steps, .step_count = cases[i].steps};
+        CU_ASSERT_FALSE(AqJobSpec_Check(&spec, &error));
+        CU_ASSERT_PTR_NOT_NULL(strstr(error.message, cases[i].text));
+    }
+}
+
+/* Guards against a damaged progress record that is taken for an end. */
+static void
+test_damaged_stage(void)
+{
+    static const char *const cases[] = {"", "\x94", "\x94\x01", "\x93\x01\x02\x00",
+                                        "\x94\x02\x02\x00\x90",
+                                        "\x94\x01\x09\x00\x90", "completed"};
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        AqJobStage stage;
+        AqError error;
+        size_t size = i == 3 || i == 4 || i == 5 ? i == 3 ? 4 : 5
+                                                 : strlen(cases[i]);
+        CU_ASSERT_FALSE(
+            AqScheduler_ReadStage(cases[i], size, &stage, &error));
+    }
+    AqJobStage stage;
+    CU_ASSERT_TRUE(
+        AqScheduler_ReadStage("\x94\x01\x02\x00\x90", 5, &stage, NULL));
+    CU_ASSERT_EQUAL(stage, AQ_STAGE_COMPLETED);
+}
+
+/* ---- Asks ---------------------------------------------------------------- */
+
+/* Guards against asks that change on their way, and damaged lists. */
+static void
+test_asks(void)
+{
+    AqAsk asks[] = {{.number = 7, .machine = "m-1", .to_pool = "spare"},
+                    {.number = 8, .machine = "m-2", .wave = 3,
+                     .is_refused = true}};
+    AqAskList list = {.fence = 99, .asks = asks, .count = 2};
+    AqAskList copy;
+    AqBuffer bytes;
+    AqBuffer_Init(&bytes);
+    AqAskList_Encode(&list, &bytes);
+    CU_ASSERT_TRUE_FATAL(AqAskList_Decode(bytes.bytes, bytes.size, &copy));
+    CU_ASSERT_EQUAL(copy.fence, 99);
+    CU_ASSERT_EQUAL(copy.count, 2);
+    CU_ASSERT_STRING_EQUAL(copy.asks[0].to_pool, "spare");
+    CU_ASSERT_EQUAL(copy.asks[1].wave, 3);
+    CU_ASSERT_TRUE(copy.asks[1].is_refused);
+    AqAskList_Clear(&copy);
+    for (size_t i = 0; i < bytes.size; i++) {
+        CU_ASSERT_FALSE(AqAskList_Decode(bytes.bytes, i, &copy));
+    }
+    AqBuffer_Clear(&bytes);
+}
+
+/* ---- Queues -------------------------------------------------------------- */
+
+/* Guards against a request that goes to a queue with a shorter prefix, or to
+ * another host's. */
+static void
+test_queue_match(void)
+{
+    char a[] = "a";
+    char b[] = "b";
+    char c[] = "c";
+    char host[] = "one.example";
+    char other[] = "two.example";
+    char root[] = "/x/";
+    char longer[] = "/x/y/";
+    AqQueueConfig queues[] = {{.name = a, .host = host, .prefix = root},
+                              {.name = b, .host = host, .prefix = longer},
+                              {.name = c, .host = other, .prefix = root}};
+    AqSiteConfig site = {.queues = queues, .queue_count = 3};
+    static const struct {
+        const char *host;
+        const char *path;
+        const char *name;
+    } cases[] = {
+        {"one.example", "/x/1", "a"},       {"one.example", "/x/y/1", "b"},
+        {"ONE.example:80", "/x/1", "a"},    {"two.example", "/x/y/1", "c"},
+        {"one.example.org", "/x/1", NULL},  {"one.example", "/z/1", NULL},
+        {"", "/x/1", NULL},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        const AqQueueConfig *queue =
+            AqSiteConfig_Match(&site, cases[i].host, cases[i].path);
+        CU_ASSERT_EQUAL(queue != NULL, cases[i].name != NULL);
+        if (queue != NULL && cases[i].name != NULL) {
+            CU_ASSERT_STRING_EQUAL(queue->name, cases[i].name);
+        }
+    }
+}
+
+/* ---- Waves --------------------------------------------------------------- */
+
+static AqWave *
+make_wave(uint32_t cap, AqTime within_ms)
+{
+    char machines[4][AQ_VM_ID_SIZE] = {"m0", "m1", "m2", "m3"};
+    AqWaveSpec spec = {.number = 1,
+                       .machines = machines,
+                       .machine_count = 4,
+                       .within_ms = within_ms,
+                       .cap = cap};
+    return AqWave_Create(&spec, 0);
+}
+
+/* Guards against more VMs of a wave being down than its cap, and against a
+ * wave that is said to be over while one of them is. */
+static void
+test_wave_slots(void)
+{
+    AqWave *wave = make_wave(2, 20000);
+    AqWave_Set(wave, 0, AQ_WAVE_BEGUN);
+    CU_ASSERT_TRUE(AqWave_HasSlot(wave));
+    AqWave_Set(wave, 1, AQ_WAVE_BEGUN);
+    CU_ASSERT_FALSE(AqWave_HasSlot(wave));
+    AqWave_Set(wave, 0, AQ_WAVE_DONE);
+    CU_ASSERT_TRUE(AqWave_HasSlot(wave));
+    AqWave_Set(wave, 2, AQ_WAVE_GONE);
+    AqWave_Set(wave, 3, AQ_WAVE_BEGUN);
+    CU_ASSERT_TRUE(AqWave_IsCompleted(wave));
+    CU_ASSERT_FALSE(AqWave_IsOver(wave));
+    AqWave_Set(wave, 1, AQ_WAVE_DONE);
+    AqWave_Set(wave, 3, AQ_WAVE_DONE);
+    CU_ASSERT_TRUE(AqWave_IsOver(wave));
+    AqWave_Destroy(wave);
+}
+
+/* Guards against a damaged record that changes what is believed. */
+static void
+test_wave_record(void)
+{
+    AqWave *wave = make_wave(2, 20000);
+    AqWave *other = make_wave(2, 20000);
+    AqBuffer bytes;
+    AqBuffer_Init(&bytes);
+    AqWave_Set(wave, 1, AQ_WAVE_BEGUN);
+    AqWave_Set(wave, 2, AQ_WAVE_DONE);
+    AqWave_Encode(wave, &bytes);
+    CU_ASSERT_FALSE(AqWave_Decode(other, bytes.bytes, bytes.size - 1));
+    CU_ASSERT_EQUAL(AqWave_State(other, 1), AQ_WAVE_WAITING);
+    CU_ASSERT_TRUE(AqWave_Decode(other, bytes.bytes, bytes.size));
+    CU_ASSERT_EQUAL(AqWave_State(other, 1), AQ_WAVE_BEGUN);
+    CU_ASSERT_EQUAL(AqWave_State(other, 2), AQ_WAVE_DONE);
+    AqBuffer_Clear(&bytes);
+    AqWave_Destroy(wave);
+    AqWave_Destroy(other);
+}
+
+/* Guards against a wave that is late because VMs are made empty one by one,
+ * and against a pool that gives up most of its VMs at once. */
+static void
+test_wave_pace(void)
+{
+    static const struct {
+        AqTime now;
+        size_t waiting;
+        size_t pool;
+        size_t parallel;
+    } cases[] = {
+        {0, 4, 12, 2},      /* 20 s: three rounds, one in reserve */
+        {0, 1, 12, 1},      /* one VM needs no hurry */
+        {12000, 4, 12, 4},  /* 8 s left: all that the pool can spare */
+        {19000, 4, 9, 3},   /* late: a third of the pool, no more */
+        {19000, 4, 2, 1},   /* a tiny pool still goes on */
+    };
+    AqWave *wave = make_wave(4, 20000);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        CU_ASSERT_EQUAL(AqWave_Parallel(wave, cases[i].waiting, cases[i].pool,
+                                        cases[i].now),
+                        cases[i].parallel);
+    }
+    CU_ASSERT_FALSE(AqWave_IsPressing(wave, 1, 0, 3000));
+    CU_ASSERT_TRUE(AqWave_IsPressing(wave, 1, 0, 6000));
+    CU_ASSERT_TRUE(AqWave_IsPressing(wave, 4, 17000, 19000));
+    AqWave_Destroy(wave);
+}
+
+int
+main(void)
+{
+    static const struct {
+        const char *name;
+        void (*run)(void);
+    } tests[] = {
+        {"job_round_trip", test_job_round_trip},
+        {"damaged_job", test_damaged_job},
+        {"job_limits", test_job_limits},
+        {"damaged_stage", test_damaged_stage},
+        {"asks", test_asks},
+        {"queue_match", test_queue_match},
+        {"wave_slots", test_wave_slots},
+        {"wave_record", test_wave_record},
+        {"wave_pace", test_wave_pace},
+    };
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("records", NULL, NULL);
+    for (size_t i = 0; i < sizeof(tests) / sizeof(tests[0]); i++) {
+        CU_add_test(suite, tests[i].name, tests[i].run);
+    }
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -0,0 +1,334 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "sim.h"
+
+static void
+expect_unbroken(const Sim *sim)
+{
+    const char *text = sim_broken(sim);
+    if (text != NULL) {
+        fprintf(stderr, "%s\n", text);
+    }
+    CU_ASSERT_PTR_NULL(text);
+}
+
+/* Guards against a job that never ends although nothing is wrong. */
+static void
+test_completes(void)
+{
+    Sim *sim = sim_create(1);
+    sim_add_simple(sim, "a1", 3, 6, 2000, 500);
+    CU_ASSERT_TRUE(sim_finish(sim, 10000));
+    CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_COMPLETED);
+    CU_ASSERT_EQUAL(sim_runs(sim, "a1"), 18);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against runs of an earlier owner being taken as stale and started a
+ * second time because of the new owner's higher run numbers. */
+static void
+test_takeover_adopts_runs(void)
+{
+    Sim *sim = sim_create(2);
+    sim_add_simple(sim, "a1", 1, 6, 2000, 3000);
+    sim_run(sim, 1000);
+    sim_kill_owner(sim);
+    sim_start_owner(sim, false);
+    CU_ASSERT_TRUE(sim_finish(sim, 10000));
+    CU_ASSERT_EQUAL(sim_runs(sim, "a1"), 6);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against starts before the VMs that an earlier owner used have
+ * answered: one of them is silent and still runs its tasks. */
+static void
+test_takeover_waits_for_silent_vm(void)
+{
+    Sim *sim = sim_create(3);
+    sim_add_simple(sim, "a1", 1, 8, 8000, 4000);
+    sim_run(sim, 500);
+    unsigned silent = 0;
+    while (sim_count_runs(sim, silent, "a1") == 0) {
+        silent++;
+    }
+    sim_silence_vm(sim, silent, 3500);
+    sim_kill_owner(sim);
+    sim_start_owner(sim, false);
+    CU_ASSERT_TRUE(sim_finish(sim, 30000));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against a task that starts a third time because the new owner hears
+ * of its second failure before the first. */
+static void
+test_failures_count_in_any_order(void)
+{
+    for (uint64_t seed = 0; seed < 20; seed++) {
+        Sim *sim = sim_create(seed);
+        SimFaults faults = {.failed_saves = 1000};
+        sim_set_faults(sim, &faults); /* no end is ever confirmed */
+        sim_add_simple(sim, "a1", 1, 1, 2000, 800);
+        sim_fail_job(sim, "a1", 2);
+        sim_run(sim, 1500);
+        SimFaults none = {0};
+        sim_set_faults(sim, &none);
+        sim_kill_owner(sim);
+        sim_start_owner(sim, false);
+        CU_ASSERT_TRUE(sim_finish(sim, 10000));
+        CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_FAILED);
+        CU_ASSERT_EQUAL(sim_runs(sim, "a1"), 2);
+        expect_unbroken(sim);
+        sim_destroy(sim);
+    }
+}
+
+/* Guards against double runs while an owner does not know that it has been
+ * replaced. */
+static void
+test_unaware_rival(void)
+{
+    Sim *sim = sim_create(5);
+    for (unsigned i = 0; i < 6; i++) {
+        char id[8];
+        snprintf(id, sizeof(id), "a%u", i);
+        sim_add_simple(sim, id, 2, 8, 4000, 900);
+        sim_run(sim, 150);
+    }
+    sim_start_owner(sim, true);
+    CU_ASSERT_TRUE(sim_finish(sim, 40000));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against tasks that stay on a VM where nothing makes progress. */
+static void
+test_stalled_vm(void)
+{
+    Sim *sim = sim_create(6);
+    sim_add_simple(sim, "a1", 1, 4, 4000, 1000);
+    sim_run(sim, 200);
+    unsigned vm = 0;
+    while (sim_count_runs(sim, vm, "a1") == 0) {
+        vm++;
+    }
+    sim_stall_vm(sim, vm, true);
+    CU_ASSERT_TRUE(sim_finish(sim, 8000));
+    CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_COMPLETED);
+    CU_ASSERT_TRUE(AqScheduler_Counters(sim_scheduler(sim))->stalled > 0);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against tasks of a crashed VM that wait for a lease although its new
+ * life says that nothing runs there. */
+static void
+test_crash_restarts_at_once(void)
+{
+    Sim *sim = sim_create(7);
+    sim_add_simple(sim, "a1", 1, 4, 4000, 1000);
+    sim_run(sim, 500);
+    unsigned vm = 0;
+    while (sim_count_runs(sim, vm, "a1") == 0) {
+        vm++;
+    }
+    sim_crash_vm(sim, vm);
+    CU_ASSERT_TRUE(sim_finish(sim, 2500));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against work of a cancelled job that goes on. */
+static void
+test_cancel_stops(void)
+{
+    Sim *sim = sim_create(8);
+    sim_add_simple(sim, "a1", 1, 8, 2000, 60000);
+    sim_run(sim, 1000);
+    sim_cancel_job(sim, "a1");
+    sim_run(sim, 1000);
+    CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_CANCELLED);
+    for (unsigned i = 0; i < SIM_VMS; i++) {
+        CU_ASSERT_EQUAL(sim_count_runs(sim, i, "a1"), 0);
+    }
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against orders of an owner that may have lost its lease. */
+static void
+test_uncertain_owner_is_quiet(void)
+{
+    Sim *sim = sim_create(9);
+    sim_run(sim, 500);
+    sim_set_certain(sim, false);
+    sim_add_simple(sim, "a1", 1, 4, 2000, 500);
+    sim_run(sim, 2000);
+    CU_ASSERT_EQUAL(sim_runs(sim, "a1"), 0);
+    sim_set_certain(sim, true);
+    CU_ASSERT_TRUE(sim_finish(sim, 3000));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* ---- Lasting tasks -------------------------------------------------------
+ */
+
+static void
+add_lasting(Sim *sim, const char *id, unsigned tasks, unsigned may_miss)
+{
+    AqJobSpec spec = {.step_count = 1};
+    g_strlcpy(spec.id, id, sizeof(spec.id));
+    spec.steps = calloc(1, sizeof(*spec.steps));
+    spec.steps[0] = (AqStepSpec){
+        .task_count = tasks,
+        .cpu_millis = 1000,
+        .memory_mb = 100,
+        .is_perpetual = true,
+        .max_per_vm = 1,
+        .may_miss = may_miss,
+        .limits_missing = true,
+        .latency_target_ms = 100,
+    };
+    sim_add_job(sim, &spec);
+}
+
+static unsigned
+count_running(const Sim *sim, const char *id)
+{
+    unsigned count = 0;
+    for (unsigned i = 0; i < SIM_VMS; i++) {
+        count += sim_count_runs(sim, i, id);
+    }
+    return count;
+}
+
+/* The least tasks of a lasting job that run at any moment of so many ms. */
+static unsigned
+least_running(Sim *sim, const char *id, AqTime ms)
+{
+    unsigned least = UINT_MAX;
+    for (AqTime i = 0; i < ms; i += 10) {
+        sim_run(sim, 10);
+        unsigned count = count_running(sim, id);
+        least = count < least ? count : least;
+    }
+    return least;
+}
+
+/* Guards against more of a step being taken away at once than it may miss,
+ * when all of its VMs are to be made empty. */
+static void
+test_lasting_moves_one_by_one(void)
+{
+    Sim *sim = sim_create(10);
+    add_lasting(sim, "b1", 4, 1);
+    sim_run(sim, 1500);
+    CU_ASSERT_EQUAL(count_running(sim, "b1"), 4);
+    for (unsigned i = 0; i < SIM_VMS; i++) {
+        if (sim_count_runs(sim, i, "b1") > 0) {
+            AqScheduler_SetCordon(sim_scheduler(sim), sim_vm_id(sim, i), true);
+        }
+    }
+    CU_ASSERT_EQUAL(least_running(sim, "b1", 8000), 3);
+    CU_ASSERT_EQUAL(count_running(sim, "b1"), 4);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against a lasting task being taken away while another of its step is
+ * on a VM that has gone silent. */
+static void
+test_lasting_stays_beside_silence(void)
+{
+    Sim *sim = sim_create(11);
+    add_lasting(sim, "b1", 3, 1);
+    sim_run(sim, 1500);
+    unsigned silent = 0;
+    while (sim_count_runs(sim, silent, "b1") == 0) {
+        silent++;
+    }
+    unsigned other = silent + 1;
+    while (sim_count_runs(sim, other, "b1") == 0) {
+        other++;
+    }
+    sim_silence_vm(sim, silent, 3000);
+    sim_run(sim, 1200);
+    AqScheduler_SetCordon(sim_scheduler(sim), sim_vm_id(sim, other), true);
+    sim_run(sim, 1000);
+    CU_ASSERT_EQUAL(sim_count_runs(sim, other, "b1"), 1);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against fillers that go on at full speed while a serving task beside
+ * them is over its target, and against staying slow afterwards. */
+static void
+test_fillers_are_paced(void)
+{
+    Sim *sim = sim_create(12);
+    add_lasting(sim, "b1", SIM_VMS, 1);
+    AqJobSpec spec = {.step_count = 1};
+    g_strlcpy(spec.id, "c1", sizeof(spec.id));
+    spec.steps = calloc(1, sizeof(*spec.steps));
+    spec.steps[0] = (AqStepSpec){
+        .task_count = 1,
+        .cpu_millis = 1000,
+        .memory_mb = 100,
+        .estimate_ms = 600000,
+        .is_filler = true,
+    };
+    sim_add_job(sim, &spec);
+    sim_run(sim, 1500);
+    unsigned vm = 0;
+    while (sim_count_runs(sim, vm, "c1") == 0) {
+        vm++;
+    }
+    sim_set_tail(sim, vm, 150);
+    sim_run(sim, 3000);
+    CU_ASSERT_EQUAL(sim_lowest_pace(sim, vm), 0);
+    sim_set_tail(sim, vm, 20);
+    sim_run(sim, 12000);
+    CU_ASSERT_EQUAL(sim_lowest_pace(sim, vm), 100);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+int
+main(void)
+{
+    static const struct {
+        const char *name;
+        void (*run)(void);
+    } tests[] = {
+        {"completes", test_completes},
+        {"takeover_adopts_runs", test_takeover_adopts_runs},
+        {"takeover_waits_for_silent_vm", test_takeover_waits_for_silent_vm},
+        {"failures_count_in_any_order", test_failures_count_in_any_order},
+        {"unaware_rival", test_unaware_rival},
+        {"stalled_vm", test_stalled_vm},
+        {"crash_restarts_at_once", test_crash_restarts_at_once},
+        {"cancel_stops", test_cancel_stops},
+        {"uncertain_owner_is_quiet", test_uncertain_owner_is_quiet},
+        {"lasting_moves_one_by_one", test_lasting_moves_one_by_one},
+        {"lasting_stays_beside_silence", test_lasting_stays_beside_silence},
+        {"fillers_are_paced", test_fillers_are_paced},
+    };
+    AqLog_Start("test", AQ_LOG_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("scheduler", NULL, NULL);
+    for (size_t i = 0; i < sizeof(tests) / sizeof(tests[0]); i++) {
+        CU_add_test(suite, tests[i].name, tests[i].run);
+    }
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/scheduler/tests/test_sizing.c
@@ -0,0 +1,121 @@
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+
+#include "aq_sizing.h"
+
+enum {
+    CORE = 1000,
+    VM = 16 * CORE
+};
+
+/* Each row is a load pattern at one moment and what the pool should do. */
+static const struct {
+    const char *pattern;
+    AqSizingInput input;
+    size_t take;
+    size_t give;
+} cases[] = {
+    {"quiet pool with its lasting tasks gives its idle VMs",
+     {.used_cpu_millis = 2 * VM, .lasting_cpu_millis = 2 * VM,
+      .room_cpu_millis = 12 * VM, .vm_cpu_millis = VM, .usable_vms = 12,
+      .idle_vms = 8, .lasting_vms = 4, .widest_spread = 4},
+     0, 6},
+    {"quiet pool keeps one VM beside those that a lasting step needs",
+     {.used_cpu_millis = VM / 2, .lasting_cpu_millis = VM / 2,
+      .room_cpu_millis = 9 * VM, .vm_cpu_millis = VM, .usable_vms = 9,
+      .idle_vms = 3, .lasting_vms = 6, .widest_spread = 6},
+     0, 2},
+    {"turn begins: work waits and more is offered than the pool holds",
+     {.used_cpu_millis = 4 * VM, .ready_cpu_millis = 2 * VM,
+      .offered_cpu_millis = 10 * VM, .room_cpu_millis = 4 * VM,
+      .vm_cpu_millis = VM, .usable_vms = 4},
+     9, 0},
+    {"a few large jobs in one second, the pool half empty",
+     {.used_cpu_millis = 2 * VM, .offered_cpu_millis = 20 * VM,
+      .room_cpu_millis = 8 * VM, .vm_cpu_millis = VM, .usable_vms = 8},
+     0, 0},
+    {"height of a turn: VMs that come are counted",
+     {.used_cpu_millis = 4 * VM, .ready_cpu_millis = 5 * VM,
+      .offered_cpu_millis = 6 * VM, .room_cpu_millis = 4 * VM,
+      .vm_cpu_millis = VM, .usable_vms = 4, .coming_vms = 5},
+     0, 0},
+    {"turn has ended: idle VMs go back while the rest finishes",
+     {.used_cpu_millis = 4 * VM, .room_cpu_millis = 16 * VM,
+      .vm_cpu_millis = VM, .usable_vms = 16, .idle_vms = 9},
+     0, 7},
+    {"wave: VMs away for upkeep do not keep idle ones in the pool",
+     {.used_cpu_millis = 4 * VM, .room_cpu_millis = 16 * VM,
+      .vm_cpu_millis = VM, .usable_vms = 16, .idle_vms = 9, .upkeep_vms = 2},
+     0, 7},
+    {"nothing goes back while VMs come or work waits",
+     {.used_cpu_millis = 4 * VM, .ready_cpu_millis = CORE,
+      .room_cpu_millis = 16 * VM, .vm_cpu_millis = VM, .usable_vms = 16,
+      .idle_vms = 9},
+     0, 0},
+    {"a task finds no place although there is room",
+     {.used_cpu_millis = 2 * VM, .ready_cpu_millis = CORE,
+      .longest_wait_ms = 1500, .room_cpu_millis = 8 * VM, .vm_cpu_millis = VM,
+      .usable_vms = 8},
+     1, 0},
+    {"a rack is lost: fewer VMs than a lasting step needs",
+     {.used_cpu_millis = VM, .lasting_cpu_millis = VM,
+      .room_cpu_millis = 3 * VM, .vm_cpu_millis = VM, .usable_vms = 3,
+      .lasting_vms = 3, .widest_spread = 5},
+     3, 0},
+};
+
+/* Guards against pools that lag behind a turn, hoard VMs after it, or send
+ * them back and forth. */
+static void
+test_patterns(void)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        AqSizingDecision decision;
+        AqSizing_Decide(&cases[i].input, &decision);
+        if (decision.take != cases[i].take ||
+            decision.give != cases[i].give) {
+            fprintf(stderr, "%s: take %zu, give %zu\n", cases[i].pattern,
+                    decision.take, decision.give);
+        }
+        CU_ASSERT_EQUAL(decision.take, cases[i].take);
+        CU_ASSERT_EQUAL(decision.give, cases[i].give);
+    }
+}
+
+/* Guards against a pool that takes VMs in one decision and gives them in the
+ * next with the same load. */
+static void
+test_no_flapping(void)
+{
+    for (int64_t used = 0; used < 20; used++) {
+        for (int64_t offered = 0; offered < 20; offered++) {
+            AqSizingInput input = {.used_cpu_millis = used * VM / 2,
+                                   .offered_cpu_millis = offered * VM / 2,
+                                   .room_cpu_millis = 4 * VM,
+                                   .vm_cpu_millis = VM,
+                                   .usable_vms = 4};
+            AqSizingDecision decision;
+            AqSizing_Decide(&input, &decision);
+            input.usable_vms += decision.take;
+            input.idle_vms = decision.take;
+            input.room_cpu_millis += (int64_t)decision.take * VM;
+            size_t taken = decision.take;
+            AqSizing_Decide(&input, &decision);
+            CU_ASSERT_TRUE(taken == 0 || decision.give == 0);
+        }
+    }
+}
+
+int
+main(void)
+{
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("sizing", NULL, NULL);
+    CU_add_test(suite, "patterns", test_patterns);
+    CU_add_test(suite, "no_flapping", test_no_flapping);
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -9,7 +9,7 @@
     /* Looks at a busy VM; each answer also renews its lease and shows how far
      * its tasks are. */
     BUSY_WAIT_MS = 400,
-    IDLE_WAIT_MS = 1500,
+    IDLE_WAIT_MS = 1000,
     /* Ends that are not stored yet would be listed again at once. */
     UNSTORED_WAIT_MS = 200,
     SILENT_RETRY_MS = 300,
@@ -64,7 +64,8 @@
     free(vm);
 }
 
-/* ---- Room ---------------------------------------------------------------- */
+/* ---- Room ----------------------------------------------------------------
+ */
 
 static void
 count_room(Vm *vm, const AqStepSpec *spec, int sign)
@@ -113,7 +114,8 @@
            vm->quarantined_until <= s->now;
 }
 
-/* ---- Belief -------------------------------------------------------------- */
+/* ---- Belief --------------------------------------------------------------
+ */
 
 void
 vms_heard(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
@@ -197,7 +199,8 @@
     }
 }
 
-/* ---- Holds --------------------------------------------------------------- */
+/* ---- Holds ---------------------------------------------------------------
+ */
 
 static AqTime
 hold_wait(const Vm *vm)
@@ -248,7 +251,8 @@
     }
 }
 
-/* ---- Time ---------------------------------------------------------------- */
+/* ---- Time ----------------------------------------------------------------
+ */
 
 static void
 update_settled(AqScheduler *s)
@@ -284,8 +288,8 @@
     if (!vm->is_hold_out && s->may_order && vm->hold_due <= s->now) {
         send_hold(s, vm);
     }
-    AqTime due = vm->is_hold_out || !s->may_order ? AQ_TIME_NEVER
-                                                  : vm->hold_due;
+    AqTime due =
+        vm->is_hold_out || !s->may_order ? AQ_TIME_NEVER : vm->hold_due;
     check_silence(s, vm);
     return due;
 }
@@ -303,7 +307,8 @@
     return due;
 }
 
-/* ---- The list in the store ----------------------------------------------- */
+/* ---- The list in the store -----------------------------------------------
+ */
 
 void
 AqScheduler_SetVm(AqScheduler *s, const AqVmReport *report, AqTime now)
@@ -388,8 +393,8 @@
             .machine = vm->report.machine,
             .rack = vm->report.rack,
             .is_usable = vms_is_usable(s, vm),
-            .is_answering = vm->has_answered &&
-                            vm->silent_since == AQ_TIME_NEVER,
+            .is_answering =
+                vm->has_answered && vm->silent_since == AQ_TIME_NEVER,
             .is_cordoned = vm->is_cordoned,
             .is_draining = vm->report.is_draining,
             .tasks = vm->task_count,
@@ -406,7 +411,8 @@
     }
 }
 
-/* ---- Roster -------------------------------------------------------------- */
+/* ---- Roster --------------------------------------------------------------
+ */
 
 uint64_t
 AqScheduler_RosterVersion(const AqScheduler *s)
@@ -449,15 +455,14 @@
     AqVmReport report = {.leaves_ms = -1};
     char *id = NULL;
     char *address = NULL;
-    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
-              row->via.array.size >= 2 &&
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= 2 &&
               record_text(&row->via.array.ptr[0], &id) && id != NULL &&
               record_text(&row->via.array.ptr[1], &address) &&
               address != NULL && strlen(id) < sizeof(report.id) &&
               strlen(address) < sizeof(report.address);
     if (ok) {
-        strcpy(report.id, id);
-        strcpy(report.address, address);
+        g_strlcpy(report.id, id, sizeof(report.id));
+        g_strlcpy(report.address, address, sizeof(report.address));
         Vm *vm = vms_find(s, id);
         if (vm == NULL) {
             vm = add_vm(s, &report);
@@ -488,7 +493,8 @@
     return ok;
 }
 
-/* ---- Ends ---------------------------------------------------------------- */
+/* ---- Ends ----------------------------------------------------------------
+ */
 
 void
 vms_note_end(AqScheduler *s, Vm *vm, const Task *task, bool is_failure)
--- a/packages/scheduler/waves.c
+++ b/packages/scheduler/waves.c
@@ -94,7 +94,8 @@
     wave->entries[at].state = state;
 }
 
-/* ---- Record -------------------------------------------------------------- */
+/* ---- Record --------------------------------------------------------------
+ */
 
 void
 AqWave_Encode(const AqWave *wave, AqBuffer *out)
@@ -114,8 +115,7 @@
 {
     char *machine = NULL;
     int64_t state;
-    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
-              row->via.array.size >= 2 &&
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= 2 &&
               record_text(&row->via.array.ptr[0], &machine) &&
               machine != NULL &&
               record_int(&row->via.array.ptr[1], AQ_WAVE_WAITING, AQ_WAVE_GONE,
@@ -153,7 +153,8 @@
     return ok;
 }
 
-/* ---- Decisions ----------------------------------------------------------- */
+/* ---- Decisions -----------------------------------------------------------
+ */
 
 static size_t
 count_state(const AqWave *wave, AqWaveState state)
@@ -191,9 +192,8 @@
     size_t most = pool_size / LARGEST_SHARE;
     /* Rounds that fit into the time that is left, with one in reserve. */
     AqTime rounds = left / VM_MS - 1;
-    size_t parallel = rounds > 0 ? (waiting + (size_t)rounds - 1) /
-                                       (size_t)rounds
-                                 : waiting;
+    size_t parallel =
+        rounds > 0 ? (waiting + (size_t)rounds - 1) / (size_t)rounds : waiting;
     most = most > 0 ? most : 1;
     if (parallel > wave->cap) {
         parallel = wave->cap;
