Scheduler: a takeover waits only for VMs that may run an earlier owner's tasks

VMs ended by an order leave the roster; on a hand-over it holds only VMs with tasks; jobs that came after the takeover start at once.

--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -292,7 +292,7 @@
     }
     plan->is_ordered = true;
     plan->ordered_at = now_of(self);
-    if (s != NULL && plan->kind == PLAN_GIVE) {
+    if (s != NULL && plan->vm[0] != '\0') {
         AqScheduler_VmEnded(s, plan->vm, now_of(self));
     }
 }
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -735,6 +735,7 @@
 pool_owner_finish(PoolOwner *owner, void (*done)(void *context), void *context)
 {
     owner->is_finishing = true;
+    AqScheduler_Close(owner->scheduler);
     owner->finished = done;
     owner->finished_context = context;
     owner->finish_limit = now_of(owner) + FINISH_LIMIT_MS;
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -100,7 +100,7 @@
 void AqScheduler_VmUnlisted(AqScheduler *scheduler, const char *id,
                             AqTime now);
 /* The VM has gone down or to another pool by an order: all that ran there has
- * ended. */
+ * ended.  One that answers again is taken back. */
 void AqScheduler_VmEnded(AqScheduler *scheduler, const char *id, AqTime now);
 /* No new tasks there; lasting ones move away as their steps allow. */
 void AqScheduler_SetCordon(AqScheduler *scheduler, const char *id,
@@ -131,6 +131,10 @@
                         void (*visit)(void *context, const AqVmView *view),
                         void *context);
 
+/* Gives no more orders, for a hand-over: the roster then holds only the VMs
+ * that have tasks. */
+void AqScheduler_Close(AqScheduler *scheduler);
+
 /* VMs that orders may have gone to.  They must be stored before the first
  * order: AqScheduler_RosterSaved with the version that was written. */
 uint64_t AqScheduler_RosterVersion(const AqScheduler *scheduler);
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -320,7 +320,7 @@
 void
 placement_run(AqScheduler *s)
 {
-    if (!s->is_settled || (!s->place_again && s->now < s->next_place)) {
+    if (!s->is_loaded || (!s->place_again && s->now < s->next_place)) {
         return;
     }
     enum {
@@ -333,7 +333,8 @@
     AqList_ForEach(at, &s->active)
     {
         Job *job = AqList_Entry(at, Job, link);
-        if (ranking_update(s, job)) {
+        bool may_start = s->is_settled || job->is_new;
+        if (may_start && ranking_update(s, job)) {
             jobs[count++] = job;
         }
     }
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -317,6 +317,7 @@
     }
     if (s->is_loaded) {
         count_offered(s, &job->spec);
+        job->is_new = now - s->created_at >= s->config.earlier_owner_ms;
     }
     AqList_Append(&s->active, &job->link);
     AqList_ForEach(at, &job->occurrences)
@@ -623,7 +624,7 @@
 {
     s->now = now;
     s->wall = wall;
-    s->may_order = may_order && !s->is_deposed;
+    s->may_order = may_order && !s->is_deposed && !s->is_closed;
     AqList_ForEachSafe(at, after, &s->active)
     {
         Job *job = AqList_Entry(at, Job, link);
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -95,6 +95,7 @@
     AqJobStage stage;
     AqJobStage stored_stage;
     bool has_started;
+    bool is_new; /* no earlier owner can have started it */
     bool is_saving;
     bool changed_while_saving;
     uint64_t dirty_seq; /* of the oldest change that is not stored */
@@ -126,6 +127,7 @@
     bool is_enrolled;      /* that version is stored */
     bool has_answered;     /* a hold under our fence */
     bool was_used;         /* in the roster of an earlier owner */
+    bool has_ended;        /* by an order, unless it answers again */
     AqTime clock_ms;       /* of the VM, at clock_at */
     AqTime clock_at;
     AqTime deadline_ms; /* highest in an order, on the VM's clock */
@@ -160,6 +162,7 @@
     int64_t wall;
     bool may_order;
     bool is_loaded;
+    bool is_closed; /* no more orders are given */
     bool is_settled;
     bool is_deposed;
     GHashTable *jobs; /* id -> Job, owns them */
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -108,7 +108,8 @@
 {
     bool is_present =
         vm->is_listed || s->now - vm->unlisted_at < UNLISTED_GRACE_MS;
-    return is_present && vm->has_answered && vm->is_enrolled &&
+    return is_present && !vm->has_ended && vm->has_answered &&
+           vm->is_enrolled &&
            !vm->is_cordoned && !vm->report.is_draining &&
            vm->silent_since == AQ_TIME_NEVER &&
            vm->quarantined_until <= s->now;
@@ -129,6 +130,11 @@
         vm->silent_since = AQ_TIME_NEVER;
         s->place_again = true;
     }
+    if (vm->has_ended) {
+        vm->has_ended = false;
+        vm->is_enrolled = false;
+        vm->roster_since = ++s->roster_version;
+    }
 }
 
 void
@@ -280,8 +286,10 @@
 static AqTime
 tick_vm(AqScheduler *s, Vm *vm)
 {
+    AqTime forget =
+        vm->has_ended ? UNLISTED_GRACE_MS : (AqTime)UNLISTED_FORGET_MS;
     if (!vm->is_listed && vm->task_count == 0 && !vm->was_used &&
-        s->now - vm->unlisted_at > UNLISTED_FORGET_MS) {
+        s->now - vm->unlisted_at > forget) {
         vms_end(s, vm);
         return AQ_TIME_NEVER;
     }
@@ -341,8 +349,10 @@
 {
     s->now = now;
     Vm *vm = vms_find(s, id);
-    if (vm != NULL) {
-        vms_end(s, vm);
+    if (vm != NULL && !vm->has_ended) {
+        vm->has_ended = true;
+        lose_tasks(s, vm);
+        s->roster_version++;
     }
 }
 
@@ -420,15 +430,39 @@
     return s->roster_version;
 }
 
+/* Whether a later owner has to hear from the VM.  Once no more orders are
+ * given, only those with tasks matter. */
+static bool
+is_on_roster(const AqScheduler *s, const Vm *vm)
+{
+    return !vm->has_ended && (!s->is_closed || vm->task_count > 0 ||
+                              vm->foreign_cpu > 0 || vm->was_used);
+}
+
+void
+AqScheduler_Close(AqScheduler *s)
+{
+    s->is_closed = true;
+    s->roster_version++;
+}
+
 void
 AqScheduler_EncodeRoster(const AqScheduler *s, AqBuffer *out)
 {
     msgpack_packer packer;
     msgpack_packer_init(&packer, out, record_write);
-    msgpack_pack_array(&packer, AqList_Length(&s->vms));
+    size_t count = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        count += is_on_roster(s, AqList_Entry(at, Vm, link));
+    }
+    msgpack_pack_array(&packer, count);
     AqList_ForEach(at, &s->vms)
     {
         const Vm *vm = AqList_Entry(at, Vm, link);
+        if (!is_on_roster(s, vm)) {
+            continue;
+        }
         msgpack_pack_array(&packer, 2);
         record_pack_text(&packer, vm->report.id);
         record_pack_text(&packer, vm->report.address);
