Pools: empty and give back the least loaded VMs when there are too many

At the end of a turn all VMs of a pool had a few tasks left and none was idle, so the next pool's turn found no spare VM. VMs over the wanted number are now cordoned, least loaded first, and given once empty; when work waits again they serve on. One VM in reserve instead of three.

--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -770,19 +770,44 @@
 static void
 give(PoolMachines *self, size_t count)
 {
+    /* The VMs are sorted by what runs there. */
     for (guint i = 0; i < self->vms->len && count > 0; i++) {
         const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
-        if (!vm->is_usable || vm->tasks > 0 ||
-            now_of(self) - vm->idle_since < AQ_SIZING_IDLE_MS ||
+        bool is_just_idle =
+            vm->tasks == 0 &&
+            now_of(self) - vm->idle_since < AQ_SIZING_IDLE_MS;
+        if (!vm->is_usable || vm->lasting > 0 || is_just_idle ||
             find_plan(self, vm->machine) != NULL ||
             wave_book_has(self->waves, vm->machine)) {
             continue;
         }
-        ask(self, cordon(self, vm, PLAN_GIVE, "surplus"));
+        cordon(self, vm, PLAN_GIVE, "surplus");
         count--;
     }
 }
 
+/* Asks for the moves of VMs that have become empty; while work waits, those
+ * that have not serve on. */
+static void
+follow_given(PoolMachines *self, bool does_work_wait)
+{
+    AqScheduler *s = pool_owner_scheduler(self->owner);
+    GList *plans = g_hash_table_get_values(self->plans);
+    for (GList *at = plans; at != NULL; at = at->next) {
+        Plan *plan = at->data;
+        if (plan->kind != PLAN_GIVE || plan->phase != VM_CORDONED) {
+            continue;
+        }
+        if (does_work_wait) {
+            remove_plan(self, plan);
+        }
+        else if (AqScheduler_IsIdle(s, plan->vm)) {
+            ask(self, plan);
+        }
+    }
+    g_list_free(plans);
+}
+
 static void
 take(PoolMachines *self, size_t count, const char *spare)
 {
@@ -812,6 +837,9 @@
 static bool
 is_move_over(const PoolMachines *self, const Plan *plan, const char *spare)
 {
+    if (plan->kind == PLAN_GIVE && plan->phase == VM_CORDONED) {
+        return is_life_over(self, plan->vm);
+    }
     if (now_of(self) - plan->since > ASK_MS) {
         return true;
     }
@@ -841,7 +869,7 @@
 
 static void
 log_load(PoolMachines *self, const AqSizingInput *input,
-         const AqSizingDecision *decision, size_t jobs)
+         const AqSizingDecision *decision, size_t jobs, size_t idle)
 {
     if (now_of(self) < self->log_due) {
         return;
@@ -852,7 +880,7 @@
         "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
         "used_cpu=%lld ready_cpu=%lld offered_cpu=%lld room_cpu=%lld "
         "wait_ms=%lld take=%zu give=%zu",
-        self->pool, jobs, input->usable_vms, input->idle_vms,
+        self->pool, jobs, input->usable_vms, idle,
         input->lasting_vms, input->coming_vms,
         (long long)input->used_cpu_millis, (long long)input->ready_cpu_millis,
         (long long)input->offered_cpu_millis,
@@ -872,6 +900,7 @@
         return;
     }
     end_moves(self, spare);
+    follow_given(self, load.ready_cpu_millis > 0);
     AqSizingInput input = {
         .now = now,
         .used_cpu_millis = load.used_cpu_millis,
@@ -884,6 +913,7 @@
         .upkeep_vms = count_plans(self, PLAN_UPKEEP),
         .widest_spread = load.widest_spread,
     };
+    size_t idle = 0;
     for (guint i = 0; i < self->vms->len; i++) {
         const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
         if (!vm->is_usable) {
@@ -892,11 +922,10 @@
         input.usable_vms++;
         input.vm_cpu_millis = vm->cpu;
         input.lasting_vms += vm->lasting > 0;
-        input.idle_vms +=
-            vm->tasks == 0 && now - vm->idle_since >= AQ_SIZING_IDLE_MS;
+        idle += vm->tasks == 0;
     }
     AqSizing_Decide(&input, &decision);
-    log_load(self, &input, &decision, load.jobs);
+    log_load(self, &input, &decision, load.jobs, idle);
     if (decision.take > 0) {
         take(self, decision.take, spare);
     }
--- a/packages/scheduler/Include/aq_sizing.h
+++ b/packages/scheduler/Include/aq_sizing.h
@@ -25,7 +25,6 @@
     int64_t room_cpu_millis;    /* of usable VMs */
     int64_t vm_cpu_millis;      /* of one VM, typically */
     size_t usable_vms;
-    size_t idle_vms;      /* idle for AQ_SIZING_IDLE_MS */
     size_t lasting_vms;   /* with lasting tasks */
     size_t coming_vms;    /* asked for, not here yet */
     size_t upkeep_vms;    /* away for upkeep, or about to be */
@@ -34,7 +33,7 @@
 
 typedef struct {
     size_t take; /* VMs to take from the spare pool */
-    size_t give; /* idle VMs to give to it */
+    size_t give; /* VMs to give to it, once their tasks have ended */
 } AqSizingDecision;
 
 enum {
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -5,7 +5,7 @@
 enum {
     /* Room that stays free of the room in use, in hundredths. */
     RESERVE_PERCENT = 30,
-    RESERVE_VMS = 3,   /* so that a turn can begin before VMs come */
+    RESERVE_VMS = 1,   /* so that a turn can begin before VMs come */
     MOST_TAKEN = 16,   /* in one decision */
     FULL_PERCENT = 70, /* of the room: VMs are taken ahead of need */
     STUCK_MS = 800     /* a task waits although there is room */
@@ -77,8 +77,7 @@
         vms_for(input, used > offered ? used : offered) + RESERVE_VMS;
     size_t least = least_vms(input);
     size_t keep = wanted > least ? wanted : least;
-    size_t surplus = input->usable_vms > keep ? input->usable_vms - keep : 0;
-    return surplus < input->idle_vms ? surplus : input->idle_vms;
+    return input->usable_vms > keep ? input->usable_vms - keep : 0;
 }
 
 void
