--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -7,6 +7,7 @@
     RESERVE_PERCENT = 30,
     RESERVE_VMS = 1,   /* so that a turn can begin before VMs come */
     MOST_TAKEN = 16,   /* in one decision */
+    AHEAD_PERCENT = 100, /* of what is there: most that is taken ahead */
     FULL_PERCENT = 70, /* of the room: VMs are taken ahead of need */
     STUCK_MS = 800     /* a task waits although there is room */
 };
@@ -53,7 +54,10 @@
     /* What is submitted counts only once the pool fills up: a few large jobs
      * look like a lot for a moment. */
     if (need * 100 > input->room_cpu_millis * FULL_PERCENT) {
-        size_t for_offered = vms_for(input, offered_need(input) - have);
+        int64_t most = need + need * AHEAD_PERCENT / 100;
+        int64_t offered = offered_need(input);
+        size_t for_offered =
+            vms_for(input, (offered < most ? offered : most) - have);
         take = for_offered > take ? for_offered : take;
     }
     size_t vms = input->usable_vms + coming_vms;
