--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -778,7 +778,7 @@
             now_of(self) - vm->idle_since < AQ_SIZING_IDLE_MS;
         if (!vm->is_usable || vm->lasting > 0 || is_just_idle ||
             find_plan(self, vm->machine) != NULL ||
-            wave_book_has(self->waves, vm->machine)) {
+            wave_book_is_begun(self->waves, vm->machine)) {
             continue;
         }
         cordon(self, vm, PLAN_GIVE, "surplus");
@@ -822,7 +822,7 @@
         if (strcmp(machine->pool, spare) != 0 ||
             machine->state != AQ_MACHINE_UP ||
             find_plan(self, machine->machine) != NULL ||
-            wave_book_has(self->waves, machine->machine)) {
+            wave_book_is_begun(self->waves, machine->machine)) {
             continue;
         }
         AqLog_Event(AQ_LOG_INFO, "vm_taken",
