Machine duty: VMs given by one pool go straight to a pool that wants them

A VM went from pool to pool by way of the spare pool, two moves of 1.5 s: pools at the height of their turn waited 3 s for VMs that others gave. Owners now say how many VMs they want beyond the spare ones, and the machine duty sends a VM that is given away there.

--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -12,6 +12,9 @@
 
 enum {
     RETRY_MS = 250,
+    /* A VM that was sent to a pool that wants one is there after that, and
+     * the pool wants one less. */
+    UNDER_WAY_MS = 2300,
     MOST_AT_ONCE = 12 /* orders under way; the platform takes some 64 a
                        * second */
 };
@@ -30,14 +33,22 @@
     bool is_refused;
     bool is_wanted;
     AqTime retry_at;
+    char target[64]; /* where a VM that is given away goes */
 } Entry;
 
+/* A pool that would take VMs, whichever they are. */
+typedef struct {
+    size_t wanted;
+    GArray *sent; /* of AqTime: when VMs were sent there */
+} Demand;
+
 struct MachineDesk {
     NodeContext *node;
     uint64_t fence;
     PrefixView *view;
     OwnerWriter *writer;
     GPtrArray *entries;  /* of Entry */
+    GHashTable *demands; /* pool -> Demand */
     GHashTable *answers; /* pools with answers to be written */
     bool is_answering;
     AqTime answers_due;
@@ -55,6 +66,7 @@
 {
     g_ptr_array_free(desk->entries, TRUE);
     g_hash_table_destroy(desk->answers);
+    g_hash_table_destroy(desk->demands);
     free(desk);
 }
 
@@ -123,6 +135,69 @@
     }
 }
 
+static void
+free_demand(void *value)
+{
+    Demand *demand = value;
+    g_array_free(demand->sent, TRUE);
+    free(demand);
+}
+
+static Demand *
+find_demand(MachineDesk *desk, const char *pool)
+{
+    Demand *demand = g_hash_table_lookup(desk->demands, pool);
+    if (demand == NULL) {
+        demand = calloc(1, sizeof(*demand));
+        demand->sent = g_array_new(FALSE, FALSE, sizeof(AqTime));
+        g_hash_table_insert(desk->demands, g_strdup(pool), demand);
+    }
+    return demand;
+}
+
+/* VMs that a pool wants beside those under way to it. */
+static size_t
+open_demand(const MachineDesk *desk, Demand *demand)
+{
+    AqTime now = AqLoop_Now(desk->node->loop);
+    while (demand->sent->len > 0 &&
+           now - g_array_index(demand->sent, AqTime, 0) > UNDER_WAY_MS) {
+        g_array_remove_index(demand->sent, 0);
+    }
+    return demand->wanted > demand->sent->len
+               ? demand->wanted - demand->sent->len
+               : 0;
+}
+
+/* Chooses where a VM that a pool gives away goes: straight to the pool that
+ * wants the most, which saves the way through the spare pool, or there. */
+static void
+choose_target(MachineDesk *desk, Entry *entry)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    Demand *best = NULL;
+    size_t most = 0;
+    AqTime now = AqLoop_Now(desk->node->loop);
+    g_strlcpy(entry->target, entry->ask.to_pool, sizeof(entry->target));
+    if (entry->target[0] == '\0' || strcmp(entry->target, entry->pool) == 0) {
+        return; /* upkeep, or a VM that the pool takes itself */
+    }
+    g_hash_table_iter_init(&iter, desk->demands);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        size_t wanted = open_demand(desk, value);
+        if (wanted > most && strcmp(key, entry->pool) != 0) {
+            most = wanted;
+            best = value;
+            g_strlcpy(entry->target, key, sizeof(entry->target));
+        }
+    }
+    if (best != NULL) {
+        g_array_append_val(best->sent, now);
+    }
+}
+
 static void
 on_put(void *context, const AqStoreItem *item)
 {
@@ -135,6 +210,7 @@
         return;
     }
     set_unwanted(desk, pool);
+    find_demand(desk, pool)->wanted = list.wanted;
     for (size_t i = 0; i < list.count; i++) {
         Entry *entry = find_entry(desk, pool, list.fence, list.asks[i].number);
         if (entry == NULL) {
@@ -161,6 +237,7 @@
 {
     MachineDesk *desk = context;
     set_unwanted(desk, key + strlen(KEYS_ASKS));
+    find_demand(desk, key + strlen(KEYS_ASKS))->wanted = 0;
     forget_unwanted(desk);
 }
 
@@ -265,12 +342,15 @@
 static void
 give_order(MachineDesk *desk, Entry *entry)
 {
+    if (entry->target[0] == '\0') {
+        choose_target(desk, entry);
+    }
     DutyOrder order = {
         .pool = entry->pool,
         .pool_fence = entry->fence,
         .duty_fence = desk->fence,
         .machine = entry->ask.machine,
-        .to_pool = entry->ask.to_pool,
+        .to_pool = entry->target,
         .wave = entry->ask.wave,
     };
     DeskCall *call = calloc(1, sizeof(*call));
@@ -303,6 +383,8 @@
     desk->node = node;
     desk->fence = fence;
     desk->entries = g_ptr_array_new_with_free_func(free);
+    desk->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          free_demand);
     desk->answers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     desk->writer = owner_writer_create(node, MEMBER_MACHINE_DUTY, fence);
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -61,6 +61,7 @@
     AqTime log_due;
     int64_t last_ask;
     bool are_asks_changed;
+    size_t wanted; /* VMs that the spare pool does not have */
     bool is_writing_asks;
     AqTime asks_due;
     PrefixView *answers;
@@ -337,6 +338,7 @@
     gpointer value;
     const char *spare = spare_pool(self);
     list->fence = self->fence;
+    list->wanted = self->wanted;
     list->count = 0;
     g_hash_table_iter_init(&iter, self->plans);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -808,6 +810,16 @@
     g_list_free(plans);
 }
 
+static void
+set_wanted(PoolMachines *self, size_t wanted)
+{
+    if (wanted > AQ_ASKS_MAX) {
+        wanted = AQ_ASKS_MAX;
+    }
+    self->are_asks_changed = self->are_asks_changed || self->wanted != wanted;
+    self->wanted = wanted;
+}
+
 static void
 take(PoolMachines *self, size_t count, const char *spare)
 {
@@ -831,6 +843,7 @@
         ask(self, add_plan(self, machine->machine, "", PLAN_TAKE));
         count--;
     }
+    set_wanted(self, count);
 }
 
 /* Whether a move has ended: the VM has come, or gone, or will not. */
@@ -928,8 +941,10 @@
     log_load(self, &input, &decision, load.jobs, idle);
     if (decision.take > 0) {
         take(self, decision.take, spare);
+        return;
     }
-    else if (decision.give > 0) {
+    set_wanted(self, 0);
+    if (decision.give > 0) {
         give(self, decision.give);
     }
 }
--- a/packages/scheduler/Include/aq_asks.h
+++ b/packages/scheduler/Include/aq_asks.h
@@ -27,6 +27,7 @@
 
 typedef struct {
     uint64_t fence; /* of the owner that asks */
+    size_t wanted;  /* VMs it would take beside those that it names */
     AqAsk *asks;    /* owned */
     size_t count;
 } AqAskList;
--- a/packages/scheduler/asks.c
+++ b/packages/scheduler/asks.c
@@ -7,6 +7,7 @@
 #include "record_codec.h"
 
 enum {
+    LIST_FIELDS = 3,
     ASK_FIELDS = 5
 };
 
@@ -22,8 +23,9 @@
 {
     msgpack_packer packer;
     msgpack_packer_init(&packer, out, record_write);
-    msgpack_pack_array(&packer, 2);
+    msgpack_pack_array(&packer, LIST_FIELDS);
     msgpack_pack_uint64(&packer, list->fence);
+    msgpack_pack_uint64(&packer, list->wanted);
     msgpack_pack_array(&packer, list->count);
     for (size_t i = 0; i < list->count; i++) {
         const AqAsk *ask = &list->asks[i];
@@ -70,16 +72,20 @@
 decode_list(const msgpack_object *root, AqAskList *list)
 {
     int64_t fence;
-    if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 2 ||
-        !record_int(&root->via.array.ptr[0], 0, INT64_MAX, &fence)) {
+    int64_t wanted;
+    if (root->type != MSGPACK_OBJECT_ARRAY ||
+        root->via.array.size < LIST_FIELDS ||
+        !record_int(&root->via.array.ptr[0], 0, INT64_MAX, &fence) ||
+        !record_int(&root->via.array.ptr[1], 0, AQ_ASKS_MAX, &wanted)) {
         return false;
     }
-    const msgpack_object *rows = &root->via.array.ptr[1];
+    const msgpack_object *rows = &root->via.array.ptr[2];
     if (rows->type != MSGPACK_OBJECT_ARRAY ||
         rows->via.array.size > AQ_ASKS_MAX) {
         return false;
     }
     list->fence = (uint64_t)fence;
+    list->wanted = (size_t)wanted;
     list->asks = calloc(rows->via.array.size + 1, sizeof(*list->asks));
     for (uint32_t i = 0; i < rows->via.array.size; i++) {
         if (!decode_ask(&rows->via.array.ptr[i], &list->asks[i])) {
--- a/packages/scheduler/tests/test_records.c
+++ b/packages/scheduler/tests/test_records.c
@@ -167,13 +167,15 @@
     AqAsk asks[] = {{.number = 7, .machine = "m-1", .to_pool = "spare"},
                     {.number = 8, .machine = "m-2", .wave = 3,
                      .is_refused = true}};
-    AqAskList list = {.fence = 99, .asks = asks, .count = 2};
+    AqAskList list = {
+        .fence = 99, .wanted = 5, .asks = asks, .count = 2};
     AqAskList copy;
     AqBuffer bytes;
     AqBuffer_Init(&bytes);
     AqAskList_Encode(&list, &bytes);
     CU_ASSERT_TRUE_FATAL(AqAskList_Decode(bytes.bytes, bytes.size, &copy));
     CU_ASSERT_EQUAL(copy.fence, 99);
+    CU_ASSERT_EQUAL(copy.wanted, 5);
     CU_ASSERT_EQUAL(copy.count, 2);
     CU_ASSERT_STRING_EQUAL(copy.asks[0].to_pool, "spare");
     CU_ASSERT_EQUAL(copy.asks[1].wave, 3);
