--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -132,7 +132,8 @@
                         void *context);
 
 /* Gives no more orders, for a hand-over: the roster then holds only the VMs
- * that have tasks. */
+ * that have tasks, and names these, so that the next owner waits for nothing
+ * else. */
 void AqScheduler_Close(AqScheduler *scheduler);
 
 /* VMs that orders may have gone to.  They must be stored before the first
@@ -144,7 +145,7 @@
 bool AqScheduler_AddRoster(AqScheduler *scheduler, const char *bytes,
                            size_t size, AqTime now);
 
-/* The stored jobs and the roster are all added.  Nothing starts before. */
+/* The stored roster and jobs are all added.  Nothing starts before. */
 void AqScheduler_SetLoaded(AqScheduler *scheduler);
 
 /* ---- Replies ---- */
@@ -217,6 +218,7 @@
     uint64_t failed;
     uint64_t lost;    /* runs that ended with their VM or lease */
     uint64_t stalled; /* stopped for standing still */
+    uint64_t copied;  /* started beside a run on a silent VM */
     uint64_t paced;
 } AqSchedulerCounters;
 
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -90,7 +90,8 @@
     return vms_is_usable(s, vm) && vm->blocked_until <= s->now &&
            has_room(vm, spec) && has_label(vm, spec->required_label) &&
            (spec->max_per_vm == 0 ||
-            count_of_step(vm, step) < spec->max_per_vm) &&
+            (vm->foreign_cpu == 0 &&
+             count_of_step(vm, step) < spec->max_per_vm)) &&
            (!tickets || find_ticket(s, step, vm) != NULL);
 }
 
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -725,6 +725,7 @@
     s->duration_ratio = 1.0;
     s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     s->vms_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    s->handed = g_array_new(FALSE, FALSE, sizeof(HandedTask));
     AqList_Init(&s->active);
     AqList_Init(&s->dirty);
     AqList_Init(&s->vms);
@@ -749,6 +750,7 @@
         vms_free(AqList_Entry(at, Vm, link));
     }
     g_hash_table_destroy(s->vms_by_id);
+    g_array_free(s->handed, TRUE);
     free(s);
 }
 
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -109,6 +109,13 @@
     AqTime slack;
 };
 
+/* A run that the earlier owner named when it handed the pool over. */
+typedef struct {
+    char vm[AQ_VM_ID_SIZE];
+    AqTaskName task;
+    int64_t run;
+} HandedTask;
+
 /* An end that is confirmed once the change "seq" is stored. */
 typedef struct {
     int64_t number;
@@ -161,8 +168,10 @@
     AqTime now;
     int64_t wall;
     bool may_order;
+    GArray *handed; /* of HandedTask, until the jobs are loaded */
     bool is_loaded;
     bool is_closed; /* no more orders are given */
+    bool is_handed_over; /* by an earlier owner that named all its runs */
     bool is_settled;
     bool is_deposed;
     GHashTable *jobs; /* id -> Job, owns them */
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -5,6 +5,7 @@
 enum {
     /* Room that stays free of the room in use, in hundredths. */
     RESERVE_PERCENT = 30,
+    LEAST_VMS = 3, /* so that lasting tasks do not all share one VM */
     RESERVE_VMS = 1,   /* so that a turn can begin before VMs come */
     MOST_TAKEN = 16,   /* in one decision */
     AHEAD_PERCENT = 100, /* of what is there: most that is taken ahead */
@@ -18,7 +19,7 @@
     size_t spread = input->widest_spread + 1;
     size_t lasting = input->lasting_vms;
     size_t least = spread > lasting ? spread : lasting;
-    return least > RESERVE_VMS ? least : RESERVE_VMS;
+    return least > LEAST_VMS ? least : LEAST_VMS;
 }
 
 static size_t
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -48,6 +48,8 @@
  * unaware and gives orders for the rest of its lease. */
 void sim_start_owner(Sim *sim, bool is_rival);
 void sim_kill_owner(Sim *sim);
+/* Ends the owner as a graceful stop does, and starts the next one. */
+void sim_hand_over(Sim *sim);
 AqScheduler *sim_scheduler(const Sim *sim);
 /* The owner's lease is in doubt: it gives no orders. */
 void sim_set_certain(Sim *sim, bool is_certain);
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -144,6 +144,94 @@
     sim_destroy(sim);
 }
 
+/* Guards against a task that allows copies waiting for the lease of a silent
+ * VM. */
+static void
+test_copies_beside_silence(void)
+{
+    Sim *sim = sim_create(13);
+    AqJobSpec spec = {.step_count = 1};
+    g_strlcpy(spec.id, "a1", sizeof(spec.id));
+    spec.steps = calloc(1, sizeof(*spec.steps));
+    spec.steps[0] = (AqStepSpec){.task_count = 4,
+                                 .cpu_millis = 8000,
+                                 .memory_mb = 100,
+                                 .estimate_ms = 1000,
+                                 .allows_copies = true};
+    sim_add_job(sim, &spec);
+    sim_run(sim, 300);
+    unsigned vm = 0;
+    while (sim_count_runs(sim, vm, "a1") == 0) {
+        vm++;
+    }
+    sim_silence_vm(sim, vm, 20000);
+    CU_ASSERT_TRUE(sim_finish(sim, 4000));
+    CU_ASSERT_TRUE(AqScheduler_Counters(sim_scheduler(sim))->copied > 0);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against a new owner that waits for the old life of a VM which an
+ * order has ended. */
+static void
+test_ended_vm_is_not_awaited(void)
+{
+    Sim *sim = sim_create(14);
+    sim_run(sim, 500);
+    AqScheduler_VmEnded(sim_scheduler(sim), sim_vm_id(sim, 0), sim_now(sim));
+    sim_silence_vm(sim, 0, 20000);
+    sim_run(sim, 200);
+    sim_add_simple(sim, "a1", 1, 4, 1000, 200);
+    sim_kill_owner(sim);
+    sim_start_owner(sim, false);
+    CU_ASSERT_TRUE(sim_finish(sim, 1500));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against a hand-over after which tasks wait for a silent VM that does
+ * not run them: the earlier owner has said what runs where. */
+static void
+test_hand_over_is_exact(void)
+{
+    Sim *sim = sim_create(16);
+    sim_add_simple(sim, "a1", 1, 8, 8000, 6000);
+    sim_add_simple(sim, "a2", 1, 20, 8000, 500);
+    sim_run(sim, 300);
+    unsigned vm = 0;
+    while (sim_count_runs(sim, vm, "a1") == 0) {
+        vm++;
+    }
+    sim_silence_vm(sim, vm, 20000);
+    sim_hand_over(sim);
+    sim_run(sim, 3000);
+    CU_ASSERT_EQUAL(sim_stage(sim, "a2"), AQ_STAGE_COMPLETED);
+    CU_ASSERT_EQUAL(sim_runs(sim, "a2"), 20);
+    CU_ASSERT_TRUE(sim_finish(sim, 30000));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
+/* Guards against jobs that come after a takeover waiting for a silent VM,
+ * which can't run them. */
+static void
+test_new_jobs_start_at_once(void)
+{
+    Sim *sim = sim_create(15);
+    sim_add_simple(sim, "a1", 1, 8, 8000, 4000);
+    sim_run(sim, 500);
+    sim_silence_vm(sim, 0, 20000);
+    sim_kill_owner(sim);
+    sim_start_owner(sim, false);
+    sim_run(sim, 100);
+    sim_add_simple(sim, "a2", 1, 4, 500, 300);
+    sim_run(sim, 1500);
+    CU_ASSERT_EQUAL(sim_stage(sim, "a2"), AQ_STAGE_COMPLETED);
+    CU_ASSERT_TRUE(sim_finish(sim, 30000));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
 /* Guards against work of a cancelled job that goes on. */
 static void
 test_cancel_stops(void)
@@ -314,6 +402,10 @@
         {"unaware_rival", test_unaware_rival},
         {"stalled_vm", test_stalled_vm},
         {"crash_restarts_at_once", test_crash_restarts_at_once},
+        {"copies_beside_silence", test_copies_beside_silence},
+        {"ended_vm_is_not_awaited", test_ended_vm_is_not_awaited},
+        {"new_jobs_start_at_once", test_new_jobs_start_at_once},
+        {"hand_over_is_exact", test_hand_over_is_exact},
         {"cancel_stops", test_cancel_stops},
         {"uncertain_owner_is_quiet", test_uncertain_owner_is_quiet},
         {"lasting_moves_one_by_one", test_lasting_moves_one_by_one},
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -13,12 +13,14 @@
     /* Ends that are not stored yet would be listed again at once. */
     UNSTORED_WAIT_MS = 200,
     SILENT_RETRY_MS = 300,
+    COPY_AFTER_MS = 700, /* one answer may be lost, not those of two holds */
     /* An entry that lapsed while the store was away is back after about 2 s;
      * one that is still missing is gone. */
     UNLISTED_GRACE_MS = 2200,
     UNLISTED_FORGET_MS = 10000,
     FOREIGN_GRACE_MS = 3000, /* for the job of an unknown run to be seen */
     LAPSE_MARGIN_MS = 100,
+    TASK_FIELDS = 5, /* of a task in the roster */
     BAD_ENDS = 3, /* in a row, of different tasks: the VM is at fault */
     QUARANTINE_MS = 3000
 };
@@ -137,6 +139,27 @@
     }
 }
 
+/* Tasks that allow copies start elsewhere at once: the run on a silent VM may
+ * go on beside the new one. */
+static void
+copy_tasks(AqScheduler *s, Vm *vm)
+{
+    AqList_ForEachSafe(at, after, &vm->tasks)
+    {
+        Task *task = AqList_Entry(at, Task, link);
+        const AqStepSpec *spec = task->step->spec;
+        if (!spec->allows_copies || task->state != TASK_RUNNING) {
+            continue;
+        }
+        s->counters.copied++;
+        /* The run takes room there until the VM no longer lists it. */
+        vm->foreign_cpu += spec->cpu_millis;
+        vm->foreign_memory += spec->memory_mb;
+        g_strlcpy(task->avoid, vm->report.id, sizeof(task->avoid));
+        scheduler_task_again(s, task);
+    }
+}
+
 void
 vms_not_heard(AqScheduler *s, Vm *vm)
 {
@@ -195,7 +218,13 @@
 static void
 check_silence(AqScheduler *s, Vm *vm)
 {
-    if (vm->silent_since == AQ_TIME_NEVER || !has_lapsed(s, vm)) {
+    if (vm->silent_since == AQ_TIME_NEVER) {
+        return;
+    }
+    if (s->now - vm->silent_since > COPY_AFTER_MS) {
+        copy_tasks(s, vm);
+    }
+    if (!has_lapsed(s, vm)) {
         return;
     }
     vm->was_used = false;
@@ -277,12 +306,6 @@
     s->place_again = true;
 }
 
-void
-AqScheduler_SetLoaded(AqScheduler *s)
-{
-    s->is_loaded = true;
-}
-
 static AqTime
 tick_vm(AqScheduler *s, Vm *vm)
 {
@@ -446,16 +469,38 @@
     s->roster_version++;
 }
 
+static void
+pack_tasks(msgpack_packer *pk, const Vm *vm)
+{
+    msgpack_pack_array(pk, vm->task_count);
+    AqList_ForEach(at, &vm->tasks)
+    {
+        const Task *task = AqList_Entry(at, Task, link);
+        AqTaskName name;
+        scheduler_name_task(task, &name);
+        msgpack_pack_array(pk, TASK_FIELDS);
+        record_pack_text(pk, name.job);
+        msgpack_pack_uint32(pk, name.occurrence);
+        msgpack_pack_uint32(pk, name.step);
+        msgpack_pack_uint32(pk, name.index);
+        msgpack_pack_int64(pk, task->run);
+    }
+}
+
+/* The stored form: [is_handed_over, [[id, address, [[job, occurrence, step,
+ * task, run] ...]] ...]].  Only a hand-over names the tasks. */
 void
 AqScheduler_EncodeRoster(const AqScheduler *s, AqBuffer *out)
 {
     msgpack_packer packer;
-    msgpack_packer_init(&packer, out, record_write);
     size_t count = 0;
+    msgpack_packer_init(&packer, out, record_write);
     AqList_ForEach(at, &s->vms)
     {
         count += is_on_roster(s, AqList_Entry(at, Vm, link));
     }
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, s->is_closed && s->is_settled);
     msgpack_pack_array(&packer, count);
     AqList_ForEach(at, &s->vms)
     {
@@ -463,9 +508,15 @@
         if (!is_on_roster(s, vm)) {
             continue;
         }
-        msgpack_pack_array(&packer, 2);
+        msgpack_pack_array(&packer, 3);
         record_pack_text(&packer, vm->report.id);
         record_pack_text(&packer, vm->report.address);
+        if (s->is_closed) {
+            pack_tasks(&packer, vm);
+        }
+        else {
+            msgpack_pack_array(&packer, 0);
+        }
     }
 }
 
@@ -484,25 +535,62 @@
 }
 
 static bool
-add_roster_entry(AqScheduler *s, const msgpack_object *row)
+add_handed_task(AqScheduler *s, const Vm *vm, const msgpack_object *row)
+{
+    HandedTask handed = {0};
+    char *job = NULL;
+    int64_t numbers[TASK_FIELDS];
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
+              row->via.array.size >= TASK_FIELDS &&
+              record_text(&row->via.array.ptr[0], &job) && job != NULL;
+    for (int i = 1; ok && i < TASK_FIELDS; i++) {
+        ok = record_int(&row->via.array.ptr[i], 0, INT64_MAX, &numbers[i]);
+    }
+    if (ok) {
+        g_strlcpy(handed.vm, vm->report.id, sizeof(handed.vm));
+        g_strlcpy(handed.task.job, job, sizeof(handed.task.job));
+        handed.task.occurrence = (uint32_t)numbers[1];
+        handed.task.step = (uint32_t)numbers[2];
+        handed.task.index = (uint32_t)numbers[3];
+        handed.run = numbers[4];
+        g_array_append_val(s->handed, handed);
+    }
+    free(job);
+    return ok;
+}
+
+static Vm *
+add_roster_vm(AqScheduler *s, const char *id, const char *address)
 {
     AqVmReport report = {.leaves_ms = -1};
+    g_strlcpy(report.id, id, sizeof(report.id));
+    g_strlcpy(report.address, address, sizeof(report.address));
+    Vm *vm = vms_find(s, id);
+    if (vm == NULL) {
+        vm = add_vm(s, &report);
+        vm->unlisted_at = s->now;
+    }
+    vm->was_used = true;
+    return vm;
+}
+
+static bool
+add_roster_entry(AqScheduler *s, const msgpack_object *row)
+{
     char *id = NULL;
     char *address = NULL;
-    bool ok = row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= 2 &&
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
+              row->via.array.size >= 3 &&
               record_text(&row->via.array.ptr[0], &id) && id != NULL &&
               record_text(&row->via.array.ptr[1], &address) &&
-              address != NULL && strlen(id) < sizeof(report.id) &&
-              strlen(address) < sizeof(report.address);
+              address != NULL && strlen(id) < AQ_VM_ID_SIZE &&
+              row->via.array.ptr[2].type == MSGPACK_OBJECT_ARRAY;
     if (ok) {
-        g_strlcpy(report.id, id, sizeof(report.id));
-        g_strlcpy(report.address, address, sizeof(report.address));
-        Vm *vm = vms_find(s, id);
-        if (vm == NULL) {
-            vm = add_vm(s, &report);
-            vm->unlisted_at = s->now;
+        const Vm *vm = add_roster_vm(s, id, address);
+        const msgpack_object_array *tasks = &row->via.array.ptr[2].via.array;
+        for (uint32_t i = 0; ok && i < tasks->size; i++) {
+            ok = add_handed_task(s, vm, &tasks->ptr[i]);
         }
-        vm->was_used = true;
     }
     free(id);
     free(address);
@@ -515,18 +603,56 @@
 {
     msgpack_unpacked unpacked;
     size_t offset = 0;
+    int64_t is_handed_over = 0;
     s->now = now;
     msgpack_unpacked_init(&unpacked);
+    const msgpack_object *root = &unpacked.data;
     bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
                   MSGPACK_UNPACK_SUCCESS &&
-              unpacked.data.type == MSGPACK_OBJECT_ARRAY;
-    for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++) {
-        ok = add_roster_entry(s, &unpacked.data.via.array.ptr[i]);
+              root->type == MSGPACK_OBJECT_ARRAY &&
+              root->via.array.size >= 2 &&
+              record_int(&root->via.array.ptr[0], 0, 1, &is_handed_over) &&
+              root->via.array.ptr[1].type == MSGPACK_OBJECT_ARRAY;
+    if (ok) {
+        const msgpack_object_array *rows = &root->via.array.ptr[1].via.array;
+        for (uint32_t i = 0; ok && i < rows->size; i++) {
+            ok = add_roster_entry(s, &rows->ptr[i]);
+        }
+        s->is_handed_over = ok && is_handed_over != 0;
     }
     msgpack_unpacked_destroy(&unpacked);
     return ok;
 }
 
+/* Takes the runs over that the earlier owner has named; nothing else of its
+ * can be alive, so the rest may start at once. */
+static void
+take_handed_tasks(AqScheduler *s)
+{
+    for (guint i = 0; i < s->handed->len && s->is_handed_over; i++) {
+        const HandedTask *handed =
+            &g_array_index(s->handed, HandedTask, i);
+        Task *task = scheduler_find_task(s, &handed->task);
+        Vm *vm = vms_find(s, handed->vm);
+        if (task != NULL && vm != NULL && task->state == TASK_READY) {
+            task->step->ready--;
+            vms_attach(s, vm, task);
+            task->run = handed->run;
+            task->state = TASK_RUNNING;
+            task->progress_at = s->now;
+        }
+    }
+    s->is_settled = s->is_settled || s->is_handed_over;
+    g_array_set_size(s->handed, 0);
+}
+
+void
+AqScheduler_SetLoaded(AqScheduler *s)
+{
+    s->is_loaded = true;
+    take_handed_tasks(s);
+}
+
 /* ---- Ends ----------------------------------------------------------------
  */
 
