--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -383,8 +383,8 @@
     desk->node = node;
     desk->fence = fence;
     desk->entries = g_ptr_array_new_with_free_func(free);
-    desk->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                          free_demand);
+    desk->demands =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_demand);
     desk->answers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     desk->writer = owner_writer_create(node, MEMBER_MACHINE_DUTY, fence);
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -775,9 +775,8 @@
     /* The VMs are sorted by what runs there. */
     for (guint i = 0; i < self->vms->len && count > 0; i++) {
         const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
-        bool is_just_idle =
-            vm->tasks == 0 &&
-            now_of(self) - vm->idle_since < AQ_SIZING_IDLE_MS;
+        bool is_just_idle = vm->tasks == 0 &&
+                            now_of(self) - vm->idle_since < AQ_SIZING_IDLE_MS;
         if (!vm->is_usable || vm->lasting > 0 || is_just_idle ||
             find_plan(self, vm->machine) != NULL ||
             wave_book_is_begun(self->waves, vm->machine)) {
@@ -888,17 +887,17 @@
         return;
     }
     self->log_due = now_of(self) + LOG_EVERY_MS;
-    AqLog_Event(
-        AQ_LOG_INFO, "pool_load",
-        "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
-        "used_cpu=%lld ready_cpu=%lld offered_cpu=%lld room_cpu=%lld "
-        "wait_ms=%lld take=%zu give=%zu",
-        self->pool, jobs, input->usable_vms, idle,
-        input->lasting_vms, input->coming_vms,
-        (long long)input->used_cpu_millis, (long long)input->ready_cpu_millis,
-        (long long)input->offered_cpu_millis,
-        (long long)input->room_cpu_millis, (long long)input->longest_wait_ms,
-        decision->take, decision->give);
+    AqLog_Event(AQ_LOG_INFO, "pool_load",
+                "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
+                "used_cpu=%lld ready_cpu=%lld offered_cpu=%lld room_cpu=%lld "
+                "wait_ms=%lld take=%zu give=%zu",
+                self->pool, jobs, input->usable_vms, idle, input->lasting_vms,
+                input->coming_vms, (long long)input->used_cpu_millis,
+                (long long)input->ready_cpu_millis,
+                (long long)input->offered_cpu_millis,
+                (long long)input->room_cpu_millis,
+                (long long)input->longest_wait_ms, decision->take,
+                decision->give);
 }
 
 static void
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -389,6 +389,22 @@
     task->started_at = 0; /* not known: no measurement of its duration */
 }
 
+/* A run that takes room and is not a task's of ours.  Of an unknown job it may
+ * take all. */
+static void
+count_foreign(Vm *vm, const Job *job, uint32_t step)
+{
+    if (job == NULL || step >= job->spec.step_count) {
+        vm->foreign_cpu += vm->report.cpu_millis;
+        vm->foreign_memory += vm->report.memory_mb;
+        return;
+    }
+    const AqStepSpec *spec = &job->spec.steps[step];
+    /* Never 0: the VM is not idle. */
+    vm->foreign_cpu += spec->is_filler ? 1 : spec->cpu_millis + 1;
+    vm->foreign_memory += spec->memory_mb;
+}
+
 static void
 take_run(AqScheduler *s, Vm *vm, const AqRunningTask *row)
 {
@@ -402,9 +418,7 @@
             task->seen_in = vm->holds;
             return; /* its stop is under way */
         }
-        bool takes_cpu = task != NULL && !task->step->spec->is_filler;
-        vm->foreign_cpu += takes_cpu ? task->step->spec->cpu_millis : 1;
-        vm->foreign_memory += task != NULL ? task->step->spec->memory_mb : 0;
+        count_foreign(vm, job, row->task.step);
         if (job != NULL || vms_is_foreign_old(s, vm)) {
             stop_stray(s, vm, &row->task, row->run);
         }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -170,7 +170,7 @@
     bool may_order;
     GArray *handed; /* of HandedTask, until the jobs are loaded */
     bool is_loaded;
-    bool is_closed; /* no more orders are given */
+    bool is_closed;      /* no more orders are given */
     bool is_handed_over; /* by an earlier owner that named all its runs */
     bool is_settled;
     bool is_deposed;
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -5,12 +5,12 @@
 enum {
     /* Room that stays free of the room in use, in hundredths. */
     RESERVE_PERCENT = 30,
-    LEAST_VMS = 3, /* so that lasting tasks do not all share one VM */
-    RESERVE_VMS = 1,   /* so that a turn can begin before VMs come */
-    MOST_TAKEN = 16,   /* in one decision */
+    LEAST_VMS = 3,       /* so that lasting tasks do not all share one VM */
+    RESERVE_VMS = 1,     /* so that a turn can begin before VMs come */
+    MOST_TAKEN = 16,     /* in one decision */
     AHEAD_PERCENT = 100, /* of what is there: most that is taken ahead */
-    FULL_PERCENT = 70, /* of the room: VMs are taken ahead of need */
-    STUCK_MS = 800     /* a task waits although there is room */
+    FULL_PERCENT = 70,   /* of the room: VMs are taken ahead of need */
+    STUCK_MS = 800       /* a task waits although there is room */
 };
 
 static size_t
--- a/packages/scheduler/tests/test_records.c
+++ b/packages/scheduler/tests/test_records.c
@@ -9,7 +9,8 @@
 #include "aq_site_config.h"
 #include "aq_waves.h"
 
-/* ---- Jobs ---------------------------------------------------------------- */
+/* ---- Jobs ----------------------------------------------------------------
+ */
 
 static void
 fill_job(AqJobSpec *spec)
@@ -141,16 +142,19 @@
 static void
 test_damaged_stage(void)
 {
-    static const char *const cases[] = {"", "\x94", "\x94\x01", "\x93\x01\x02\x00",
+    static const char *const cases[] = {"",
+                                        "\x94",
+                                        "\x94\x01",
+                                        "\x93\x01\x02\x00",
                                         "\x94\x02\x02\x00\x90",
-                                        "\x94\x01\x09\x00\x90", "completed"};
+                                        "\x94\x01\x09\x00\x90",
+                                        "completed"};
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         AqJobStage stage;
         AqError error;
-        size_t size = i == 3 || i == 4 || i == 5 ? i == 3 ? 4 : 5
-                                                 : strlen(cases[i]);
-        CU_ASSERT_FALSE(
-            AqScheduler_ReadStage(cases[i], size, &stage, &error));
+        size_t size =
+            i == 3 || i == 4 || i == 5 ? i == 3 ? 4 : 5 : strlen(cases[i]);
+        CU_ASSERT_FALSE(AqScheduler_ReadStage(cases[i], size, &stage, &error));
     }
     AqJobStage stage;
     CU_ASSERT_TRUE(
@@ -158,17 +162,17 @@
     CU_ASSERT_EQUAL(stage, AQ_STAGE_COMPLETED);
 }
 
-/* ---- Asks ---------------------------------------------------------------- */
+/* ---- Asks ----------------------------------------------------------------
+ */
 
 /* Guards against asks that change on their way, and damaged lists. */
 static void
 test_asks(void)
 {
-    AqAsk asks[] = {{.number = 7, .machine = "m-1", .to_pool = "spare"},
-                    {.number = 8, .machine = "m-2", .wave = 3,
-                     .is_refused = true}};
-    AqAskList list = {
-        .fence = 99, .wanted = 5, .asks = asks, .count = 2};
+    AqAsk asks[] = {
+        {.number = 7, .machine = "m-1", .to_pool = "spare"},
+        {.number = 8, .machine = "m-2", .wave = 3, .is_refused = true}};
+    AqAskList list = {.fence = 99, .wanted = 5, .asks = asks, .count = 2};
     AqAskList copy;
     AqBuffer bytes;
     AqBuffer_Init(&bytes);
@@ -187,7 +191,8 @@
     AqBuffer_Clear(&bytes);
 }
 
-/* ---- Queues -------------------------------------------------------------- */
+/* ---- Queues --------------------------------------------------------------
+ */
 
 /* Guards against a request that goes to a queue with a shorter prefix, or to
  * another host's. */
@@ -210,9 +215,12 @@
         const char *path;
         const char *name;
     } cases[] = {
-        {"one.example", "/x/1", "a"},       {"one.example", "/x/y/1", "b"},
-        {"ONE.example:80", "/x/1", "a"},    {"two.example", "/x/y/1", "c"},
-        {"one.example.org", "/x/1", NULL},  {"one.example", "/z/1", NULL},
+        {"one.example", "/x/1", "a"},
+        {"one.example", "/x/y/1", "b"},
+        {"ONE.example:80", "/x/1", "a"},
+        {"two.example", "/x/y/1", "c"},
+        {"one.example.org", "/x/1", NULL},
+        {"one.example", "/z/1", NULL},
         {"", "/x/1", NULL},
     };
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
@@ -225,7 +233,8 @@
     }
 }
 
-/* ---- Waves --------------------------------------------------------------- */
+/* ---- Waves ---------------------------------------------------------------
+ */
 
 static AqWave *
 make_wave(uint32_t cap, AqTime within_ms)
@@ -293,11 +302,11 @@
         size_t pool;
         size_t parallel;
     } cases[] = {
-        {0, 4, 12, 2},      /* 20 s: three rounds, one in reserve */
-        {0, 1, 12, 1},      /* one VM needs no hurry */
-        {12000, 4, 12, 4},  /* 8 s left: all that the pool can spare */
-        {19000, 4, 9, 3},   /* late: a third of the pool, no more */
-        {19000, 4, 2, 1},   /* a tiny pool still goes on */
+        {0, 4, 12, 2},     /* 20 s: three rounds, one in reserve */
+        {0, 1, 12, 1},     /* one VM needs no hurry */
+        {12000, 4, 12, 4}, /* 8 s left: all that the pool can spare */
+        {19000, 4, 9, 3},  /* late: a third of the pool, no more */
+        {19000, 4, 2, 1},  /* a tiny pool still goes on */
     };
     AqWave *wave = make_wave(4, 20000);
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -21,7 +21,7 @@
     FOREIGN_GRACE_MS = 3000, /* for the job of an unknown run to be seen */
     LAPSE_MARGIN_MS = 100,
     TASK_FIELDS = 5, /* of a task in the roster */
-    BAD_ENDS = 3, /* in a row, of different tasks: the VM is at fault */
+    BAD_ENDS = 3,    /* in a row, of different tasks: the VM is at fault */
     QUARANTINE_MS = 3000
 };
 
@@ -111,8 +111,7 @@
     bool is_present =
         vm->is_listed || s->now - vm->unlisted_at < UNLISTED_GRACE_MS;
     return is_present && !vm->has_ended && vm->has_answered &&
-           vm->is_enrolled &&
-           !vm->is_cordoned && !vm->report.is_draining &&
+           vm->is_enrolled && !vm->is_cordoned && !vm->report.is_draining &&
            vm->silent_since == AQ_TIME_NEVER &&
            vm->quarantined_until <= s->now;
 }
@@ -126,6 +125,11 @@
     if (reply->clock_ms < 0) {
         return;
     }
+    if (vm->clock_ms < 0) {
+        /* An earlier owner may have granted that much just before our fence
+         * reached the VM. */
+        vm->deadline_ms = reply->clock_ms + s->config.lease_ms;
+    }
     vm->clock_ms = reply->clock_ms;
     vm->clock_at = s->now;
     if (vm->silent_since != AQ_TIME_NEVER) {
@@ -579,8 +583,7 @@
 {
     char *id = NULL;
     char *address = NULL;
-    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
-              row->via.array.size >= 3 &&
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= 3 &&
               record_text(&row->via.array.ptr[0], &id) && id != NULL &&
               record_text(&row->via.array.ptr[1], &address) &&
               address != NULL && strlen(id) < AQ_VM_ID_SIZE &&
@@ -630,8 +633,7 @@
 take_handed_tasks(AqScheduler *s)
 {
     for (guint i = 0; i < s->handed->len && s->is_handed_over; i++) {
-        const HandedTask *handed =
-            &g_array_index(s->handed, HandedTask, i);
+        const HandedTask *handed = &g_array_index(s->handed, HandedTask, i);
         Task *task = scheduler_find_task(s, &handed->task);
         Vm *vm = vms_find(s, handed->vm);
         if (task != NULL && vm != NULL && task->state == TASK_READY) {
