--- a/packages/base/Include/aq_metrics.h
+++ b/packages/base/Include/aq_metrics.h
@@ -20,6 +20,11 @@
 AqMetric *AqMetrics_Gauge(AqMetrics *metrics, const char *name,
                           const char *labels);
 
+/* A histogram of milliseconds, with fixed bounds from 1 ms to 10 s. */
+AqMetric *AqMetrics_Histogram(AqMetrics *metrics, const char *name,
+                              const char *labels);
+void AqMetric_Observe(AqMetric *metric, int64_t ms);
+
 void AqMetric_Add(AqMetric *metric, int64_t amount);
 void AqMetric_Set(AqMetric *metric, int64_t value);
 int64_t AqMetric_Value(const AqMetric *metric);
--- a/packages/base/metrics.c
+++ b/packages/base/metrics.c
@@ -6,12 +6,28 @@
 
 #include "aq_list.h"
 
+/* Upper bounds of the buckets of a histogram, ms. */
+static const int64_t bounds[] = {1,   2,   5,    10,   20,   50,   100,
+                                 200, 500, 1000, 2000, 5000, 10000};
+
+enum {
+    BOUNDS = sizeof(bounds) / sizeof(bounds[0])
+};
+
+typedef enum {
+    METRIC_COUNTER,
+    METRIC_GAUGE,
+    METRIC_HISTOGRAM
+} MetricKind;
+
 struct AqMetric {
     AqLink link;
     char *name;
     char *labels;
-    bool is_counter;
-    int64_t value;
+    MetricKind kind;
+    int64_t value;           /* of a histogram: the sum */
+    int64_t counts[BOUNDS];  /* in each bucket, not cumulative */
+    int64_t count;           /* of all observations */
 };
 
 struct AqMetrics {
@@ -44,7 +60,7 @@
 
 static AqMetric *
 find_or_create(AqMetrics *metrics, const char *name, const char *labels,
-               bool is_counter)
+               MetricKind kind)
 {
     AqList_ForEach(at, &metrics->metrics)
     {
@@ -57,7 +73,7 @@
     AqMetric *metric = calloc(1, sizeof(*metric));
     metric->name = strdup(name);
     metric->labels = strdup(labels);
-    metric->is_counter = is_counter;
+    metric->kind = kind;
     AqList_Append(&metrics->metrics, &metric->link);
     return metric;
 }
@@ -65,13 +81,32 @@
 AqMetric *
 AqMetrics_Counter(AqMetrics *metrics, const char *name, const char *labels)
 {
-    return find_or_create(metrics, name, labels, true);
+    return find_or_create(metrics, name, labels, METRIC_COUNTER);
 }
 
 AqMetric *
 AqMetrics_Gauge(AqMetrics *metrics, const char *name, const char *labels)
 {
-    return find_or_create(metrics, name, labels, false);
+    return find_or_create(metrics, name, labels, METRIC_GAUGE);
+}
+
+AqMetric *
+AqMetrics_Histogram(AqMetrics *metrics, const char *name, const char *labels)
+{
+    return find_or_create(metrics, name, labels, METRIC_HISTOGRAM);
+}
+
+void
+AqMetric_Observe(AqMetric *metric, int64_t ms)
+{
+    metric->value += ms;
+    metric->count++;
+    for (int i = 0; i < BOUNDS; i++) {
+        if (ms <= bounds[i]) {
+            metric->counts[i]++;
+            return;
+        }
+    }
 }
 
 void
@@ -110,19 +145,41 @@
     return false;
 }
 
+static void
+write_histogram(const AqMetric *metric, AqBuffer *out)
+{
+    int64_t below = 0;
+    const char *comma = metric->labels[0] != '\0' ? "," : "";
+    for (int i = 0; i < BOUNDS; i++) {
+        below += metric->counts[i];
+        AqBuffer_Printf(out, "%s_bucket{%s%sle=\"%lld\"} %lld\n",
+                        metric->name, metric->labels, comma,
+                        (long long)bounds[i], (long long)below);
+    }
+    AqBuffer_Printf(out, "%s_bucket{%s%sle=\"+Inf\"} %lld\n", metric->name,
+                    metric->labels, comma, (long long)metric->count);
+    AqBuffer_Printf(out, "%s_sum{%s} %lld\n%s_count{%s} %lld\n",
+                    metric->name, metric->labels, (long long)metric->value,
+                    metric->name, metric->labels, (long long)metric->count);
+}
+
 void
 AqMetrics_Write(const AqMetrics *metrics, AqBuffer *out)
 {
+    static const char *const kinds[] = {"counter", "gauge", "histogram"};
     AqList_ForEach(at, &metrics->metrics)
     {
         const AqMetric *metric = AqList_Entry(at, AqMetric, link);
         if (!is_type_written(metrics, metric)) {
             AqBuffer_Printf(out, "# TYPE %s %s\n", metric->name,
-                            metric->is_counter ? "counter" : "gauge");
+                            kinds[metric->kind]);
         }
-        if (metric->labels[0] != '\0') {
-            AqBuffer_Printf(out, "%s{%s} %lld\n", metric->name, metric->labels,
-                            (long long)metric->value);
+        if (metric->kind == METRIC_HISTOGRAM) {
+            write_histogram(metric, out);
+        }
+        else if (metric->labels[0] != '\0') {
+            AqBuffer_Printf(out, "%s{%s} %lld\n", metric->name,
+                            metric->labels, (long long)metric->value);
         }
         else {
             AqBuffer_Printf(out, "%s %lld\n", metric->name,
--- /dev/null
+++ b/packages/pool/forwarder.c
@@ -0,0 +1,141 @@
+#include "forwarder.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+
+enum {
+    LEAST_MS = 300, /* less time than that is not enough for a second node */
+    RESERVE_MS = 150,
+    CONNECT_MS = 250,
+    PAUSE_MS = 500, /* after a peer that could not help either */
+    MAX_ANSWER = 65536
+};
+
+static const char mark[] = "Aq-Forwarded";
+
+struct Forwarder {
+    NodeContext *node;
+    ForwarderOps ops;
+    void *context;
+    AqTime pause_until;
+};
+
+typedef struct {
+    Forwarder *forwarder;
+    AqExchange *exchange;
+    char peer[32];
+    AqTime sent_at;
+    bool is_read; /* it can be asked again without harm */
+} Forward;
+
+static void
+respond(const Forward *forward, int status, const char *body, size_t size)
+{
+    AqHttpHeader headers[] = {{"Content-Type", "application/json"},
+                              {"Retry-After", "1"}};
+    bool may_retry = status == 429 || status == 503;
+    AqLog_Event(status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "forwarded",
+                "path=%s method=%s peer=%s status=%d took_ms=%lld",
+                AqLog_Quote(AqExchange_Path(forward->exchange)),
+                AqExchange_Method(forward->exchange), forward->peer, status,
+                (long long)(AqLoop_Now(forward->forwarder->node->loop) -
+                            forward->sent_at));
+    AqExchange_Respond(forward->exchange, status, headers, may_retry ? 2 : 1,
+                       body, size);
+}
+
+static void
+on_answer(void *context, const AqHttpReply *reply)
+{
+    static const char unavailable[] =
+        "{\"error\":\"the store can't be reached; come back later\"}";
+    static const char unknown[] =
+        "{\"error\":\"the outcome is not known; ask again with the same "
+        "id\"}";
+    Forward *forward = context;
+    Forwarder *forwarder = forward->forwarder;
+    bool is_whole = reply->result == AQ_HTTP_DONE;
+    if (!is_whole || reply->status == 503) {
+        forwarder->pause_until =
+            AqLoop_Now(forwarder->node->loop) + PAUSE_MS;
+    }
+    if (is_whole) {
+        respond(forward, reply->status, reply->body, reply->size);
+    }
+    else if (reply->result == AQ_HTTP_NOT_SENT || forward->is_read) {
+        respond(forward, 503, unavailable, sizeof(unavailable) - 1);
+    }
+    else {
+        respond(forward, 504, unknown, sizeof(unknown) - 1);
+    }
+    free(forward);
+}
+
+static bool
+may_forward(const Forwarder *forwarder, const AqExchange *exchange,
+            AqTime deadline)
+{
+    AqTime now = AqLoop_Now(forwarder->node->loop);
+    return AqExchange_Header(exchange, mark) == NULL &&
+           forwarder->pause_until <= now && deadline - now > LEAST_MS;
+}
+
+bool
+forwarder_send(Forwarder *forwarder, AqExchange *exchange, AqTime deadline)
+{
+    const char *peer = forwarder->ops.peer(forwarder->context);
+    const char *host = AqExchange_Header(exchange, "Host");
+    size_t size;
+    if (peer == NULL || host == NULL ||
+        !may_forward(forwarder, exchange, deadline)) {
+        return false;
+    }
+    Forward *forward = calloc(1, sizeof(*forward));
+    forward->forwarder = forwarder;
+    forward->exchange = exchange;
+    forward->sent_at = AqLoop_Now(forwarder->node->loop);
+    forward->is_read = strcmp(AqExchange_Method(exchange), "GET") == 0;
+    g_strlcpy(forward->peer, peer, sizeof(forward->peer));
+    char *url =
+        g_strdup_printf("http://%s%s", peer, AqExchange_Path(exchange));
+    char *host_line = g_strdup_printf("Host: %s", host);
+    char *mark_line = g_strdup_printf("%s: 1", mark);
+    const char *headers[] = {host_line, mark_line,
+                             "Content-Type: application/json", NULL};
+    const char *body = AqExchange_Body(exchange, &size);
+    AqHttpRequest request = {
+        .method = AqExchange_Method(exchange),
+        .url = url,
+        .headers = headers,
+        .body = body,
+        .size = size,
+        .has_body = size > 0,
+        .timeout_ms = deadline - forward->sent_at - RESERVE_MS,
+        .connect_timeout_ms = CONNECT_MS,
+        .max_answer = MAX_ANSWER,
+    };
+    AqHttpClient_Start(forwarder->node->http, &request, on_answer, forward);
+    g_free(url);
+    g_free(host_line);
+    g_free(mark_line);
+    return true;
+}
+
+Forwarder *
+forwarder_create(NodeContext *node, const ForwarderOps *ops, void *context)
+{
+    Forwarder *forwarder = calloc(1, sizeof(*forwarder));
+    forwarder->node = node;
+    forwarder->ops = *ops;
+    forwarder->context = context;
+    return forwarder;
+}
+
+void
+forwarder_destroy(Forwarder *forwarder)
+{
+    free(forwarder);
+}
--- /dev/null
+++ b/packages/pool/forwarder.h
@@ -0,0 +1,27 @@
+#ifndef FORWARDER_H
+#define FORWARDER_H
+
+#include "aq_http_server.h"
+#include "node.h"
+
+/* Hands a caller's request to another node, for a node that the store turns
+ * away while it serves others.  A request is handed on once at most. */
+
+typedef struct Forwarder Forwarder;
+
+typedef struct {
+    /* "IP:port" where another node takes callers, or NULL.  Borrowed. */
+    const char *(*peer)(void *context);
+} ForwarderOps;
+
+Forwarder *forwarder_create(NodeContext *node, const ForwarderOps *ops,
+                            void *context);
+void forwarder_destroy(Forwarder *forwarder);
+
+/* Sends the request to a peer and answers the exchange with its answer; false,
+ * and nothing is done, when there is no peer, the request has been handed on
+ * already, or peers have lately been turned away too. */
+bool forwarder_send(Forwarder *forwarder, AqExchange *exchange,
+                    AqTime deadline);
+
+#endif
--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -50,6 +50,8 @@
     return AqLoop_Now(front->node->loop);
 }
 
+static void try_state(void *context);
+
 /* ---- Answers -------------------------------------------------------------
  */
 
@@ -71,6 +73,28 @@
     respond(exchange, status, body);
 }
 
+static void
+count_answer(const Request *request, int status)
+{
+    const NodeMetrics *metrics = &request->front->node->metrics;
+    AqTime took = now_of(request->front) - request->arrived_at;
+    bool is_submission = request->job.size > 0;
+    if (status == 200 && (is_submission || request->try == try_state)) {
+        AqMetric_Observe(is_submission ? metrics->accept_ms
+                                       : metrics->state_ms,
+                         took);
+    }
+    if (status == 200 && is_submission) {
+        AqMetric_Add(metrics->stored, 1);
+    }
+    else if (status == 503) {
+        AqMetric_Add(metrics->refused, 1);
+    }
+    else if (status == 504) {
+        AqMetric_Add(metrics->unknown, 1);
+    }
+}
+
 static void
 finish(Request *request, int status, const char *body, const char *reason)
 {
@@ -82,15 +106,35 @@
                 request->tries,
                 (long long)(now_of(request->front) - request->arrived_at),
                 (long long)request->front->node->site.version);
+    count_answer(request, status);
     respond(request->exchange, status, body);
     AqTimer_Stop(&request->retry);
     AqBuffer_Clear(&request->job);
     free(request);
 }
 
+/* Hands a request of which nothing was done to another node. */
+static bool
+forward(Request *request)
+{
+    const Front *front = request->front;
+    if (request->tries > 1 ||
+        !front->ops.forward(front->context, request->exchange,
+                            request->deadline)) {
+        return false;
+    }
+    AqTimer_Stop(&request->retry);
+    AqBuffer_Clear(&request->job);
+    free(request);
+    return true;
+}
+
 static void
 finish_unavailable(Request *request, bool is_certain)
 {
+    if (is_certain && forward(request)) {
+        return;
+    }
     if (is_certain) {
         finish(request, 503,
                "{\"error\":\"the store can't be reached; come "
@@ -220,7 +264,7 @@
     else if (reply->status == AQ_STORE_ABSENT) {
         finish(request, 410, "{\"error\":\"there is no such job\"}", "absent");
     }
-    else if (!try_again(request)) {
+    else if (!forward(request) && !try_again(request)) {
         finish_unavailable(request, true);
     }
 }
@@ -244,7 +288,7 @@
                         on_job_read, request);
     }
     else if (reply->status != AQ_STORE_OK || reply->count != 1) {
-        if (!try_again(request)) {
+        if (!forward(request) && !try_again(request)) {
             finish_unavailable(request, true);
         }
     }
@@ -310,6 +354,9 @@
     else if (reply->status == AQ_STORE_CONFLICT && reply->count > 0) {
         mark_cancelled(request, reply->items[0].index);
     }
+    else if (reply->status == AQ_STORE_UNAVAILABLE && forward(request)) {
+        return;
+    }
     else if (!try_again(request)) {
         finish_unavailable(request, false);
     }
@@ -463,6 +510,10 @@
     const char *host = AqExchange_Header(exchange, "Host");
     const char *path = AqExchange_Path(exchange);
     if (!front->ops.is_current(front->context)) {
+        AqTime deadline = now_of(front) + DEFAULT_DEADLINE_MS;
+        if (front->ops.forward(front->context, exchange, deadline)) {
+            return;
+        }
         AqLog_Event(AQ_LOG_WARNING, "refused", "path=%s reason=no_config",
                     AqLog_Quote(path));
         respond_error(exchange, 503,
--- a/packages/pool/front.h
+++ b/packages/pool/front.h
@@ -13,6 +13,9 @@
 typedef struct {
     /* Whether the node's copy of the configuration follows the store. */
     bool (*is_current)(void *context);
+    /* Hands a request to another node, which then answers it; false when that
+     * is not possible. */
+    bool (*forward)(void *context, AqExchange *exchange, AqTime deadline);
 } FrontOps;
 
 Front *front_create(NodeContext *node, const FrontOps *ops, void *context);
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -60,6 +60,8 @@
     void *context;
     PrefixView *nodes;
     GHashTable *incarnations; /* node -> incarnation */
+    GHashTable *addresses;    /* node -> "IP:port" for callers */
+    guint next_peer;
     GHashTable *shards;       /* pool -> Shard */
     AqTimer keep_timer;
     uint64_t lease;
@@ -145,10 +147,13 @@
         return;
     }
     member->lease = reply->lease;
+    char value[100];
+    snprintf(value, sizeof(value), "%s %s", node->incarnation,
+             node->settings->callers_listen);
     AqStorePut put = {
         .key = key_of(KEY_MEMBER, node->settings->node_id),
-        .value = node->incarnation,
-        .size = strlen(node->incarnation),
+        .value = value,
+        .size = strlen(value),
         .lease = member->lease,
     };
     AqStoreCommit commit = {.puts = &put, .put_count = 1};
@@ -510,9 +515,20 @@
 on_member_put(void *context, const AqStoreItem *item)
 {
     Member *member = context;
-    g_hash_table_replace(member->incarnations,
-                         g_strdup(item->key + strlen(KEYS_MEMBERS)),
-                         g_strndup(item->value, item->size));
+    const char *node = item->key + strlen(KEYS_MEMBERS);
+    char text[100] = "";
+    char incarnation[40] = "";
+    char address[32] = "";
+    size_t size = item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
+    memcpy(text, item->value, size);
+    if (sscanf(text, "%39s %31s", incarnation, address) != 2) {
+        AqLog_Event(AQ_LOG_WARNING, "member_unreadable", "node=%s", node);
+        return;
+    }
+    g_hash_table_replace(member->incarnations, g_strdup(node),
+                         g_strdup(incarnation));
+    g_hash_table_replace(member->addresses, g_strdup(node),
+                         g_strdup(address));
     consider_all(member);
 }
 
@@ -521,6 +537,7 @@
 {
     Member *member = context;
     g_hash_table_remove(member->incarnations, key + strlen(KEYS_MEMBERS));
+    g_hash_table_remove(member->addresses, key + strlen(KEYS_MEMBERS));
 }
 
 static bool
@@ -579,6 +596,25 @@
     }
 }
 
+const char *
+member_peer(Member *member)
+{
+    const char *found = NULL;
+    const char *own = member->node->settings->node_id;
+    GList *nodes = g_hash_table_get_keys(member->addresses);
+    guint count = g_list_length(nodes);
+    for (guint i = 0; i < count && found == NULL; i++) {
+        const char *node =
+            g_list_nth_data(nodes, (member->next_peer + i) % count);
+        if (strcmp(node, own) != 0) {
+            found = g_hash_table_lookup(member->addresses, node);
+        }
+    }
+    member->next_peer++;
+    g_list_free(nodes);
+    return found;
+}
+
 void
 member_deposed(Member *member, const char *pool, const char *reason)
 {
@@ -654,6 +690,8 @@
     member->heard_at = -CONNECTED_MS;
     member->incarnations =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    member->addresses =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     member->shards =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     AqTimer_Init(&member->keep_timer, on_keep_due, member);
@@ -678,6 +716,7 @@
     }
     prefix_view_destroy(member->nodes);
     g_hash_table_destroy(member->incarnations);
+    g_hash_table_destroy(member->addresses);
     g_hash_table_destroy(member->shards);
     free(member);
 }
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -39,6 +39,9 @@
 bool member_may_order(const Member *member);
 /* Whether the store has answered lately. */
 bool member_is_connected(const Member *member);
+/* "IP:port" where some other member takes callers, each time another one; or
+ * NULL.  Borrowed until the next change of members. */
+const char *member_peer(Member *member);
 /* Another owner was seen, or a write of the owner conflicted. */
 void member_deposed(Member *member, const char *pool, const char *reason);
 /* Gives a pool up for others to take.  Its orders have stopped. */
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -8,6 +8,7 @@
 #include "aq_log.h"
 #include "aq_platform.h"
 #include "aq_random.h"
+#include "forwarder.h"
 #include "front.h"
 #include "machine_desk.h"
 #include "member.h"
@@ -35,7 +36,9 @@
     NodeContext context;
     AqHttpServer *callers;
     AqHttpServer *readiness;
+    AqHttpServer *metrics; /* NULL: not asked for */
     Front *front;
+    Forwarder *forwarder;
     Member *member;
     PrefixView *operator_view;
     PrefixView *worker_view;
@@ -147,6 +150,18 @@
            AqLoop_Now(node->context.loop) - heard < CURRENT_MS;
 }
 
+static const char *
+peer(void *context)
+{
+    return member_peer(((AqNode *)context)->member);
+}
+
+static bool
+forward(void *context, AqExchange *exchange, AqTime deadline)
+{
+    return forwarder_send(((AqNode *)context)->forwarder, exchange, deadline);
+}
+
 /* ---- VMs -----------------------------------------------------------------
  */
 
@@ -219,6 +234,7 @@
         node->desk = machine_desk_create(&node->context, ownership->fence);
         return;
     }
+    AqMetric_Add(node->context.metrics.pools_gained, 1);
     OwnedPool *pool = calloc(1, sizeof(*pool));
     pool->owner =
         pool_owner_create(&node->context, node->member, ownership, &ops, node);
@@ -256,6 +272,7 @@
         return;
     }
     if (owned != NULL) {
+        AqMetric_Add(node->context.metrics.pools_lost, 1);
         g_hash_table_remove(node->owners, pool);
         drop_pool(owned);
     }
@@ -291,6 +308,91 @@
     AqExchange_Respond(exchange, is_ready(node) ? 200 : 503, NULL, 0, "", 0);
 }
 
+/* ---- Metrics ------------------------------------------------------------- */
+
+static void
+create_metrics(NodeMetrics *metrics)
+{
+    AqMetrics *all = AqMetrics_Create();
+    metrics->all = all;
+    metrics->accept_ms = AqMetrics_Histogram(all, "aq_accept_ms", "");
+    metrics->state_ms = AqMetrics_Histogram(all, "aq_state_ms", "");
+    metrics->start_ms = AqMetrics_Histogram(all, "aq_start_order_ms", "");
+    metrics->save_ms = AqMetrics_Histogram(all, "aq_save_ms", "");
+    metrics->takeover_ms = AqMetrics_Histogram(all, "aq_takeover_ms", "");
+    metrics->stored =
+        AqMetrics_Counter(all, "aq_requests_total", "outcome=\"stored\"");
+    metrics->refused =
+        AqMetrics_Counter(all, "aq_requests_total", "outcome=\"refused\"");
+    metrics->unknown =
+        AqMetrics_Counter(all, "aq_requests_total", "outcome=\"unknown\"");
+    metrics->orders_failed =
+        AqMetrics_Counter(all, "aq_orders_unanswered_total", "");
+    metrics->pools_gained = AqMetrics_Counter(all, "aq_pools_gained_total", "");
+    metrics->pools_lost = AqMetrics_Counter(all, "aq_pools_lost_total", "");
+}
+
+static void
+write_pool_metrics(const char *pool, AqScheduler *s, AqTime now,
+                   AqBuffer *out)
+{
+    AqSchedulerLoad load;
+    const AqSchedulerCounters *counters = AqScheduler_Counters(s);
+    AqScheduler_GetLoad(s, now, &load);
+    AqBuffer_Printf(out, "aq_pool_jobs{pool=\"%s\"} %zu\n", pool, load.jobs);
+    AqBuffer_Printf(out, "aq_pool_ready_tasks{pool=\"%s\"} %zu\n", pool,
+                    load.ready_tasks);
+    AqBuffer_Printf(out, "aq_pool_wait_ms{pool=\"%s\"} %lld\n", pool,
+                    (long long)load.longest_wait_ms);
+    AqBuffer_Printf(out, "aq_pool_used_cpu_millis{pool=\"%s\"} %lld\n", pool,
+                    (long long)load.used_cpu_millis);
+    AqBuffer_Printf(out, "aq_pool_room_cpu_millis{pool=\"%s\"} %lld\n", pool,
+                    (long long)load.room_cpu_millis);
+    AqBuffer_Printf(out, "aq_pool_settled{pool=\"%s\"} %d\n", pool,
+                    load.is_settled);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"done\"} %llu\n",
+                    pool, (unsigned long long)counters->done);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"failed\"} %llu\n",
+                    pool, (unsigned long long)counters->failed);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"lost\"} %llu\n",
+                    pool, (unsigned long long)counters->lost);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"stalled\"} %llu\n",
+                    pool, (unsigned long long)counters->stalled);
+}
+
+static void
+handle_metrics(void *context, AqExchange *exchange)
+{
+    AqNode *node = context;
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    AqBuffer out;
+    AqTime now = AqLoop_Now(node->context.loop);
+    AqBuffer_Init(&out);
+    AqMetrics_Write(node->context.metrics.all, &out);
+    AqBuffer_Printf(&out, "aq_config_version %lld\n",
+                    (long long)node->context.site.version);
+    AqBuffer_Printf(&out, "aq_ready %d\n", is_ready(node));
+    AqBuffer_Printf(&out, "aq_store_calls_total %llu\n",
+                    (unsigned long long)AqPlatformStore_Calls(
+                        node->context.store));
+    AqBuffer_Printf(&out, "aq_log_lines_dropped_total %lu\n",
+                    AqLog_Dropped());
+    g_hash_table_iter_init(&iter, node->owners);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        AqScheduler *s =
+            pool_owner_scheduler(((const OwnedPool *)value)->owner);
+        if (s != NULL) {
+            write_pool_metrics(key, s, now, &out);
+        }
+    }
+    AqHttpHeader header = {"Content-Type", "text/plain; version=0.0.4"};
+    AqExchange_Respond(exchange, 200, &header, 1, AqBuffer_Text(&out),
+                       out.size);
+    AqBuffer_Clear(&out);
+}
+
 /* ---- Stopping ------------------------------------------------------------
  */
 
@@ -424,6 +526,30 @@
     return true;
 }
 
+static bool
+open_metrics(AqNode *node, AqError *error)
+{
+    const AqSettings *settings = node->context.settings;
+    char ip[16];
+    uint16_t port;
+    if (settings->metrics_listen[0] == '\0') {
+        return true;
+    }
+    if (!split_address(settings->metrics_listen, ip, &port, error)) {
+        return false;
+    }
+    AqHttpServerConfig config = {
+        .address = ip,
+        .port = port,
+        .max_body = 1024,
+        .max_connections = 16,
+        .idle_timeout_s = IDLE_TIMEOUT_S,
+    };
+    node->metrics = AqHttpServer_Create(node->context.loop, &config,
+                                        handle_metrics, node, error);
+    return node->metrics != NULL;
+}
+
 static bool
 open_servers(AqNode *node, AqError *error)
 {
@@ -459,7 +585,7 @@
     }
     node->readiness = AqHttpServer_Create(node->context.loop, &readiness,
                                           handle_ready, node, error);
-    return node->readiness != NULL;
+    return node->readiness != NULL && open_metrics(node, error);
 }
 
 static void
@@ -498,7 +624,8 @@
 AqNode_Create(const AqSettings *settings, AqError *error)
 {
     static const MemberOps member_ops = {on_gained, on_lost};
-    static const FrontOps front_ops = {is_current};
+    static const FrontOps front_ops = {is_current, forward};
+    static const ForwarderOps forwarder_ops = {peer};
     AqNode *node = calloc(1, sizeof(*node));
     NodeContext *context = &node->context;
     context->settings = settings;
@@ -507,6 +634,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     AqTimer_Init(&node->stop_timer, on_stop_due, node);
     name_incarnation(context);
+    create_metrics(&context->metrics);
     context->loop = AqLoop_Create(error);
     if (context->loop == NULL) {
         goto error;
@@ -517,6 +645,7 @@
     }
     create_calls(context);
     node->front = front_create(context, &front_ops, node);
+    node->forwarder = forwarder_create(context, &forwarder_ops, node);
     node->waves = wave_book_create(context);
     if (!open_servers(node, error)) {
         goto error;
@@ -577,7 +706,11 @@
     wave_book_destroy(node->waves);
     AqHttpServer_Destroy(node->callers);
     AqHttpServer_Destroy(node->readiness);
+    if (node->metrics != NULL) {
+        AqHttpServer_Destroy(node->metrics);
+    }
     front_destroy(node->front);
+    forwarder_destroy(node->forwarder);
     AqHttpClient_Destroy(context->http);
     if (context->store != NULL) {
         context->store->ops->destroy(context->store);
@@ -589,6 +722,7 @@
     if (context->advice != NULL) {
         context->advice->ops->destroy(context->advice);
     }
+    AqMetrics_Destroy(context->metrics.all);
     AqSiteConfig_Clear(&context->site);
     g_hash_table_destroy(node->vms);
     g_hash_table_destroy(node->owners);
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -44,6 +44,8 @@
     PrefixView *jobs;
     OwnerWriter *writer;
     AqTime save_due;
+    AqTime save_sent;
+    AqTime gained_at;
     uint64_t roster_written;
     uint64_t roster_sent;
     AqTime roster_due;
@@ -120,6 +122,20 @@
     AqTime sent_at;
 } Order;
 
+static void
+count_order(const PoolOwner *owner, const Order *order,
+            const AqOrderReply *reply)
+{
+    const NodeMetrics *metrics = &owner->node->metrics;
+    if (reply->result == AQ_ORDER_UNKNOWN ||
+        reply->result == AQ_ORDER_NOT_SENT) {
+        AqMetric_Add(metrics->orders_failed, 1);
+    }
+    else if (order->kind == ORDER_START) {
+        AqMetric_Observe(metrics->start_ms, now_of(owner) - order->sent_at);
+    }
+}
+
 static void
 on_order(void *context, const AqOrderReply *reply)
 {
@@ -128,6 +144,7 @@
     AqTime now = now_of(owner);
     if (end_call(owner)) {
         AqScheduler *s = owner->scheduler;
+        count_order(owner, order, reply);
         switch (order->kind) {
         case ORDER_START:
             AqScheduler_OnStart(s, order->vm, &order->task, order->run, reply,
@@ -381,6 +398,8 @@
         owner->load = LOADED;
         AqScheduler_SetLoaded(owner->scheduler);
         g_hash_table_remove_all(owner->records);
+        AqMetric_Observe(owner->node->metrics.takeover_ms,
+                         now_of(owner) - owner->gained_at);
         AqLog_Event(AQ_LOG_INFO, "pool_loaded", "pool=%s fence=%llu",
                     owner->ownership.pool,
                     (unsigned long long)owner->ownership.fence);
@@ -435,6 +454,8 @@
     }
     bool is_stored = status == AQ_STORE_OK;
     owner->is_saving = false;
+    AqMetric_Observe(owner->node->metrics.save_ms,
+                     now_of(owner) - owner->save_sent);
     for (size_t i = 0; i < owner->save_count && is_stored; i++) {
         if (owner->saves[i].stage >= AQ_STAGE_COMPLETED) {
             AqLog_Event(
@@ -481,6 +502,7 @@
         puts[i].lease = 0;
     }
     owner->is_saving = true;
+    owner->save_sent = now_of(owner);
     commit_as_owner(owner, puts, owner->save_count, on_saved);
     g_ptr_array_free(keys, TRUE);
 }
@@ -652,6 +674,7 @@
     owner->context = context;
     owner->ownership = *ownership;
     owner->progress_after = strdup("");
+    owner->gained_at = now_of(owner);
     owner->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                            (GDestroyNotify)g_bytes_unref);
     owner->cancelled =
--- /dev/null
+++ b/packages/pool/tests/fake_store.c
@@ -0,0 +1,375 @@
+#include "fake_store.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef enum {
+    CALL_GET,
+    CALL_LIST,
+    CALL_CHANGES,
+    CALL_COMMIT,
+    CALL_OTHER
+} CallKind;
+
+typedef struct {
+    char *key;
+    char *value;
+    size_t size;
+    uint64_t index;
+    bool removed;
+} Record;
+
+typedef struct {
+    CallKind kind;
+    char *key; /* or prefix */
+    char *after;
+    uint64_t index;
+    GPtrArray *expects; /* of Record: key and index */
+    GPtrArray *puts;    /* of Record */
+    AqStoreDone done;
+    void *context;
+} Call;
+
+struct FakeStore {
+    AqStore store; /* first */
+    GPtrArray *records; /* of Record; a removed one stays as such */
+    GQueue *calls;      /* of Call */
+    GQueue *lost;       /* of Call */
+    uint64_t index;
+    uint64_t forgotten; /* history up to this index is gone */
+    int64_t longest_wait;
+};
+
+static void
+free_record(gpointer value)
+{
+    Record *record = value;
+    g_free(record->key);
+    g_free(record->value);
+    g_free(record);
+}
+
+static void
+free_call(Call *call)
+{
+    g_free(call->key);
+    g_free(call->after);
+    g_ptr_array_free(call->expects, TRUE);
+    g_ptr_array_free(call->puts, TRUE);
+    g_free(call);
+}
+
+static Record *
+find(const FakeStore *fake, const char *key)
+{
+    for (guint i = 0; i < fake->records->len; i++) {
+        Record *record = g_ptr_array_index(fake->records, i);
+        if (strcmp(record->key, key) == 0) {
+            return record;
+        }
+    }
+    return NULL;
+}
+
+static void
+write_record(FakeStore *fake, const char *key, const char *value, size_t size,
+             bool removed)
+{
+    Record *record = find(fake, key);
+    if (record == NULL) {
+        record = g_new0(Record, 1);
+        record->key = g_strdup(key);
+        g_ptr_array_add(fake->records, record);
+    }
+    g_free(record->value);
+    record->value = g_strndup(value, size);
+    record->size = size;
+    record->removed = removed;
+    record->index = fake->index;
+}
+
+/* ---- Calls --------------------------------------------------------------- */
+
+static Call *
+add_call(AqStore *store, CallKind kind, const char *key, AqStoreDone done,
+         void *context)
+{
+    FakeStore *fake = (FakeStore *)store;
+    Call *call = g_new0(Call, 1);
+    call->kind = kind;
+    call->key = g_strdup(key);
+    call->after = g_strdup("");
+    call->expects = g_ptr_array_new_with_free_func(free_record);
+    call->puts = g_ptr_array_new_with_free_func(free_record);
+    call->done = done;
+    call->context = context;
+    g_queue_push_tail(fake->calls, call);
+    return call;
+}
+
+static void
+on_get(AqStore *store, const char *key, AqStoreDone done, void *context)
+{
+    add_call(store, CALL_GET, key, done, context);
+}
+
+static void
+on_list(AqStore *store, const char *prefix, const char *after, bool stale,
+        AqStoreDone done, void *context)
+{
+    Call *call = add_call(store, CALL_LIST, prefix, done, context);
+    (void)stale;
+    g_free(call->after);
+    call->after = g_strdup(after);
+}
+
+static void
+on_changes(AqStore *store, const char *prefix, uint64_t index, int64_t wait_ms,
+           AqStoreDone done, void *context)
+{
+    FakeStore *fake = (FakeStore *)store;
+    add_call(store, CALL_CHANGES, prefix, done, context)->index = index;
+    if (wait_ms > fake->longest_wait) {
+        fake->longest_wait = wait_ms;
+    }
+}
+
+static void
+on_commit(AqStore *store, const AqStoreCommit *commit, AqStoreDone done,
+          void *context)
+{
+    Call *call = add_call(store, CALL_COMMIT, "", done, context);
+    for (size_t i = 0; i < commit->expect_count; i++) {
+        Record *record = g_new0(Record, 1);
+        record->key = g_strdup(commit->expects[i].key);
+        record->index = commit->expects[i].index;
+        g_ptr_array_add(call->expects, record);
+    }
+    for (size_t i = 0; i < commit->put_count; i++) {
+        Record *record = g_new0(Record, 1);
+        record->key = g_strdup(commit->puts[i].key);
+        record->value =
+            g_strndup(commit->puts[i].value, commit->puts[i].size);
+        record->size = commit->puts[i].size;
+        g_ptr_array_add(call->puts, record);
+    }
+}
+
+static const AqStoreOps ops = {
+    .get = on_get,
+    .list_after = on_list,
+    .changes = on_changes,
+    .commit = on_commit,
+};
+
+/* ---- Answers ------------------------------------------------------------- */
+
+static void
+add_item(GArray *items, const Record *record)
+{
+    AqStoreItem item = {.key = record->key,
+                        .value = record->value,
+                        .size = record->size,
+                        .index = record->index,
+                        .removed = record->removed};
+    g_array_append_val(items, item);
+}
+
+static AqStoreStatus
+carry_out_commit(FakeStore *fake, const Call *call, GArray *items)
+{
+    bool holds = true;
+    for (guint i = 0; i < call->expects->len; i++) {
+        const Record *expect = g_ptr_array_index(call->expects, i);
+        const Record *record = find(fake, expect->key);
+        bool is_there = record != NULL && !record->removed;
+        holds = holds && expect->index == (is_there ? record->index : 0);
+        if (is_there) {
+            add_item(items, record);
+        }
+    }
+    if (!holds) {
+        return AQ_STORE_CONFLICT;
+    }
+    g_array_set_size(items, 0);
+    fake->index++;
+    for (guint i = 0; i < call->puts->len; i++) {
+        const Record *put = g_ptr_array_index(call->puts, i);
+        write_record(fake, put->key, put->value, put->size, false);
+    }
+    return AQ_STORE_OK;
+}
+
+static AqStoreStatus
+carry_out(FakeStore *fake, const Call *call, GArray *items)
+{
+    if (call->kind == CALL_COMMIT) {
+        return carry_out_commit(fake, call, items);
+    }
+    if (call->kind == CALL_CHANGES && call->index < fake->forgotten) {
+        return AQ_STORE_COMPACTED;
+    }
+    for (guint i = 0; i < fake->records->len; i++) {
+        const Record *record = g_ptr_array_index(fake->records, i);
+        bool matches = call->kind == CALL_GET
+                           ? strcmp(record->key, call->key) == 0
+                           : g_str_has_prefix(record->key, call->key);
+        bool is_new = call->kind == CALL_CHANGES ? record->index > call->index
+                                                 : !record->removed;
+        if (matches && is_new) {
+            add_item(items, record);
+        }
+    }
+    return call->kind == CALL_GET && items->len == 0 ? AQ_STORE_ABSENT
+                                                     : AQ_STORE_OK;
+}
+
+static void
+answer(FakeStore *fake, Call *call)
+{
+    GArray *items = g_array_new(FALSE, FALSE, sizeof(AqStoreItem));
+    AqStoreReply reply = {.status = carry_out(fake, call, items),
+                          .items = (const AqStoreItem *)(void *)items->data,
+                          .count = items->len,
+                          .index = fake->index,
+                          .is_complete = true};
+    call->done(call->context, &reply);
+    g_array_free(items, TRUE);
+    free_call(call);
+}
+
+size_t
+fake_store_waiting(const FakeStore *fake)
+{
+    return g_queue_get_length(fake->calls);
+}
+
+void
+fake_store_answer(FakeStore *fake)
+{
+    answer(fake, g_queue_pop_head(fake->calls));
+}
+
+void
+fake_store_answer_all(FakeStore *fake)
+{
+    enum { MOST = 100 }; /* a watch that is answered is sent again */
+    for (int i = 0; i < MOST && fake_store_waiting(fake) > 0; i++) {
+        Call *call = g_queue_peek_head(fake->calls);
+        if (call->kind == CALL_CHANGES && call->index >= fake->index) {
+            g_queue_push_tail(fake->calls, g_queue_pop_head(fake->calls));
+            continue;
+        }
+        fake_store_answer(fake);
+    }
+}
+
+static void
+end_without(FakeStore *fake, AqStoreStatus status, bool keep)
+{
+    Call *call = g_queue_pop_head(fake->calls);
+    AqStoreReply reply = {.status = status};
+    call->done(call->context, &reply);
+    if (keep) {
+        g_queue_push_tail(fake->lost, call);
+    }
+    else {
+        free_call(call);
+    }
+}
+
+void
+fake_store_lose(FakeStore *fake)
+{
+    const Call *call = g_queue_peek_head(fake->calls);
+    end_without(fake,
+                call->kind == CALL_COMMIT ? AQ_STORE_UNKNOWN
+                                          : AQ_STORE_UNAVAILABLE,
+                true);
+}
+
+void
+fake_store_refuse(FakeStore *fake)
+{
+    end_without(fake, AQ_STORE_UNAVAILABLE, false);
+}
+
+void
+fake_store_carry_out_late(FakeStore *fake)
+{
+    Call *call = g_queue_pop_head(fake->lost);
+    GArray *items = g_array_new(FALSE, FALSE, sizeof(AqStoreItem));
+    carry_out(fake, call, items);
+    g_array_free(items, TRUE);
+    free_call(call);
+}
+
+void
+fake_store_forget(FakeStore *fake)
+{
+    fake->forgotten = fake->index + 1;
+    fake->index++;
+}
+
+uint64_t
+fake_store_put(FakeStore *fake, const char *key, const char *value)
+{
+    fake->index++;
+    write_record(fake, key, value, strlen(value), false);
+    return fake->index;
+}
+
+void
+fake_store_remove(FakeStore *fake, const char *key)
+{
+    fake->index++;
+    write_record(fake, key, "", 0, true);
+}
+
+const char *
+fake_store_value(const FakeStore *fake, const char *key)
+{
+    const Record *record = find(fake, key);
+    return record != NULL && !record->removed ? record->value : NULL;
+}
+
+int64_t
+fake_store_longest_wait(const FakeStore *fake)
+{
+    return fake->longest_wait;
+}
+
+/* ---- Lifecycle ----------------------------------------------------------- */
+
+FakeStore *
+fake_store_create(void)
+{
+    FakeStore *fake = g_new0(FakeStore, 1);
+    fake->store.ops = &ops;
+    fake->records = g_ptr_array_new_with_free_func(free_record);
+    fake->calls = g_queue_new();
+    fake->lost = g_queue_new();
+    fake->index = 10;
+    return fake;
+}
+
+AqStore *
+fake_store_interface(FakeStore *fake)
+{
+    return &fake->store;
+}
+
+void
+fake_store_destroy(FakeStore *fake)
+{
+    Call *call;
+    while ((call = g_queue_pop_head(fake->calls)) != NULL ||
+           (call = g_queue_pop_head(fake->lost)) != NULL) {
+        free_call(call);
+    }
+    g_queue_free(fake->calls);
+    g_queue_free(fake->lost);
+    g_ptr_array_free(fake->records, TRUE);
+    g_free(fake);
+}
--- /dev/null
+++ b/packages/pool/tests/test_platform.c
@@ -0,0 +1,236 @@
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_platform.h"
+#include "aq_random.h"
+
+/* Contract of the decoders of platform/: what the pages show is read, and
+ * anything else is refused with an error that names the field. */
+
+static const char config_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"a.example\","
+    "\"prefix\":\"/x/\",\"kind\":\"unsafe\",\"timeout_ms\":3000,"
+    "\"target_duration_ms\":600,\"priority\":1,\"service\":\"s1\","
+    "\"max_attempts\":4,\"stretch\":1.6,\"advice\":{\"decide_ms\":5,"
+    "\"each_ms\":1,\"valid_ms\":2500}}],\"services\":[{\"name\":\"s1\","
+    "\"health_path\":\"/health\",\"enforce_capacity\":true,\"spare\":false},"
+    "{\"name\":\"s2\",\"spare\":true}],\"limits\":{}}";
+
+static const char worker_text[] =
+    "{\"service\":\"s1\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"slots\":8,\"state\":\"draining\",\"cold_left_ms\":0,"
+    "\"room\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0},\"labels\":[\"a\","
+    "\"r1-3\"],\"clock_ms\":482113,\"sequence\":4,\"machine\":\"m-1\","
+    "\"remaining_ms\":1500}";
+
+static const char job_text[] =
+    "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+    "\"estimate_ms\":900,\"affinity\":\"r1-3\"},{\"count\":20,\"cpu\":2000,"
+    "\"after\":[0],\"checkpointable\":true,\"perpetual\":true,\"may_miss\":0,"
+    "\"max_per_server\":1,\"target_ms\":80,\"fills\":false}]}";
+
+static const char wave_text[] = "{\"wave\":3,\"machines\":[\"m-1\",\"m-2\"],"
+                                "\"within_s\":20,\"cap\":2}";
+
+static void
+test_config(void)
+{
+    AqSiteConfig config;
+    CU_ASSERT_TRUE_FATAL(AqPlatform_DecodeConfig(
+        config_text, strlen(config_text), &config, NULL));
+    CU_ASSERT_EQUAL(config.version, 7);
+    CU_ASSERT_EQUAL(config.queue_count, 1);
+    CU_ASSERT_STRING_EQUAL(config.queues[0].pool, "s1");
+    CU_ASSERT_EQUAL(config.queues[0].target_ms, 600);
+    CU_ASSERT_EQUAL(config.queues[0].max_attempts, 4);
+    CU_ASSERT_TRUE(config.queues[0].needs_tickets);
+    CU_ASSERT_EQUAL(config.queues[0].ticket_valid_ms, 2500);
+    CU_ASSERT_TRUE(config.queues[0].stretch > 1.59);
+    CU_ASSERT_TRUE(config.pools[0].guards_capacity);
+    CU_ASSERT_TRUE(config.pools[1].is_spare);
+    AqSiteConfig_Clear(&config);
+}
+
+static void
+test_worker(void)
+{
+    AqVmReport report;
+    CU_ASSERT_TRUE_FATAL(AqPlatform_DecodeWorker(
+        "servers/i-1", worker_text, strlen(worker_text), &report, NULL));
+    CU_ASSERT_STRING_EQUAL(report.id, "i-1");
+    CU_ASSERT_STRING_EQUAL(report.machine, "m-1");
+    CU_ASSERT_STRING_EQUAL(report.kind, "a");
+    CU_ASSERT_STRING_EQUAL(report.rack, "r1-3");
+    CU_ASSERT_EQUAL(report.cpu_millis, 16000);
+    CU_ASSERT_TRUE(report.is_draining);
+    CU_ASSERT_EQUAL(report.leaves_ms, 1500);
+}
+
+static void
+test_job(void)
+{
+    AqJobSpec spec;
+    CU_ASSERT_TRUE_FATAL(
+        AqPlatform_DecodeJob(job_text, strlen(job_text), &spec, NULL));
+    CU_ASSERT_EQUAL(spec.step_count, 2);
+    CU_ASSERT_STRING_EQUAL(spec.steps[0].near_rack, "r1-3");
+    CU_ASSERT_FALSE(spec.steps[0].limits_missing);
+    CU_ASSERT_TRUE(spec.steps[1].is_perpetual);
+    CU_ASSERT_TRUE(spec.steps[1].limits_missing);
+    CU_ASSERT_EQUAL(spec.steps[1].max_per_vm, 1);
+    CU_ASSERT_EQUAL(spec.steps[1].after_count, 1);
+    AqJobSpec_Clear(&spec);
+}
+
+static void
+test_wave(void)
+{
+    AqWaveSpec wave;
+    CU_ASSERT_TRUE_FATAL(
+        AqPlatform_DecodeWave(wave_text, strlen(wave_text), &wave, NULL));
+    CU_ASSERT_EQUAL(wave.machine_count, 2);
+    CU_ASSERT_EQUAL(wave.within_ms, 20000);
+    CU_ASSERT_EQUAL(wave.cap, 2);
+    AqWaveSpec_Clear(&wave);
+    CU_ASSERT_EQUAL(AqPlatform_WaveOfKey("op/wave/3"), 3);
+    CU_ASSERT_EQUAL(AqPlatform_WaveOfKey("op/wave/"), -1);
+    CU_ASSERT_EQUAL(AqPlatform_WaveOfKey("op/config"), -1);
+}
+
+static void
+test_answers(void)
+{
+    AqBuffer out;
+    AqBuffer key;
+    AqBuffer_Init(&out);
+    AqBuffer_Init(&key);
+    AqPlatform_EncodeState(AQ_JOB_COMPLETED, &out);
+    CU_ASSERT_STRING_EQUAL(AqBuffer_Text(&out), "{\"state\":\"completed\"}");
+    AqBuffer_Clear(&out);
+    AqPlatform_EncodeWaiting(12, &out);
+    CU_ASSERT_STRING_EQUAL(AqBuffer_Text(&out), "{\"waiting\":12}");
+    AqBuffer_Clear(&out);
+    AqPlatform_WaveStatus(4, true, &key, &out);
+    CU_ASSERT_STRING_EQUAL(AqBuffer_Text(&key), "status/wave/4");
+    CU_ASSERT_STRING_EQUAL(AqBuffer_Text(&out),
+                           "{\"wave\":4,\"state\":\"completed\"}");
+    AqBuffer_Clear(&out);
+    AqBuffer_Clear(&key);
+}
+
+/* Guards against a garbled entry that names a VM, and against errors that do
+ * not say what is wrong. */
+static void
+test_refusals(void)
+{
+    static const struct {
+        char kind; /* c: config, w: worker, j: job, v: wave */
+        const char *text;
+        const char *message;
+    } cases[] = {
+        {'c', "", ""},
+        {'c', "[]", ""},
+        {'c', "{\"version\":\"7\",\"routes\":[],\"services\":[]}", "version"},
+        {'c', "{\"version\":7,\"services\":[]}", "routes"},
+        {'c', "{\"version\":7,\"routes\":[{}],\"services\":[]}", "name"},
+        {'c', "{\"version\":7,\"routes\":[3],\"services\":[]}", "name"},
+        {'w', "\xff\xfe", ""},
+        {'w', "{}", "service"},
+        {'w', "{\"service\":\"s\"}", "address"},
+        {'w', "{\"service\":3,\"address\":\"x\"}", "service"},
+        {'j', "{}", "steps"},
+        {'j', "{\"steps\":[{\"count\":-1}]}", "count"},
+        {'j', "{\"steps\":[{\"count\":1,\"after\":[\"x\"]}]}", "after"},
+        {'j', "{\"steps\":[{\"count\":1,\"cpu\":\"many\"}]}", "cpu"},
+        {'v', "{\"wave\":1}", "machines"},
+        {'v', "{\"machines\":[]}", "wave"},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        AqError error = {0};
+        AqSiteConfig config;
+        AqVmReport report;
+        AqJobSpec spec;
+        AqWaveSpec wave;
+        const char *text = cases[i].text;
+        size_t size = strlen(text);
+        bool ok = true;
+        switch (cases[i].kind) {
+        case 'c':
+            ok = AqPlatform_DecodeConfig(text, size, &config, &error);
+            break;
+        case 'w':
+            ok = AqPlatform_DecodeWorker("servers/i", text, size, &report,
+                                         &error);
+            break;
+        case 'j':
+            ok = AqPlatform_DecodeJob(text, size, &spec, &error);
+            break;
+        default:
+            ok = AqPlatform_DecodeWave(text, size, &wave, &error);
+            break;
+        }
+        CU_ASSERT_FALSE(ok);
+        CU_ASSERT_PTR_NOT_NULL(strstr(error.message, cases[i].message));
+    }
+}
+
+/* Guards against crashes and leaks on arbitrary changes of valid texts. */
+static void
+test_fuzz(void)
+{
+    static const char *const texts[] = {config_text, worker_text, job_text,
+                                        wave_text};
+    AqRandom random;
+    AqRandom_Seed(&random, 12);
+    for (int i = 0; i < 20000; i++) {
+        const char *text = texts[AqRandom_Below(&random, 4)];
+        size_t size = strlen(text);
+        char *copy = malloc(size + 1);
+        AqSiteConfig config;
+        AqVmReport report;
+        AqJobSpec spec;
+        AqWaveSpec wave;
+        memcpy(copy, text, size + 1);
+        for (int j = 0; j < 4; j++) {
+            static const char letters[] = "{}[]\",:0129ae-\\";
+            copy[AqRandom_Below(&random, size)] =
+                letters[AqRandom_Below(&random, sizeof(letters) - 1)];
+        }
+        if (AqPlatform_DecodeConfig(copy, size, &config, NULL)) {
+            AqSiteConfig_Clear(&config);
+        }
+        AqPlatform_DecodeWorker("servers/i", copy, size, &report, NULL);
+        if (AqPlatform_DecodeJob(copy, size, &spec, NULL)) {
+            AqJobSpec_Clear(&spec);
+        }
+        if (AqPlatform_DecodeWave(copy, size, &wave, NULL)) {
+            AqWaveSpec_Clear(&wave);
+        }
+        free(copy);
+    }
+}
+
+int
+main(void)
+{
+    static const struct {
+        const char *name;
+        void (*run)(void);
+    } tests[] = {
+        {"config", test_config},     {"worker", test_worker},
+        {"job", test_job},           {"wave", test_wave},
+        {"answers", test_answers},   {"refusals", test_refusals},
+        {"fuzz", test_fuzz},
+    };
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("platform", NULL, NULL);
+    for (size_t i = 0; i < sizeof(tests) / sizeof(tests[0]); i++) {
+        CU_add_test(suite, tests[i].name, tests[i].run);
+    }
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/pool/tests/test_pool.c
@@ -0,0 +1,311 @@
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "aq_log.h"
+#include "fake_store.h"
+#include "keys.h"
+#include "owner_writer.h"
+#include "prefix_view.h"
+
+typedef struct {
+    FakeStore *fake;
+    NodeContext node;
+} Fixture;
+
+static void
+set_up(Fixture *fixture)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    fixture->fake = fake_store_create();
+    fixture->node.store = fake_store_interface(fixture->fake);
+    fixture->node.loop = AqLoop_Create(NULL);
+    strcpy(fixture->node.incarnation, "this-process");
+}
+
+static void
+tear_down(Fixture *fixture)
+{
+    fake_store_destroy(fixture->fake);
+    AqLoop_Destroy(fixture->node.loop);
+}
+
+/* ---- Writes of an owner -------------------------------------------------- */
+
+typedef struct {
+    int count;
+    AqStoreStatus last;
+    OwnerWriter *drop; /* dropped from inside the callback */
+} Outcome;
+
+static void
+on_written(void *context, AqStoreStatus status)
+{
+    Outcome *outcome = context;
+    outcome->count++;
+    outcome->last = status;
+    if (outcome->drop != NULL) {
+        owner_writer_drop(outcome->drop);
+        outcome->drop = NULL;
+    }
+}
+
+static void
+write_value(OwnerWriter *writer, const char *value, Outcome *outcome)
+{
+    AqStorePut put = {"record", value, strlen(value), 0};
+    owner_writer_commit(writer, NULL, 0, &put, 1, on_written, outcome);
+}
+
+static OwnerWriter *
+make_writer(Fixture *fixture)
+{
+    uint64_t fence =
+        fake_store_put(fixture->fake, key_of(KEY_OWNER, "pool"), "this");
+    return owner_writer_create(&fixture->node, "pool", fence);
+}
+
+/* Waits for the retry timer of the writer, which reads the lane. */
+static void
+run_until_call(Fixture *fixture)
+{
+    for (int i = 0; i < 100 && fake_store_waiting(fixture->fake) == 0; i++) {
+        AqLoop_RunOnce(fixture->node.loop, 50);
+    }
+}
+
+/* Guards against an older record put back by a write that had no answer and
+ * is carried out after a newer one of the same owner. */
+static void
+test_late_write_does_nothing(void)
+{
+    Fixture fixture;
+    Outcome first = {0};
+    Outcome second = {0};
+    set_up(&fixture);
+    OwnerWriter *writer = make_writer(&fixture);
+    write_value(writer, "old", &first);
+    fake_store_answer(fixture.fake); /* the lane is read */
+    fake_store_lose(fixture.fake);
+    run_until_call(&fixture);
+    fake_store_answer(fixture.fake); /* the lane says that it did nothing */
+    fake_store_answer(fixture.fake); /* sent again */
+    CU_ASSERT_EQUAL(first.last, AQ_STORE_OK);
+    write_value(writer, "new", &second);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(second.last, AQ_STORE_OK);
+    fake_store_carry_out_late(fixture.fake);
+    CU_ASSERT_STRING_EQUAL(fake_store_value(fixture.fake, "record"), "new");
+    owner_writer_drop(writer);
+    tear_down(&fixture);
+}
+
+/* Guards against a write that took effect without an answer being reported
+ * as lost, or written a second time. */
+static void
+test_effect_without_answer(void)
+{
+    Fixture fixture;
+    Outcome outcome = {0};
+    set_up(&fixture);
+    OwnerWriter *writer = make_writer(&fixture);
+    write_value(writer, "value", &outcome);
+    fake_store_answer(fixture.fake);
+    fake_store_lose(fixture.fake);
+    fake_store_carry_out_late(fixture.fake);
+    run_until_call(&fixture);
+    fake_store_answer(fixture.fake);
+    CU_ASSERT_EQUAL(outcome.count, 1);
+    CU_ASSERT_EQUAL(outcome.last, AQ_STORE_OK);
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 0);
+    owner_writer_drop(writer);
+    tear_down(&fixture);
+}
+
+/* Guards against an owner that goes on writing after another has taken the
+ * pool. */
+static void
+test_lost_ownership(void)
+{
+    Fixture fixture;
+    Outcome outcome = {0};
+    set_up(&fixture);
+    OwnerWriter *writer = make_writer(&fixture);
+    fake_store_put(fixture.fake, key_of(KEY_OWNER, "pool"), "other");
+    write_value(writer, "value", &outcome);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(outcome.last, AQ_STORE_ABSENT);
+    CU_ASSERT_PTR_NULL(fake_store_value(fixture.fake, "record"));
+    owner_writer_drop(writer);
+    tear_down(&fixture);
+}
+
+/* Guards against a condition of the caller's own being taken for a lost
+ * ownership. */
+static void
+test_own_condition(void)
+{
+    Fixture fixture;
+    Outcome outcome = {0};
+    AqStoreExpect expect = {"other", 3};
+    AqStorePut put = {"record", "x", 1, 0};
+    set_up(&fixture);
+    OwnerWriter *writer = make_writer(&fixture);
+    owner_writer_commit(writer, &expect, 1, &put, 1, on_written, &outcome);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(outcome.last, AQ_STORE_CONFLICT);
+    owner_writer_drop(writer);
+    tear_down(&fixture);
+}
+
+/* Guards against use after free when the end of an ownership is noticed in a
+ * write's own callback, with writes behind it. */
+static void
+test_drop_from_callback(void)
+{
+    Fixture fixture;
+    Outcome first = {0};
+    Outcome second = {0};
+    set_up(&fixture);
+    OwnerWriter *writer = make_writer(&fixture);
+    first.drop = writer;
+    write_value(writer, "a", &first);
+    write_value(writer, "b", &second);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(first.count, 1);
+    CU_ASSERT_EQUAL(second.count, 1);
+    CU_ASSERT_EQUAL(second.last, AQ_STORE_UNAVAILABLE);
+    tear_down(&fixture);
+}
+
+/* ---- Views --------------------------------------------------------------- */
+
+typedef struct {
+    unsigned puts;
+    unsigned removals;
+    unsigned listings;
+    char last[64];
+} Seen;
+
+static void
+on_put(void *context, const AqStoreItem *item)
+{
+    Seen *seen = context;
+    seen->puts++;
+    snprintf(seen->last, sizeof(seen->last), "%.*s", (int)item->size,
+             item->value);
+}
+
+static void
+on_removed(void *context, const char *key)
+{
+    Seen *seen = context;
+    (void)key;
+    seen->removals++;
+}
+
+static void
+on_listed(void *context)
+{
+    ((Seen *)context)->listings++;
+}
+
+static const PrefixViewOps view_ops = {on_put, on_removed, on_listed};
+
+/* Guards against changes that are missed or seen twice. */
+static void
+test_view_follows(void)
+{
+    Fixture fixture;
+    Seen seen = {0};
+    set_up(&fixture);
+    fake_store_put(fixture.fake, "p/a", "1");
+    PrefixView *view = prefix_view_create(fixture.node.loop,
+                                          fixture.node.store, "p/", &view_ops,
+                                          &seen);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(seen.puts, 1);
+    CU_ASSERT_EQUAL(seen.listings, 1);
+    fake_store_put(fixture.fake, "p/b", "2");
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(seen.puts, 2);
+    fake_store_remove(fixture.fake, "p/a");
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(seen.removals, 1);
+    CU_ASSERT_EQUAL(seen.puts, 2);
+    prefix_view_destroy(view);
+    fake_store_answer_all(fixture.fake);
+    tear_down(&fixture);
+}
+
+/* Guards against a removal that is missed while the history is dropped. */
+static void
+test_view_survives_compaction(void)
+{
+    Fixture fixture;
+    Seen seen = {0};
+    set_up(&fixture);
+    fake_store_put(fixture.fake, "p/a", "1");
+    fake_store_put(fixture.fake, "p/b", "2");
+    PrefixView *view = prefix_view_create(fixture.node.loop,
+                                          fixture.node.store, "p/", &view_ops,
+                                          &seen);
+    fake_store_answer_all(fixture.fake);
+    fake_store_remove(fixture.fake, "p/a");
+    fake_store_put(fixture.fake, "p/b", "3");
+    fake_store_forget(fixture.fake);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(seen.removals, 1);
+    CU_ASSERT_EQUAL(seen.puts, 3);
+    CU_ASSERT_STRING_EQUAL(seen.last, "3");
+    CU_ASSERT_EQUAL(seen.listings, 2);
+    prefix_view_destroy(view);
+    fake_store_answer_all(fixture.fake);
+    tear_down(&fixture);
+}
+
+/* Guards against a silent watch that delays cancels and configurations for
+ * longer than their bounds (3 s and 2 s after 3 s of touch). */
+static void
+test_view_waits_briefly(void)
+{
+    Fixture fixture;
+    Seen seen = {0};
+    set_up(&fixture);
+    PrefixView *view = prefix_view_create(fixture.node.loop,
+                                          fixture.node.store, "p/", &view_ops,
+                                          &seen);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_TRUE(fake_store_longest_wait(fixture.fake) <= 2000);
+    prefix_view_destroy(view);
+    tear_down(&fixture);
+}
+
+int
+main(void)
+{
+    static const struct {
+        const char *name;
+        void (*run)(void);
+    } tests[] = {
+        {"late_write_does_nothing", test_late_write_does_nothing},
+        {"effect_without_answer", test_effect_without_answer},
+        {"lost_ownership", test_lost_ownership},
+        {"own_condition", test_own_condition},
+        {"drop_from_callback", test_drop_from_callback},
+        {"view_follows", test_view_follows},
+        {"view_survives_compaction", test_view_survives_compaction},
+        {"view_waits_briefly", test_view_waits_briefly},
+    };
+    AqLog_Start("test", AQ_LOG_ERROR);
+    CU_initialize_registry();
+    CU_pSuite suite = CU_add_suite("pool", NULL, NULL);
+    for (size_t i = 0; i < sizeof(tests) / sizeof(tests[0]); i++) {
+        CU_add_test(suite, tests[i].name, tests[i].run);
+    }
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
