Large pools: placements less often, strong nodes own pools, time of answers

Cause 1: the clock of an answer was taken at the round's begin, so a VM's clock seemed ahead. Cause 2: each end led to a placement over all jobs and VMs.

--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -22,6 +22,7 @@
     START_WAIT_MS = 300,
     OWNED_WAIT_MS = 120,
     SPREAD_WAIT_MS = 100,
+    WEAK_WAIT_MS = 800,
     CLAIM_RETRY_MS = 100
 };
 
@@ -61,6 +62,7 @@
     PrefixView *nodes;
     GHashTable *incarnations; /* node -> incarnation */
     GHashTable *addresses;    /* node -> "IP:port" for callers */
+    GHashTable *powers;       /* node -> thousandths of a core, as pointer */
     guint next_peer;
     GHashTable *shards;       /* pool -> Shard */
     AqTimer keep_timer;
@@ -137,6 +139,14 @@
     consider_all(member);
 }
 
+/* Thousandths of a core that this node has. */
+static int64_t
+own_power(const Member *member)
+{
+    double share = strtod(member->node->settings->node_cpu_share, NULL);
+    return (int64_t)(share * 1000);
+}
+
 static void
 on_granted(void *context, const AqStoreReply *reply)
 {
@@ -148,8 +158,8 @@
     }
     member->lease = reply->lease;
     char value[100];
-    snprintf(value, sizeof(value), "%s %s", node->incarnation,
-             node->settings->callers_listen);
+    snprintf(value, sizeof(value), "%s %s %lld", node->incarnation,
+             node->settings->callers_listen, (long long)own_power(member));
     AqStorePut put = {
         .key = key_of(KEY_MEMBER, node->settings->node_id),
         .value = value,
@@ -204,7 +214,8 @@
 bool
 member_may_order(const Member *member)
 {
-    return AqLoop_Now(member->node->loop) + ORDER_MS < member->certain_until;
+    /* The loop's time is too old on a machine that is short of processor. */
+    return AqClock_ReadMonotonic() + ORDER_MS < member->certain_until;
 }
 
 bool
@@ -401,6 +412,23 @@
     node->store->ops->commit(node->store, &commit, on_claimed, shard);
 }
 
+/* Extra wait of a node that is weaker than the strongest member: a pool at the
+ * height of its turn needs a thousand orders a second. */
+static AqTime
+weakness_wait(const Member *member)
+{
+    GHashTableIter iter;
+    gpointer value;
+    int64_t own = own_power(member);
+    int64_t most = own;
+    g_hash_table_iter_init(&iter, member->powers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        int64_t power = GPOINTER_TO_INT(value);
+        most = power > most ? power : most;
+    }
+    return most > 0 ? WEAK_WAIT_MS * (most - own) / most : 0;
+}
+
 /* When this node may claim a pool without an owner. */
 static AqTime
 claim_due(const Shard *shard)
@@ -410,7 +438,8 @@
     uint64_t weight =
         AqHash_Rendezvous(AqHash_String(shard->pool), AqHash_String(id));
     AqTime wait = (AqTime)(weight % SPREAD_WAIT_MS) +
-                  (AqTime)OWNED_WAIT_MS * (AqTime)count_owned(member);
+                  (AqTime)OWNED_WAIT_MS * (AqTime)count_owned(member) +
+                  weakness_wait(member);
     AqTime joined = member->joined_at + START_WAIT_MS;
     AqTime since = shard->vacant_since > joined ? shard->vacant_since : joined;
     return since + wait;
@@ -519,9 +548,10 @@
     char text[100] = "";
     char incarnation[40] = "";
     char address[32] = "";
+    int power = 0;
     size_t size = item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
     memcpy(text, item->value, size);
-    if (sscanf(text, "%39s %31s", incarnation, address) != 2) {
+    if (sscanf(text, "%39s %31s %d", incarnation, address, &power) != 3) {
         AqLog_Event(AQ_LOG_WARNING, "member_unreadable", "node=%s", node);
         return;
     }
@@ -529,6 +559,8 @@
                          g_strdup(incarnation));
     g_hash_table_replace(member->addresses, g_strdup(node),
                          g_strdup(address));
+    g_hash_table_replace(member->powers, g_strdup(node),
+                         GINT_TO_POINTER(power));
     consider_all(member);
 }
 
@@ -538,6 +570,7 @@
     Member *member = context;
     g_hash_table_remove(member->incarnations, key + strlen(KEYS_MEMBERS));
     g_hash_table_remove(member->addresses, key + strlen(KEYS_MEMBERS));
+    g_hash_table_remove(member->powers, key + strlen(KEYS_MEMBERS));
 }
 
 static bool
@@ -692,6 +725,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     member->addresses =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    member->powers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     member->shards =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     AqTimer_Init(&member->keep_timer, on_keep_due, member);
@@ -717,6 +752,7 @@
     prefix_view_destroy(member->nodes);
     g_hash_table_destroy(member->incarnations);
     g_hash_table_destroy(member->addresses);
+    g_hash_table_destroy(member->powers);
     g_hash_table_destroy(member->shards);
     free(member);
 }
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -141,7 +141,9 @@
 {
     Order *order = context;
     PoolOwner *owner = order->owner;
-    AqTime now = now_of(owner);
+    /* The loop's time may be older than the answer: a VM's clock would seem to
+     * be ahead, and its leases to lapse too soon. */
+    AqTime now = AqClock_ReadMonotonic();
     if (end_call(owner)) {
         AqScheduler *s = owner->scheduler;
         count_order(owner, order, reply);
--- a/packages/scheduler/lasting.c
+++ b/packages/scheduler/lasting.c
@@ -6,6 +6,7 @@
  * slowed before its users are harmed. */
 
 enum {
+    SCAN_EVERY_MS = 20,
     UNHEARD_MS = 900, /* two looks at a busy VM */
     /* Serving tasks: a filler is slowed from this share of the target on, and
      * sped up again below the other. */
@@ -158,6 +159,10 @@
 void
 lasting_tick(AqScheduler *s)
 {
+    if (s->now < s->next_scan) {
+        return;
+    }
+    s->next_scan = s->now + SCAN_EVERY_MS;
     replies_tick(s);
     AqList_ForEach(at, &s->vms)
     {
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -217,9 +217,27 @@
     return task->state == TASK_READY && task->not_before <= s->now;
 }
 
+static void
+measure_free(AqScheduler *s)
+{
+    s->largest_free = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        int64_t free = vm->report.cpu_millis - vm->used_cpu - vm->foreign_cpu;
+        if (free > s->largest_free && vms_is_usable(s, vm)) {
+            s->largest_free = free;
+        }
+    }
+}
+
 static void
 place_tasks(AqScheduler *s, Step *step)
 {
+    bool has_placed = false;
+    if (!step->spec->is_filler && step->spec->cpu_millis > s->largest_free) {
+        return; /* a full pool has many jobs that wait */
+    }
     for (uint32_t i = 0; i < step->spec->task_count && step->ready > 0; i++) {
         Task *task = &step->tasks[i];
         if (!is_startable(s, task)) {
@@ -227,10 +245,14 @@
         }
         Vm *vm = choose_vm(s, task, NULL);
         if (vm == NULL) {
-            return; /* the others of the step need as much */
+            break; /* the others of the step need as much */
         }
         assign(s, vm, task, next_run(s, task->run));
         placement_send_start(s, task);
+        has_placed = true;
+    }
+    if (has_placed) {
+        measure_free(s);
     }
 }
 
@@ -325,10 +347,17 @@
         return;
     }
     enum {
-        PLACE_EVERY_MS = 100
-    }; /* for pauses that end without an event */
+        PLACE_EVERY_MS = 100, /* for pauses that end without an event */
+        PLACE_PAUSE_MS = 5    /* a placement looks at all jobs, and ends come
+                               * one by one */
+    };
+    if (s->now < s->earliest_place) {
+        return;
+    }
     s->place_again = false;
     s->next_place = s->now + PLACE_EVERY_MS;
+    s->earliest_place = s->now + PLACE_PAUSE_MS;
+    measure_free(s);
     size_t count = 0;
     Job **jobs = malloc((AqList_Length(&s->active) + 1) * sizeof(Job *));
     AqList_ForEach(at, &s->active)
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -637,7 +637,7 @@
         lasting_tick(s);
         placement_run(s);
     }
-    AqTime latest = now + TICK_MS;
+    AqTime latest = s->place_again ? s->earliest_place : now + TICK_MS;
     return due < latest ? due : latest;
 }
 
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -187,6 +187,9 @@
     uint64_t roster_stored;
     bool place_again;
     AqTime next_place;
+    AqTime earliest_place;
+    AqTime next_scan;     /* of all tasks, for orders due again and pacing */
+    int64_t largest_free; /* cores of one usable VM, during a placement */
     double offered; /* work submitted lately, core-milliseconds, fading */
     AqTime offered_at;
     double duration_ratio; /* measured against declared durations */
--- a/packages/settings/Include/aq_settings.h
+++ b/packages/settings/Include/aq_settings.h
@@ -15,6 +15,7 @@
 typedef struct {
     char *node_id;         /* entry VM, unique in the deployment */
     char *node_zone;       /* data centre */
+    char *node_cpu_share;  /* of a core, as a decimal number */
     char *node_log_level;  /* error, warning, info or debug */
     char *callers_address; /* IP numbers */
     int64_t callers_port;  /* 0: any free port */
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -41,6 +41,8 @@
     TEXT("node", "id", node_id, NULL, NULL, 1, 63, "name of this entry VM"),
     TEXT("node", "zone", node_zone, NULL, NULL, 1, 63,
          "data centre of this entry VM"),
+    TEXT("node", "cpu_share", node_cpu_share, "1", NULL, 1, 16,
+         "share of a core that this VM has, such as 0.25"),
     TEXT("node", "log_level", node_log_level, "info",
          "error warning info debug", 1, 16, "least severe level logged"),
     TEXT("callers", "address", callers_address, "127.0.0.1", NULL, 7, 15,
