Pools and scheduler: one file a decision

No behaviour changes. A test of the exact hand-over looked for a run before any had started and crashed; it now starts the long job first.

--- a/packages/base/metrics.c
+++ b/packages/base/metrics.c
@@ -25,9 +25,9 @@
     char *name;
     char *labels;
     MetricKind kind;
-    int64_t value;           /* of a histogram: the sum */
-    int64_t counts[BOUNDS];  /* in each bucket, not cumulative */
-    int64_t count;           /* of all observations */
+    int64_t value;          /* of a histogram: the sum */
+    int64_t counts[BOUNDS]; /* in each bucket, not cumulative */
+    int64_t count;          /* of all observations */
 };
 
 struct AqMetrics {
@@ -152,15 +152,15 @@
     const char *comma = metric->labels[0] != '\0' ? "," : "";
     for (int i = 0; i < BOUNDS; i++) {
         below += metric->counts[i];
-        AqBuffer_Printf(out, "%s_bucket{%s%sle=\"%lld\"} %lld\n",
-                        metric->name, metric->labels, comma,
-                        (long long)bounds[i], (long long)below);
+        AqBuffer_Printf(out, "%s_bucket{%s%sle=\"%lld\"} %lld\n", metric->name,
+                        metric->labels, comma, (long long)bounds[i],
+                        (long long)below);
     }
     AqBuffer_Printf(out, "%s_bucket{%s%sle=\"+Inf\"} %lld\n", metric->name,
                     metric->labels, comma, (long long)metric->count);
-    AqBuffer_Printf(out, "%s_sum{%s} %lld\n%s_count{%s} %lld\n",
-                    metric->name, metric->labels, (long long)metric->value,
-                    metric->name, metric->labels, (long long)metric->count);
+    AqBuffer_Printf(out, "%s_sum{%s} %lld\n%s_count{%s} %lld\n", metric->name,
+                    metric->labels, (long long)metric->value, metric->name,
+                    metric->labels, (long long)metric->count);
 }
 
 void
@@ -178,8 +178,8 @@
             write_histogram(metric, out);
         }
         else if (metric->labels[0] != '\0') {
-            AqBuffer_Printf(out, "%s{%s} %lld\n", metric->name,
-                            metric->labels, (long long)metric->value);
+            AqBuffer_Printf(out, "%s{%s} %lld\n", metric->name, metric->labels,
+                            (long long)metric->value);
         }
         else {
             AqBuffer_Printf(out, "%s %lld\n", metric->name,
--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -59,8 +59,7 @@
     Forwarder *forwarder = forward->forwarder;
     bool is_whole = reply->result == AQ_HTTP_DONE;
     if (!is_whole || reply->status == 503) {
-        forwarder->pause_until =
-            AqLoop_Now(forwarder->node->loop) + PAUSE_MS;
+        forwarder->pause_until = AqLoop_Now(forwarder->node->loop) + PAUSE_MS;
     }
     if (is_whole) {
         respond(forward, reply->status, reply->body, reply->size);
--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -52,8 +52,7 @@
 
 static void try_state(void *context);
 
-/* ---- Answers -------------------------------------------------------------
- */
+/* ---- Answers ------------------------------------------------------------ */
 
 static void
 respond(AqExchange *exchange, int status, const char *body)
@@ -80,9 +79,8 @@
     AqTime took = now_of(request->front) - request->arrived_at;
     bool is_submission = request->job.size > 0;
     if (status == 200 && (is_submission || request->try == try_state)) {
-        AqMetric_Observe(is_submission ? metrics->accept_ms
-                                       : metrics->state_ms,
-                         took);
+        AqMetric_Observe(
+            is_submission ? metrics->accept_ms : metrics->state_ms, took);
     }
     if (status == 200 && is_submission) {
         AqMetric_Add(metrics->stored, 1);
@@ -168,8 +166,7 @@
     return true;
 }
 
-/* ---- Submission ----------------------------------------------------------
- */
+/* ---- Submission --------------------------------------------------------- */
 
 static void
 on_submitted(void *context, const AqStoreReply *reply)
@@ -241,8 +238,7 @@
     try_submit(request);
 }
 
-/* ---- State ---------------------------------------------------------------
- */
+/* ---- State -------------------------------------------------------------- */
 
 static void
 finish_state(Request *request, AqJobState state)
@@ -314,8 +310,7 @@
                     on_progress_read, request);
 }
 
-/* ---- Cancelling ----------------------------------------------------------
- */
+/* ---- Cancelling --------------------------------------------------------- */
 
 static void
 on_cancelled(void *context, const AqStoreReply *reply)
@@ -375,8 +370,7 @@
     store->ops->commit(store, &commit, on_cancel_first, request);
 }
 
-/* ---- Waiting jobs --------------------------------------------------------
- */
+/* ---- Waiting jobs ------------------------------------------------------- */
 
 static int64_t
 find_waiting(const char *report, const char *queue)
@@ -447,8 +441,7 @@
                     request);
 }
 
-/* ---- Dispatch ------------------------------------------------------------
- */
+/* ---- Dispatch ----------------------------------------------------------- */
 
 static bool
 is_id(const char *text)
--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -70,8 +70,7 @@
     free(desk);
 }
 
-/* ---- What is asked for ---------------------------------------------------
- */
+/* ---- What is asked for -------------------------------------------------- */
 
 static Entry *
 find_entry(const MachineDesk *desk, const char *pool, uint64_t fence,
@@ -249,8 +248,7 @@
 
 static const PrefixViewOps ask_ops = {on_put, on_removed, on_listed};
 
-/* ---- Answers -------------------------------------------------------------
- */
+/* ---- Answers ------------------------------------------------------------ */
 
 static void
 on_answered(void *context, AqStoreStatus status)
@@ -316,8 +314,7 @@
     }
 }
 
-/* ---- Orders --------------------------------------------------------------
- */
+/* ---- Orders ------------------------------------------------------------- */
 
 static void
 on_done(void *context, DutyResult result)
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -64,7 +64,7 @@
     GHashTable *addresses;    /* node -> "IP:port" for callers */
     GHashTable *powers;       /* node -> thousandths of a core, as pointer */
     guint next_peer;
-    GHashTable *shards;       /* pool -> Shard */
+    GHashTable *shards; /* pool -> Shard */
     AqTimer keep_timer;
     uint64_t lease;
     AqTime keep_sent_at;
@@ -76,8 +76,7 @@
 
 static void consider(Shard *shard);
 
-/* ---- Lease ---------------------------------------------------------------
- */
+/* ---- Lease -------------------------------------------------------------- */
 
 static void
 lose_all(Member *member, const char *reason)
@@ -224,8 +223,7 @@
     return AqLoop_Now(member->node->loop) - member->heard_at < CONNECTED_MS;
 }
 
-/* ---- Claims --------------------------------------------------------------
- */
+/* ---- Claims ------------------------------------------------------------- */
 
 static size_t
 count_owned(const Member *member)
@@ -485,8 +483,7 @@
     AqTimer_Start(member->node->loop, &shard->timer, claim_due(shard));
 }
 
-/* ---- Views ---------------------------------------------------------------
- */
+/* ---- Views -------------------------------------------------------------- */
 
 static Shard *
 find_shard(Member *member, const char *pool)
@@ -549,7 +546,8 @@
     char incarnation[40] = "";
     char address[32] = "";
     int power = 0;
-    size_t size = item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
+    size_t size =
+        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
     memcpy(text, item->value, size);
     if (sscanf(text, "%39s %31s %d", incarnation, address, &power) != 3) {
         AqLog_Event(AQ_LOG_WARNING, "member_unreadable", "node=%s", node);
@@ -557,8 +555,7 @@
     }
     g_hash_table_replace(member->incarnations, g_strdup(node),
                          g_strdup(incarnation));
-    g_hash_table_replace(member->addresses, g_strdup(node),
-                         g_strdup(address));
+    g_hash_table_replace(member->addresses, g_strdup(node), g_strdup(address));
     g_hash_table_replace(member->powers, g_strdup(node),
                          GINT_TO_POINTER(power));
     consider_all(member);
@@ -609,8 +606,7 @@
 
 static const PrefixViewOps node_ops = {on_put, on_removed, on_listed};
 
-/* ---- Interface -----------------------------------------------------------
- */
+/* ---- Interface ---------------------------------------------------------- */
 
 void
 member_site_changed(Member *member)
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -58,8 +58,7 @@
     PoolMachines *machines;
 } OwnedPool;
 
-/* ---- Configuration -------------------------------------------------------
- */
+/* ---- Configuration ------------------------------------------------------ */
 
 static void
 each_owner(AqNode *node, void (*visit)(PoolOwner *owner))
@@ -162,8 +161,7 @@
     return forwarder_send(((AqNode *)context)->forwarder, exchange, deadline);
 }
 
-/* ---- VMs -----------------------------------------------------------------
- */
+/* ---- VMs ---------------------------------------------------------------- */
 
 static void
 on_worker_put(void *context, const AqStoreItem *item)
@@ -213,8 +211,7 @@
 static const PrefixViewOps worker_ops = {on_worker_put, on_worker_removed,
                                          ignore_listed};
 
-/* ---- Pools ---------------------------------------------------------------
- */
+/* ---- Pools -------------------------------------------------------------- */
 
 static void
 on_deposed(void *context, const char *pool, const char *reason)
@@ -278,8 +275,7 @@
     }
 }
 
-/* ---- Readiness -----------------------------------------------------------
- */
+/* ---- Readiness ---------------------------------------------------------- */
 
 static bool
 is_ready(AqNode *node)
@@ -308,7 +304,7 @@
     AqExchange_Respond(exchange, is_ready(node) ? 200 : 503, NULL, 0, "", 0);
 }
 
-/* ---- Metrics ------------------------------------------------------------- */
+/* ---- Metrics ------------------------------------------------------------ */
 
 static void
 create_metrics(NodeMetrics *metrics)
@@ -328,13 +324,13 @@
         AqMetrics_Counter(all, "aq_requests_total", "outcome=\"unknown\"");
     metrics->orders_failed =
         AqMetrics_Counter(all, "aq_orders_unanswered_total", "");
-    metrics->pools_gained = AqMetrics_Counter(all, "aq_pools_gained_total", "");
+    metrics->pools_gained =
+        AqMetrics_Counter(all, "aq_pools_gained_total", "");
     metrics->pools_lost = AqMetrics_Counter(all, "aq_pools_lost_total", "");
 }
 
 static void
-write_pool_metrics(const char *pool, AqScheduler *s, AqTime now,
-                   AqBuffer *out)
+write_pool_metrics(const char *pool, AqScheduler *s, AqTime now, AqBuffer *out)
 {
     AqSchedulerLoad load;
     const AqSchedulerCounters *counters = AqScheduler_Counters(s);
@@ -374,11 +370,10 @@
     AqBuffer_Printf(&out, "aq_config_version %lld\n",
                     (long long)node->context.site.version);
     AqBuffer_Printf(&out, "aq_ready %d\n", is_ready(node));
-    AqBuffer_Printf(&out, "aq_store_calls_total %llu\n",
-                    (unsigned long long)AqPlatformStore_Calls(
-                        node->context.store));
-    AqBuffer_Printf(&out, "aq_log_lines_dropped_total %lu\n",
-                    AqLog_Dropped());
+    AqBuffer_Printf(
+        &out, "aq_store_calls_total %llu\n",
+        (unsigned long long)AqPlatformStore_Calls(node->context.store));
+    AqBuffer_Printf(&out, "aq_log_lines_dropped_total %lu\n", AqLog_Dropped());
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         AqScheduler *s =
@@ -393,8 +388,7 @@
     AqBuffer_Clear(&out);
 }
 
-/* ---- Stopping ------------------------------------------------------------
- */
+/* ---- Stopping ----------------------------------------------------------- */
 
 static void
 on_stop_due(void *context)
@@ -473,8 +467,7 @@
     on_stop_due(node);
 }
 
-/* ---- Lifecycle -----------------------------------------------------------
- */
+/* ---- Lifecycle ---------------------------------------------------------- */
 
 static AqTime
 on_round(void *context)
--- a/packages/pool/node.h
+++ b/packages/pool/node.h
@@ -19,12 +19,12 @@
 /* Metrics of a node; docs/OPERATIONS.md says what each means. */
 typedef struct {
     AqMetrics *all;
-    AqMetric *accept_ms;     /* submissions that were stored */
-    AqMetric *state_ms;      /* states that were read */
-    AqMetric *start_ms;      /* orders to start a task */
-    AqMetric *save_ms;       /* writes of an owner */
-    AqMetric *takeover_ms;   /* from gaining a pool to its jobs loaded */
-    AqMetric *stored;        /* requests by outcome */
+    AqMetric *accept_ms;   /* submissions that were stored */
+    AqMetric *state_ms;    /* states that were read */
+    AqMetric *start_ms;    /* orders to start a task */
+    AqMetric *save_ms;     /* writes of an owner */
+    AqMetric *takeover_ms; /* from gaining a pool to its jobs loaded */
+    AqMetric *stored;      /* requests by outcome */
     AqMetric *refused;
     AqMetric *unknown;
     AqMetric *orders_failed; /* orders without an answer */
@@ -41,8 +41,8 @@
     AqMachineCalls *machines; /* NULL: VMs can't be ordered about */
     AqAdviceCalls *advice;    /* NULL: no such service */
     NodeMetrics metrics;
-    AqSiteConfig site;        /* version 0: not known yet */
-    char incarnation[40];     /* of this process */
+    AqSiteConfig site;    /* version 0: not known yet */
+    char incarnation[40]; /* of this process */
     bool is_stopping;
 } NodeContext;
 
--- a/packages/pool/owner_writer.c
+++ b/packages/pool/owner_writer.c
@@ -76,8 +76,7 @@
                   AqLoop_Now(writer->node->loop) + RETRY_MS);
 }
 
-/* ---- Outcomes ------------------------------------------------------------
- */
+/* ---- Outcomes ----------------------------------------------------------- */
 
 static const AqStoreItem *
 find_item(const AqStoreReply *reply, const char *key)
@@ -177,8 +176,7 @@
     next(writer);
 }
 
-/* ---- Sending -------------------------------------------------------------
- */
+/* ---- Sending ------------------------------------------------------------ */
 
 static void
 read_lane(OwnerWriter *writer)
@@ -247,8 +245,7 @@
     }
 }
 
-/* ---- Interface -----------------------------------------------------------
- */
+/* ---- Interface ---------------------------------------------------------- */
 
 static char *
 keep(Write *write, const void *bytes, size_t size)
--- /dev/null
+++ b/packages/pool/pool_machines_private.h
@@ -0,0 +1,118 @@
+#ifndef POOL_MACHINES_PRIVATE_H
+#define POOL_MACHINES_PRIVATE_H
+
+#include "aq_asks.h"
+#include "keys.h"
+#include "pool_machines.h"
+#include "prefix_view.h"
+
+/* Shared by the files of a pool's machines:
+ * pool_machines.c  what is there, plans, the platform's list, rounds
+ * pool_asks.c      what is asked of the machine duty, and its answers
+ * pool_upkeep.c    waves
+ * pool_sizes.c     VMs given to other pools and taken */
+
+enum {
+    MACHINES_RETRY_MS = 150 /* of a write that was not accepted */
+};
+
+typedef enum {
+    VM_CORDONED, /* being made empty */
+    VM_CLAIMING, /* the wave's record is being written */
+    VM_ASKED,    /* the order is asked for */
+    VM_BACK      /* it serves again; the wave's record is to say so */
+} VmPhase;
+
+typedef enum {
+    PLAN_UPKEEP,
+    PLAN_GIVE, /* to the spare pool */
+    PLAN_TAKE  /* from the spare pool */
+} PlanKind;
+
+/* What this owner is doing with one VM. */
+typedef struct {
+    char machine[AQ_VM_ID_SIZE];
+    char vm[AQ_VM_ID_SIZE]; /* its life when we began, or "" */
+    PlanKind kind;
+    VmPhase phase;
+    int64_t wave;
+    int64_t ask;     /* number; 0: nothing is asked for */
+    bool is_ordered; /* the answer says that the order was accepted */
+    AqTime ordered_at;
+    AqTime since;
+    AqTime retry_at;
+} Plan;
+
+struct PoolMachines {
+    NodeContext *node;
+    WaveBook *waves;
+    PoolOwner *owner;
+    char pool[64];
+    uint64_t fence;
+    bool is_dropped;
+    int calls;
+    AqTime due;
+    AqTime log_due;
+    int64_t last_ask;
+    bool are_asks_changed;
+    size_t wanted; /* VMs that the spare pool does not have */
+    bool is_writing_asks;
+    AqTime asks_due;
+    PrefixView *answers;
+    bool is_writing_wave;
+    char claiming[AQ_VM_ID_SIZE]; /* VM of the write of a wave's record */
+    GHashTable *plans;            /* machine -> Plan */
+    GArray *vms;                  /* of VmCopy, of this round */
+    /* The platform's list of VMs. */
+    GArray *list; /* of AqMachine */
+    AqTime listed_at;
+    bool is_listing;
+};
+
+typedef struct {
+    char vm[AQ_VM_ID_SIZE];
+    char machine[AQ_VM_ID_SIZE];
+    bool is_usable;
+    bool is_answering;
+    bool is_draining;
+    size_t tasks;
+    size_t lasting;
+    int64_t cpu;
+    AqTime idle_since;
+} VmCopy;
+
+AqTime machines_now(const PoolMachines *self);
+/* Ends a call; false when the machines were dropped, which may free them. */
+bool machines_end_call(PoolMachines *self);
+
+/* ---- pool_machines.c */
+/* The life of a VM that answers, or else any; NULL when there is none. */
+const VmCopy *machines_find_vm(const PoolMachines *self, const char *machine);
+bool machines_is_life_over(const PoolMachines *self, const char *life);
+Plan *machines_find_plan(const PoolMachines *self, const char *machine);
+Plan *machines_add_plan(PoolMachines *self, const char *machine,
+                        const char *vm, PlanKind kind);
+/* Frees the plan; its VM serves on. */
+void machines_remove_plan(PoolMachines *self, const Plan *plan);
+Plan *machines_cordon(PoolMachines *self, const VmCopy *vm, PlanKind kind,
+                      const char *reason);
+size_t machines_count_plans(const PoolMachines *self, PlanKind kind);
+/* NULL when the configuration has none. */
+const char *machines_spare_pool(const PoolMachines *self);
+/* Whether the platform's list is at most so old; reads it again if not. */
+bool machines_need_list(PoolMachines *self, AqTime age);
+const AqMachine *machines_find_listed(const PoolMachines *self,
+                                      const char *machine);
+
+/* ---- pool_asks.c */
+void machines_ask(PoolMachines *self, Plan *plan);
+void machines_write_asks(PoolMachines *self);
+void machines_watch_answers(PoolMachines *self);
+
+/* ---- pool_upkeep.c */
+void machines_upkeep_round(PoolMachines *self);
+
+/* ---- pool_sizes.c */
+void machines_sizes_round(PoolMachines *self, AqScheduler *s);
+
+#endif
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -103,8 +103,7 @@
     owner->ops.deposed(owner->context, owner->ownership.pool, reason);
 }
 
-/* ---- Orders --------------------------------------------------------------
- */
+/* ---- Orders ------------------------------------------------------------- */
 
 typedef enum {
     ORDER_START,
@@ -269,8 +268,7 @@
     depose(context, "later_fence_at_vm");
 }
 
-/* ---- Loading -------------------------------------------------------------
- */
+/* ---- Loading ------------------------------------------------------------ */
 
 static void load_next(PoolOwner *owner);
 
@@ -436,8 +434,7 @@
     }
 }
 
-/* ---- Storing -------------------------------------------------------------
- */
+/* ---- Storing ------------------------------------------------------------ */
 
 static void
 commit_as_owner(PoolOwner *owner, const AqStorePut *puts, size_t count,
@@ -548,8 +545,7 @@
     AqBuffer_Clear(&bytes);
 }
 
-/* ---- Report --------------------------------------------------------------
- */
+/* ---- Report ------------------------------------------------------------- */
 
 static void
 on_reported(void *context, AqStoreStatus status)
@@ -597,8 +593,7 @@
     AqBuffer_Clear(&text);
 }
 
-/* ---- Rounds --------------------------------------------------------------
- */
+/* ---- Rounds ------------------------------------------------------------- */
 
 /* May free the owner. */
 static void
@@ -645,8 +640,7 @@
     return due;
 }
 
-/* ---- Interface -----------------------------------------------------------
- */
+/* ---- Interface ---------------------------------------------------------- */
 
 PoolOwner *
 pool_owner_create(NodeContext *node, Member *member,
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -77,8 +77,7 @@
     AqTimer_Start(view->loop, &view->retry, AqLoop_Now(view->loop) + wait);
 }
 
-/* ---- Applying ------------------------------------------------------------
- */
+/* ---- Applying ----------------------------------------------------------- */
 
 static void
 apply_put(PrefixView *view, const AqStoreItem *item)
@@ -134,8 +133,7 @@
     g_ptr_array_free(gone, TRUE);
 }
 
-/* ---- Calls ---------------------------------------------------------------
- */
+/* ---- Calls -------------------------------------------------------------- */
 
 /* Ends the handling of a reply; false when the view was destroyed. */
 static bool
@@ -254,8 +252,7 @@
     begin(context);
 }
 
-/* ---- Lifecycle -----------------------------------------------------------
- */
+/* ---- Lifecycle ---------------------------------------------------------- */
 
 PrefixView *
 prefix_view_create(AqLoop *loop, AqStore *store, const char *prefix,
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -32,7 +32,7 @@
 } Call;
 
 struct FakeStore {
-    AqStore store; /* first */
+    AqStore store;      /* first */
     GPtrArray *records; /* of Record; a removed one stays as such */
     GQueue *calls;      /* of Call */
     GQueue *lost;       /* of Call */
@@ -89,7 +89,7 @@
     record->index = fake->index;
 }
 
-/* ---- Calls --------------------------------------------------------------- */
+/* ---- Calls -------------------------------------------------------------- */
 
 static Call *
 add_call(AqStore *store, CallKind kind, const char *key, AqStoreDone done,
@@ -149,8 +149,7 @@
     for (size_t i = 0; i < commit->put_count; i++) {
         Record *record = g_new0(Record, 1);
         record->key = g_strdup(commit->puts[i].key);
-        record->value =
-            g_strndup(commit->puts[i].value, commit->puts[i].size);
+        record->value = g_strndup(commit->puts[i].value, commit->puts[i].size);
         record->size = commit->puts[i].size;
         g_ptr_array_add(call->puts, record);
     }
@@ -163,7 +162,7 @@
     .commit = on_commit,
 };
 
-/* ---- Answers ------------------------------------------------------------- */
+/* ---- Answers ------------------------------------------------------------ */
 
 static void
 add_item(GArray *items, const Record *record)
@@ -254,7 +253,9 @@
 void
 fake_store_answer_all(FakeStore *fake)
 {
-    enum { MOST = 100 }; /* a watch that is answered is sent again */
+    enum {
+        MOST = 100
+    }; /* a watch that is answered is sent again */
     for (int i = 0; i < MOST && fake_store_waiting(fake) > 0; i++) {
         Call *call = g_queue_peek_head(fake->calls);
         if (call->kind == CALL_CHANGES && call->index >= fake->index) {
@@ -340,7 +341,7 @@
     return fake->longest_wait;
 }
 
-/* ---- Lifecycle ----------------------------------------------------------- */
+/* ---- Lifecycle ---------------------------------------------------------- */
 
 FakeStore *
 fake_store_create(void)
--- a/packages/pool/tests/test_platform.c
+++ b/packages/pool/tests/test_platform.c
@@ -218,9 +218,9 @@
         const char *name;
         void (*run)(void);
     } tests[] = {
-        {"config", test_config},     {"worker", test_worker},
-        {"job", test_job},           {"wave", test_wave},
-        {"answers", test_answers},   {"refusals", test_refusals},
+        {"config", test_config},   {"worker", test_worker},
+        {"job", test_job},         {"wave", test_wave},
+        {"answers", test_answers}, {"refusals", test_refusals},
         {"fuzz", test_fuzz},
     };
     CU_initialize_registry();
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -30,7 +30,7 @@
     AqLoop_Destroy(fixture->node.loop);
 }
 
-/* ---- Writes of an owner -------------------------------------------------- */
+/* ---- Writes of an owner ------------------------------------------------- */
 
 typedef struct {
     int count;
@@ -178,7 +178,7 @@
     tear_down(&fixture);
 }
 
-/* ---- Views --------------------------------------------------------------- */
+/* ---- Views -------------------------------------------------------------- */
 
 typedef struct {
     unsigned puts;
@@ -220,9 +220,8 @@
     Seen seen = {0};
     set_up(&fixture);
     fake_store_put(fixture.fake, "p/a", "1");
-    PrefixView *view = prefix_view_create(fixture.node.loop,
-                                          fixture.node.store, "p/", &view_ops,
-                                          &seen);
+    PrefixView *view = prefix_view_create(
+        fixture.node.loop, fixture.node.store, "p/", &view_ops, &seen);
     fake_store_answer_all(fixture.fake);
     CU_ASSERT_EQUAL(seen.puts, 1);
     CU_ASSERT_EQUAL(seen.listings, 1);
@@ -247,9 +246,8 @@
     set_up(&fixture);
     fake_store_put(fixture.fake, "p/a", "1");
     fake_store_put(fixture.fake, "p/b", "2");
-    PrefixView *view = prefix_view_create(fixture.node.loop,
-                                          fixture.node.store, "p/", &view_ops,
-                                          &seen);
+    PrefixView *view = prefix_view_create(
+        fixture.node.loop, fixture.node.store, "p/", &view_ops, &seen);
     fake_store_answer_all(fixture.fake);
     fake_store_remove(fixture.fake, "p/a");
     fake_store_put(fixture.fake, "p/b", "3");
@@ -272,9 +270,8 @@
     Fixture fixture;
     Seen seen = {0};
     set_up(&fixture);
-    PrefixView *view = prefix_view_create(fixture.node.loop,
-                                          fixture.node.store, "p/", &view_ops,
-                                          &seen);
+    PrefixView *view = prefix_view_create(
+        fixture.node.loop, fixture.node.store, "p/", &view_ops, &seen);
     fake_store_answer_all(fixture.fake);
     CU_ASSERT_TRUE(fake_store_longest_wait(fixture.fake) <= 2000);
     prefix_view_destroy(view);
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -92,7 +92,7 @@
 /* Plain jobs of a queue whose first task has not started. */
 size_t AqScheduler_Waiting(const AqScheduler *scheduler, const char *queue);
 
-/* ---- VMs ---- */
+/* ---- VMs ---------------------------------------------------------------- */
 
 void AqScheduler_SetVm(AqScheduler *scheduler, const AqVmReport *report,
                        AqTime now);
@@ -148,7 +148,7 @@
 /* The stored roster and jobs are all added.  Nothing starts before. */
 void AqScheduler_SetLoaded(AqScheduler *scheduler);
 
-/* ---- Replies ---- */
+/* ---- Replies ------------------------------------------------------------ */
 
 void AqScheduler_OnStart(AqScheduler *scheduler, const char *id,
                          const AqTaskName *name, int64_t run,
@@ -166,7 +166,7 @@
 void AqScheduler_OnTicketsEnd(AqScheduler *scheduler, const AqTaskName *name,
                               bool is_answered, AqTime now);
 
-/* ---- Durability ---- */
+/* ---- Durability --------------------------------------------------------- */
 
 typedef struct {
     char id[AQ_JOB_ID_SIZE];
@@ -184,7 +184,7 @@
 bool AqScheduler_HasUrgentSave(const AqScheduler *scheduler);
 bool AqScheduler_HasUnsaved(const AqScheduler *scheduler);
 
-/* ---- Time ---- */
+/* ---- Time --------------------------------------------------------------- */
 
 /* Gives the orders that are due.  "wall" is Unix ms.  While "may_order" is
  * false nothing is ordered, since another owner may exist.  Returns when to
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -99,8 +99,7 @@
     return work;
 }
 
-/* ---- Stored form ---------------------------------------------------------
- */
+/* ---- Stored form -------------------------------------------------------- */
 
 static int64_t
 step_flags(const AqStepSpec *step)
--- a/packages/scheduler/lasting.c
+++ b/packages/scheduler/lasting.c
@@ -87,8 +87,7 @@
     }
 }
 
-/* ---- Pacing --------------------------------------------------------------
- */
+/* ---- Pacing ------------------------------------------------------------- */
 
 typedef struct {
     bool is_pressed; /* a serving task is near its target */
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -375,8 +375,7 @@
     free(jobs);
 }
 
-/* ---- Tickets -------------------------------------------------------------
- */
+/* ---- Tickets ------------------------------------------------------------ */
 
 static Step *
 find_step(const AqScheduler *s, const AqTaskName *name)
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -32,8 +32,7 @@
                 (long long)(vm != NULL ? s->now - vm->clock_at : -1));
 }
 
-/* ---- Stops ---------------------------------------------------------------
- */
+/* ---- Stops -------------------------------------------------------------- */
 
 static void
 send_stop(AqScheduler *s, Task *task)
@@ -127,8 +126,7 @@
     return task != NULL && task->vm == vm && task->run == run ? task : NULL;
 }
 
-/* ---- Start ---------------------------------------------------------------
- */
+/* ---- Start -------------------------------------------------------------- */
 
 static void
 start_confirmed(AqScheduler *s, Task *task)
@@ -221,8 +219,7 @@
     }
 }
 
-/* ---- Stop ----------------------------------------------------------------
- */
+/* ---- Stop --------------------------------------------------------------- */
 
 void
 AqScheduler_OnStop(AqScheduler *s, const char *id, const AqTaskName *name,
@@ -250,8 +247,7 @@
     }
 }
 
-/* ---- Hold: ends ----------------------------------------------------------
- */
+/* ---- Hold: ends --------------------------------------------------------- */
 
 static void
 set_checkpoint(Task *task, const char *checkpoint)
@@ -326,8 +322,7 @@
     return true;
 }
 
-/* ---- Hold: runs ----------------------------------------------------------
- */
+/* ---- Hold: runs --------------------------------------------------------- */
 
 static void
 check_stall(AqScheduler *s, Vm *vm, Task *task, const AqRunningTask *row)
@@ -510,8 +505,7 @@
     }
 }
 
-/* ---- Orders that are due again -------------------------------------------
- */
+/* ---- Orders that are due again ------------------------------------------ */
 
 void
 replies_tick(AqScheduler *s)
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -9,6 +9,7 @@
 /* Shared by the files of the scheduler.  Each file owns one decision:
  * scheduler.c   jobs, steps and time
  * vms.c         what is believed of each VM, leases and silence
+ * roster.c      which VMs later owners have to hear from
  * replies.c     what a reply means for tasks
  * ranking.c     which job comes first
  * placement.c   which VM a task goes to
@@ -217,6 +218,7 @@
 
 /* ---- vms.c */
 Vm *vms_find(const AqScheduler *s, const char *id);
+Vm *vms_add(AqScheduler *s, const AqVmReport *report);
 void vms_attach(AqScheduler *s, Vm *vm, Task *task);
 void vms_detach(AqScheduler *s, Task *task);
 bool vms_is_usable(const AqScheduler *s, const Vm *vm);
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -184,8 +184,7 @@
     return g_hash_table_lookup(sim->jobs, id);
 }
 
-/* ---- VMs -----------------------------------------------------------------
- */
+/* ---- VMs ---------------------------------------------------------------- */
 
 static SimVm *
 new_vm(Sim *sim, unsigned slot)
@@ -328,8 +327,7 @@
     }
 }
 
-/* ---- Rules ---------------------------------------------------------------
- */
+/* ---- Rules -------------------------------------------------------------- */
 
 static void
 check_alone(Sim *sim, const SimVm *starter, const AqTaskName *name)
@@ -401,8 +399,7 @@
     }
 }
 
-/* ---- Orders at a VM ------------------------------------------------------
- */
+/* ---- Orders at a VM ----------------------------------------------------- */
 
 static AqOrderResult
 do_start(Sim *sim, SimVm *vm, const Event *event)
@@ -555,8 +552,7 @@
     return AQ_ORDER_DONE;
 }
 
-/* ---- Events --------------------------------------------------------------
- */
+/* ---- Events ------------------------------------------------------------- */
 
 static void
 free_event(gpointer value)
@@ -700,8 +696,7 @@
     g_ptr_array_free(due, TRUE);
 }
 
-/* ---- Actions of a scheduler ----------------------------------------------
- */
+/* ---- Actions of a scheduler --------------------------------------------- */
 
 static Event *
 new_order(SimOwner *owner, OrderKind kind, const AqOrderTarget *target)
@@ -794,8 +789,7 @@
     owner->expires_at = owner->sim->now;
 }
 
-/* ---- Owners --------------------------------------------------------------
- */
+/* ---- Owners ------------------------------------------------------------- */
 
 static void step(Sim *sim);
 
@@ -958,8 +952,7 @@
     sim->is_certain = is_certain;
 }
 
-/* ---- Time ----------------------------------------------------------------
- */
+/* ---- Time --------------------------------------------------------------- */
 
 static void
 update_listing(Sim *sim, SimVm *vm)
@@ -1034,8 +1027,7 @@
     return sim->broken[0] != '\0' ? sim->broken : NULL;
 }
 
-/* ---- VMs from outside ----------------------------------------------------
- */
+/* ---- VMs from outside --------------------------------------------------- */
 
 void
 sim_silence_vm(Sim *sim, unsigned vm, AqTime ms)
@@ -1096,8 +1088,7 @@
     return lowest;
 }
 
-/* ---- Jobs ----------------------------------------------------------------
- */
+/* ---- Jobs --------------------------------------------------------------- */
 
 void
 sim_add_job(Sim *sim, AqJobSpec *spec)
@@ -1172,8 +1163,7 @@
     return stored_of(sim, id)->runs;
 }
 
-/* ---- Lifecycle -----------------------------------------------------------
- */
+/* ---- Lifecycle ---------------------------------------------------------- */
 
 static void
 free_stored(gpointer value)
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -42,7 +42,7 @@
 /* Text of the first broken rule, or NULL. */
 const char *sim_broken(const Sim *sim);
 
-/* ---- Owners ---- */
+/* ---- Owners ------------------------------------------------------------- */
 
 /* Starts an owner that loads what is stored.  "rival": the earlier one is
  * unaware and gives orders for the rest of its lease. */
@@ -54,7 +54,7 @@
 /* The owner's lease is in doubt: it gives no orders. */
 void sim_set_certain(Sim *sim, bool is_certain);
 
-/* ---- VMs ---- */
+/* ---- VMs ---------------------------------------------------------------- */
 
 /* Silent for so long; its tasks go on. */
 void sim_silence_vm(Sim *sim, unsigned vm, AqTime ms);
@@ -70,7 +70,7 @@
 /* The lowest share that a run of the VM is paced to, percent. */
 int sim_lowest_pace(const Sim *sim, unsigned vm);
 
-/* ---- Jobs ---- */
+/* ---- Jobs --------------------------------------------------------------- */
 
 /* Accepts a job; what *spec owns is taken. */
 void sim_add_job(Sim *sim, AqJobSpec *spec);
--- a/packages/scheduler/tests/test_records.c
+++ b/packages/scheduler/tests/test_records.c
@@ -9,8 +9,7 @@
 #include "aq_site_config.h"
 #include "aq_waves.h"
 
-/* ---- Jobs ----------------------------------------------------------------
- */
+/* ---- Jobs --------------------------------------------------------------- */
 
 static void
 fill_job(AqJobSpec *spec)
@@ -162,8 +161,7 @@
     CU_ASSERT_EQUAL(stage, AQ_STAGE_COMPLETED);
 }
 
-/* ---- Asks ----------------------------------------------------------------
- */
+/* ---- Asks --------------------------------------------------------------- */
 
 /* Guards against asks that change on their way, and damaged lists. */
 static void
@@ -191,8 +189,7 @@
     AqBuffer_Clear(&bytes);
 }
 
-/* ---- Queues --------------------------------------------------------------
- */
+/* ---- Queues ------------------------------------------------------------- */
 
 /* Guards against a request that goes to a queue with a shorter prefix, or to
  * another host's. */
@@ -233,8 +230,7 @@
     }
 }
 
-/* ---- Waves ---------------------------------------------------------------
- */
+/* ---- Waves -------------------------------------------------------------- */
 
 static AqWave *
 make_wave(uint32_t cap, AqTime within_ms)
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -196,8 +196,9 @@
 {
     Sim *sim = sim_create(16);
     sim_add_simple(sim, "a1", 1, 8, 8000, 6000);
-    sim_add_simple(sim, "a2", 1, 20, 8000, 500);
     sim_run(sim, 300);
+    sim_add_simple(sim, "a2", 1, 20, 8000, 500);
+    sim_run(sim, 100);
     unsigned vm = 0;
     while (sim_count_runs(sim, vm, "a1") == 0) {
         vm++;
@@ -265,8 +266,7 @@
     sim_destroy(sim);
 }
 
-/* ---- Lasting tasks -------------------------------------------------------
- */
+/* ---- Lasting tasks ------------------------------------------------------ */
 
 static void
 add_lasting(Sim *sim, const char *id, unsigned tasks, unsigned may_miss)
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -1,8 +1,6 @@
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "record_codec.h"
 #include "scheduler_internal.h"
 
 enum {
@@ -20,8 +18,7 @@
     UNLISTED_FORGET_MS = 10000,
     FOREIGN_GRACE_MS = 3000, /* for the job of an unknown run to be seen */
     LAPSE_MARGIN_MS = 100,
-    TASK_FIELDS = 5, /* of a task in the roster */
-    BAD_ENDS = 3,    /* in a row, of different tasks: the VM is at fault */
+    BAD_ENDS = 3, /* in a row, of different tasks: the VM is at fault */
     QUARANTINE_MS = 3000
 };
 
@@ -41,8 +38,8 @@
     target->vm = vm->report.id;
 }
 
-static Vm *
-add_vm(AqScheduler *s, const AqVmReport *report)
+Vm *
+vms_add(AqScheduler *s, const AqVmReport *report)
 {
     Vm *vm = calloc(1, sizeof(*vm));
     vm->report = *report;
@@ -66,8 +63,7 @@
     free(vm);
 }
 
-/* ---- Room ----------------------------------------------------------------
- */
+/* ---- Room --------------------------------------------------------------- */
 
 static void
 count_room(Vm *vm, const AqStepSpec *spec, int sign)
@@ -116,8 +112,7 @@
            vm->quarantined_until <= s->now;
 }
 
-/* ---- Belief --------------------------------------------------------------
- */
+/* ---- Belief ------------------------------------------------------------- */
 
 void
 vms_heard(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
@@ -238,8 +233,7 @@
     }
 }
 
-/* ---- Holds ---------------------------------------------------------------
- */
+/* ---- Holds -------------------------------------------------------------- */
 
 static AqTime
 hold_wait(const Vm *vm)
@@ -290,8 +284,7 @@
     }
 }
 
-/* ---- Time ----------------------------------------------------------------
- */
+/* ---- Time --------------------------------------------------------------- */
 
 static void
 update_settled(AqScheduler *s)
@@ -342,8 +335,7 @@
     return due;
 }
 
-/* ---- The list in the store -----------------------------------------------
- */
+/* ---- The list in the store ---------------------------------------------- */
 
 void
 AqScheduler_SetVm(AqScheduler *s, const AqVmReport *report, AqTime now)
@@ -351,7 +343,7 @@
     s->now = now;
     Vm *vm = vms_find(s, report->id);
     if (vm == NULL) {
-        vm = add_vm(s, report);
+        vm = vms_add(s, report);
     }
     else {
         vm->report = *report;
@@ -448,215 +440,7 @@
     }
 }
 
-/* ---- Roster --------------------------------------------------------------
- */
-
-uint64_t
-AqScheduler_RosterVersion(const AqScheduler *s)
-{
-    return s->roster_version;
-}
-
-/* Whether a later owner has to hear from the VM.  Once no more orders are
- * given, only those with tasks matter. */
-static bool
-is_on_roster(const AqScheduler *s, const Vm *vm)
-{
-    return !vm->has_ended && (!s->is_closed || vm->task_count > 0 ||
-                              vm->foreign_cpu > 0 || vm->was_used);
-}
-
-void
-AqScheduler_Close(AqScheduler *s)
-{
-    s->is_closed = true;
-    s->roster_version++;
-}
-
-static void
-pack_tasks(msgpack_packer *pk, const Vm *vm)
-{
-    msgpack_pack_array(pk, vm->task_count);
-    AqList_ForEach(at, &vm->tasks)
-    {
-        const Task *task = AqList_Entry(at, Task, link);
-        AqTaskName name;
-        scheduler_name_task(task, &name);
-        msgpack_pack_array(pk, TASK_FIELDS);
-        record_pack_text(pk, name.job);
-        msgpack_pack_uint32(pk, name.occurrence);
-        msgpack_pack_uint32(pk, name.step);
-        msgpack_pack_uint32(pk, name.index);
-        msgpack_pack_int64(pk, task->run);
-    }
-}
-
-/* The stored form: [is_handed_over, [[id, address, [[job, occurrence, step,
- * task, run] ...]] ...]].  Only a hand-over names the tasks. */
-void
-AqScheduler_EncodeRoster(const AqScheduler *s, AqBuffer *out)
-{
-    msgpack_packer packer;
-    size_t count = 0;
-    msgpack_packer_init(&packer, out, record_write);
-    AqList_ForEach(at, &s->vms)
-    {
-        count += is_on_roster(s, AqList_Entry(at, Vm, link));
-    }
-    msgpack_pack_array(&packer, 2);
-    msgpack_pack_int(&packer, s->is_closed && s->is_settled);
-    msgpack_pack_array(&packer, count);
-    AqList_ForEach(at, &s->vms)
-    {
-        const Vm *vm = AqList_Entry(at, Vm, link);
-        if (!is_on_roster(s, vm)) {
-            continue;
-        }
-        msgpack_pack_array(&packer, 3);
-        record_pack_text(&packer, vm->report.id);
-        record_pack_text(&packer, vm->report.address);
-        if (s->is_closed) {
-            pack_tasks(&packer, vm);
-        }
-        else {
-            msgpack_pack_array(&packer, 0);
-        }
-    }
-}
-
-void
-AqScheduler_RosterSaved(AqScheduler *s, uint64_t version)
-{
-    s->roster_stored = version;
-    AqList_ForEach(at, &s->vms)
-    {
-        Vm *vm = AqList_Entry(at, Vm, link);
-        if (!vm->is_enrolled && vm->roster_since <= version) {
-            vm->is_enrolled = true;
-            s->place_again = true;
-        }
-    }
-}
-
-static bool
-add_handed_task(AqScheduler *s, const Vm *vm, const msgpack_object *row)
-{
-    HandedTask handed = {0};
-    char *job = NULL;
-    int64_t numbers[TASK_FIELDS];
-    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
-              row->via.array.size >= TASK_FIELDS &&
-              record_text(&row->via.array.ptr[0], &job) && job != NULL;
-    for (int i = 1; ok && i < TASK_FIELDS; i++) {
-        ok = record_int(&row->via.array.ptr[i], 0, INT64_MAX, &numbers[i]);
-    }
-    if (ok) {
-        g_strlcpy(handed.vm, vm->report.id, sizeof(handed.vm));
-        g_strlcpy(handed.task.job, job, sizeof(handed.task.job));
-        handed.task.occurrence = (uint32_t)numbers[1];
-        handed.task.step = (uint32_t)numbers[2];
-        handed.task.index = (uint32_t)numbers[3];
-        handed.run = numbers[4];
-        g_array_append_val(s->handed, handed);
-    }
-    free(job);
-    return ok;
-}
-
-static Vm *
-add_roster_vm(AqScheduler *s, const char *id, const char *address)
-{
-    AqVmReport report = {.leaves_ms = -1};
-    g_strlcpy(report.id, id, sizeof(report.id));
-    g_strlcpy(report.address, address, sizeof(report.address));
-    Vm *vm = vms_find(s, id);
-    if (vm == NULL) {
-        vm = add_vm(s, &report);
-        vm->unlisted_at = s->now;
-    }
-    vm->was_used = true;
-    return vm;
-}
-
-static bool
-add_roster_entry(AqScheduler *s, const msgpack_object *row)
-{
-    char *id = NULL;
-    char *address = NULL;
-    bool ok = row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= 3 &&
-              record_text(&row->via.array.ptr[0], &id) && id != NULL &&
-              record_text(&row->via.array.ptr[1], &address) &&
-              address != NULL && strlen(id) < AQ_VM_ID_SIZE &&
-              row->via.array.ptr[2].type == MSGPACK_OBJECT_ARRAY;
-    if (ok) {
-        const Vm *vm = add_roster_vm(s, id, address);
-        const msgpack_object_array *tasks = &row->via.array.ptr[2].via.array;
-        for (uint32_t i = 0; ok && i < tasks->size; i++) {
-            ok = add_handed_task(s, vm, &tasks->ptr[i]);
-        }
-    }
-    free(id);
-    free(address);
-    return ok;
-}
-
-bool
-AqScheduler_AddRoster(AqScheduler *s, const char *bytes, size_t size,
-                      AqTime now)
-{
-    msgpack_unpacked unpacked;
-    size_t offset = 0;
-    int64_t is_handed_over = 0;
-    s->now = now;
-    msgpack_unpacked_init(&unpacked);
-    const msgpack_object *root = &unpacked.data;
-    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
-                  MSGPACK_UNPACK_SUCCESS &&
-              root->type == MSGPACK_OBJECT_ARRAY &&
-              root->via.array.size >= 2 &&
-              record_int(&root->via.array.ptr[0], 0, 1, &is_handed_over) &&
-              root->via.array.ptr[1].type == MSGPACK_OBJECT_ARRAY;
-    if (ok) {
-        const msgpack_object_array *rows = &root->via.array.ptr[1].via.array;
-        for (uint32_t i = 0; ok && i < rows->size; i++) {
-            ok = add_roster_entry(s, &rows->ptr[i]);
-        }
-        s->is_handed_over = ok && is_handed_over != 0;
-    }
-    msgpack_unpacked_destroy(&unpacked);
-    return ok;
-}
-
-/* Takes the runs over that the earlier owner has named; nothing else of its
- * can be alive, so the rest may start at once. */
-static void
-take_handed_tasks(AqScheduler *s)
-{
-    for (guint i = 0; i < s->handed->len && s->is_handed_over; i++) {
-        const HandedTask *handed = &g_array_index(s->handed, HandedTask, i);
-        Task *task = scheduler_find_task(s, &handed->task);
-        Vm *vm = vms_find(s, handed->vm);
-        if (task != NULL && vm != NULL && task->state == TASK_READY) {
-            task->step->ready--;
-            vms_attach(s, vm, task);
-            task->run = handed->run;
-            task->state = TASK_RUNNING;
-            task->progress_at = s->now;
-        }
-    }
-    s->is_settled = s->is_settled || s->is_handed_over;
-    g_array_set_size(s->handed, 0);
-}
-
-void
-AqScheduler_SetLoaded(AqScheduler *s)
-{
-    s->is_loaded = true;
-    take_handed_tasks(s);
-}
-
-/* ---- Ends ----------------------------------------------------------------
- */
+/* ---- Ends --------------------------------------------------------------- */
 
 void
 vms_note_end(AqScheduler *s, Vm *vm, const Task *task, bool is_failure)
--- a/packages/scheduler/waves.c
+++ b/packages/scheduler/waves.c
@@ -94,8 +94,7 @@
     wave->entries[at].state = state;
 }
 
-/* ---- Record --------------------------------------------------------------
- */
+/* ---- Record ------------------------------------------------------------- */
 
 void
 AqWave_Encode(const AqWave *wave, AqBuffer *out)
@@ -153,8 +152,7 @@
     return ok;
 }
 
-/* ---- Decisions -----------------------------------------------------------
- */
+/* ---- Decisions ---------------------------------------------------------- */
 
 static size_t
 count_state(const AqWave *wave, AqWaveState state)
