--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -143,12 +143,12 @@
     if (sim->broken[0] != '\0') {
         return;
     }
-    int used = snprintf(sim->broken, sizeof(sim->broken),
-                        "at %lld: ", (long long)sim->now);
     va_start(args, format);
-    vsnprintf(sim->broken + used, sizeof(sim->broken) - (size_t)used, format,
-              args);
+    char *text = g_strdup_vprintf(format, args);
     va_end(args);
+    snprintf(sim->broken, sizeof(sim->broken), "at %lld: %s",
+             (long long)sim->now, text);
+    g_free(text);
 }
 
 static bool
@@ -157,6 +157,13 @@
     return AqRandom_Below(&sim->random, 1000) < thousandths;
 }
 
+static bool
+is_same_task(const AqTaskName *a, const AqTaskName *b)
+{
+    return strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
+           a->step == b->step && a->index == b->index;
+}
+
 static char *
 task_key(const AqTaskName *name)
 {
@@ -407,8 +414,7 @@
     AqJobSpec spec;
     for (guint i = 0; i < vm->runs->len; i++) {
         const Run *run = &g_array_index(vm->runs, Run, i);
-        if (run->run == event->run &&
-            memcmp(&run->name, &event->name, sizeof(run->name)) == 0) {
+        if (run->run == event->run && is_same_task(&run->name, &event->name)) {
             return AQ_ORDER_DONE;
         }
     }
@@ -454,8 +460,7 @@
 {
     for (guint i = vm->runs->len; i-- > 0;) {
         const Run *run = &g_array_index(vm->runs, Run, i);
-        if (run->run <= event->run &&
-            memcmp(&run->name, &event->name, sizeof(run->name)) == 0) {
+        if (run->run <= event->run && is_same_task(&run->name, &event->name)) {
             end_run(sim, vm, i, AQ_END_STOPPED);
         }
     }
@@ -519,8 +524,7 @@
 {
     for (guint i = 0; i < vm->runs->len; i++) {
         Run *run = &g_array_index(vm->runs, Run, i);
-        if (run->run == event->run &&
-            memcmp(&run->name, &event->name, sizeof(run->name)) == 0) {
+        if (run->run == event->run && is_same_task(&run->name, &event->name)) {
             run->pace = event->percent;
         }
     }
@@ -1037,15 +1041,15 @@
 }
 
 void
-sim_crash_vm(Sim *sim, unsigned at)
+sim_crash_vm(Sim *sim, unsigned vm)
 {
-    SimVm *old = sim->vms[at];
+    SimVm *old = sim->vms[vm];
     old->is_alive = false;
     unlist_vm(sim, old);
     g_array_set_size(old->runs, 0);
     g_ptr_array_add(sim->past, old);
-    sim->vms[at] = new_vm(sim, at);
-    list_vm(sim, sim->vms[at]);
+    sim->vms[vm] = new_vm(sim, vm);
+    list_vm(sim, sim->vms[vm]);
 }
 
 void
--- a/packages/scheduler/tests/test_records.c
+++ b/packages/scheduler/tests/test_records.c
@@ -93,7 +93,7 @@
     }
     AqRandom_Seed(&random, 4);
     for (int i = 0; i < 20000; i++) {
-        char *copy = malloc(bytes.size);
+        char *copy = malloc(bytes.size + 1);
         memcpy(copy, bytes.bytes, bytes.size);
         for (int j = 0; j < 3; j++) {
             copy[AqRandom_Below(&random, bytes.size)] =
