--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -143,12 +143,12 @@
     if (sim->broken[0] != '\0') {
         return;
     }
-    int used = snprintf(sim->broken, sizeof(sim->broken),
-                        "at %lld: ", (long long)sim->now);
     va_start(args, format);
-    vsnprintf(sim->broken + used, sizeof(sim->broken) - (size_t)used, format,
-              args);
+    char *text = g_strdup_vprintf(format, args);
     va_end(args);
+    snprintf(sim->broken, sizeof(sim->broken), "at %lld: %s",
+             (long long)sim->now, text);
+    g_free(text);
 }
 
 static bool
@@ -157,6 +157,13 @@
     return AqRandom_Below(&sim->random, 1000) < thousandths;
 }
 
+static bool
+is_same_task(const AqTaskName *a, const AqTaskName *b)
+{
+    return strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
+           a->step == b->step && a->index == b->index;
+}
+
 static char *
 task_key(const AqTaskName *name)
 {
@@ -184,8 +191,7 @@
     return g_hash_table_lookup(sim->jobs, id);
 }
 
-/* ---- VMs -----------------------------------------------------------------
- */
+/* ---- VMs ---------------------------------------------------------------- */
 
 static SimVm *
 new_vm(Sim *sim, unsigned slot)
@@ -328,8 +334,7 @@
     }
 }
 
-/* ---- Rules ---------------------------------------------------------------
- */
+/* ---- Rules -------------------------------------------------------------- */
 
 static void
 check_alone(Sim *sim, const SimVm *starter, const AqTaskName *name)
@@ -401,8 +406,7 @@
     }
 }
 
-/* ---- Orders at a VM ------------------------------------------------------
- */
+/* ---- Orders at a VM ----------------------------------------------------- */
 
 static AqOrderResult
 do_start(Sim *sim, SimVm *vm, const Event *event)
@@ -410,8 +414,7 @@
     AqJobSpec spec;
     for (guint i = 0; i < vm->runs->len; i++) {
         const Run *run = &g_array_index(vm->runs, Run, i);
-        if (run->run == event->run &&
-            memcmp(&run->name, &event->name, sizeof(run->name)) == 0) {
+        if (run->run == event->run && is_same_task(&run->name, &event->name)) {
             return AQ_ORDER_DONE;
         }
     }
@@ -457,8 +460,7 @@
 {
     for (guint i = vm->runs->len; i-- > 0;) {
         const Run *run = &g_array_index(vm->runs, Run, i);
-        if (run->run <= event->run &&
-            memcmp(&run->name, &event->name, sizeof(run->name)) == 0) {
+        if (run->run <= event->run && is_same_task(&run->name, &event->name)) {
             end_run(sim, vm, i, AQ_END_STOPPED);
         }
     }
@@ -522,8 +524,7 @@
 {
     for (guint i = 0; i < vm->runs->len; i++) {
         Run *run = &g_array_index(vm->runs, Run, i);
-        if (run->run == event->run &&
-            memcmp(&run->name, &event->name, sizeof(run->name)) == 0) {
+        if (run->run == event->run && is_same_task(&run->name, &event->name)) {
             run->pace = event->percent;
         }
     }
@@ -555,8 +556,7 @@
     return AQ_ORDER_DONE;
 }
 
-/* ---- Events --------------------------------------------------------------
- */
+/* ---- Events ------------------------------------------------------------- */
 
 static void
 free_event(gpointer value)
@@ -700,8 +700,7 @@
     g_ptr_array_free(due, TRUE);
 }
 
-/* ---- Actions of a scheduler ----------------------------------------------
- */
+/* ---- Actions of a scheduler --------------------------------------------- */
 
 static Event *
 new_order(SimOwner *owner, OrderKind kind, const AqOrderTarget *target)
@@ -794,8 +793,7 @@
     owner->expires_at = owner->sim->now;
 }
 
-/* ---- Owners --------------------------------------------------------------
- */
+/* ---- Owners ------------------------------------------------------------- */
 
 static void step(Sim *sim);
 
@@ -958,8 +956,7 @@
     sim->is_certain = is_certain;
 }
 
-/* ---- Time ----------------------------------------------------------------
- */
+/* ---- Time --------------------------------------------------------------- */
 
 static void
 update_listing(Sim *sim, SimVm *vm)
@@ -1034,8 +1031,7 @@
     return sim->broken[0] != '\0' ? sim->broken : NULL;
 }
 
-/* ---- VMs from outside ----------------------------------------------------
- */
+/* ---- VMs from outside --------------------------------------------------- */
 
 void
 sim_silence_vm(Sim *sim, unsigned vm, AqTime ms)
@@ -1045,15 +1041,15 @@
 }
 
 void
-sim_crash_vm(Sim *sim, unsigned at)
+sim_crash_vm(Sim *sim, unsigned vm)
 {
-    SimVm *old = sim->vms[at];
+    SimVm *old = sim->vms[vm];
     old->is_alive = false;
     unlist_vm(sim, old);
     g_array_set_size(old->runs, 0);
     g_ptr_array_add(sim->past, old);
-    sim->vms[at] = new_vm(sim, at);
-    list_vm(sim, sim->vms[at]);
+    sim->vms[vm] = new_vm(sim, vm);
+    list_vm(sim, sim->vms[vm]);
 }
 
 void
@@ -1096,8 +1092,7 @@
     return lowest;
 }
 
-/* ---- Jobs ----------------------------------------------------------------
- */
+/* ---- Jobs --------------------------------------------------------------- */
 
 void
 sim_add_job(Sim *sim, AqJobSpec *spec)
@@ -1172,8 +1167,7 @@
     return stored_of(sim, id)->runs;
 }
 
-/* ---- Lifecycle -----------------------------------------------------------
- */
+/* ---- Lifecycle ---------------------------------------------------------- */
 
 static void
 free_stored(gpointer value)
