Pool: an unreadable entry lists no VM; unused fields and settings go

Cause: a garbled entry left the VM of the entry before it listed, so that orders went on by an address that the platform no longer names. The VM list is a module of its own now, tested without a network.

--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -15,6 +15,7 @@
 #include "pool_machines.h"
 #include "pool_owner.h"
 #include "prefix_view.h"
+#include "vm_directory.h"
 
 enum {
     STORE_TIMEOUT_MS = 800, /* a slow store answers within 0.3 s */
@@ -41,8 +42,7 @@
     Forwarder *forwarder;
     Member *member;
     PrefixView *operator_view;
-    PrefixView *worker_view;
-    GHashTable *vms; /* key -> AqVmReport */
+    VmDirectory *vms; /* NULL until this node owns a pool */
     WaveBook *waves;
     MachineDesk *desk;  /* while this node has the machine duty */
     GHashTable *owners; /* pool -> OwnedPool */
@@ -164,25 +164,11 @@
 /* ---- VMs ---------------------------------------------------------------- */
 
 static void
-on_worker_put(void *context, const AqStoreItem *item)
+on_vm_listed(void *context, const AqVmReport *report)
 {
     AqNode *node = context;
-    AqError error;
     GHashTableIter iter;
     gpointer value;
-    AqVmReport *report = calloc(1, sizeof(*report));
-    if (!AqPlatform_DecodeWorker(item->key, item->value, item->size, report,
-                                 &error)) {
-        AqLog_Event(AQ_LOG_WARNING, "vm_unreadable", "key=%s error=%s",
-                    item->key, AqLog_Quote(error.message));
-        free(report);
-        return;
-    }
-    AqLog_Event(AQ_LOG_INFO, "vm_listed",
-                "vm=%s pool=%s machine=%s rack=%s draining=%d index=%llu",
-                report->id, report->pool, report->machine, report->rack,
-                report->is_draining, (unsigned long long)item->index);
-    g_hash_table_replace(node->vms, g_strdup(item->key), report);
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         pool_owner_set_vm(((const OwnedPool *)value)->owner, report);
@@ -190,26 +176,22 @@
 }
 
 static void
-on_worker_removed(void *context, const char *key)
+on_vm_unlisted(void *context, const char *vm)
 {
     AqNode *node = context;
     GHashTableIter iter;
     gpointer value;
-    const AqVmReport *report = g_hash_table_lookup(node->vms, key);
-    if (report == NULL) {
-        return;
-    }
-    AqLog_Event(AQ_LOG_INFO, "vm_unlisted", "vm=%s pool=%s", report->id,
-                report->pool);
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        pool_owner_vm_unlisted(((const OwnedPool *)value)->owner, report->id);
+        pool_owner_vm_unlisted(((const OwnedPool *)value)->owner, vm);
     }
-    g_hash_table_remove(node->vms, key);
 }
 
-static const PrefixViewOps worker_ops = {on_worker_put, on_worker_removed,
-                                         ignore_listed};
+static void
+set_known_vm(void *context, const AqVmReport *report)
+{
+    pool_owner_set_vm(context, report);
+}
 
 /* ---- Pools -------------------------------------------------------------- */
 
@@ -224,9 +206,8 @@
 on_gained(void *context, const Ownership *ownership)
 {
     static const PoolOwnerOps ops = {on_deposed};
+    static const VmDirectoryOps vm_ops = {on_vm_listed, on_vm_unlisted};
     AqNode *node = context;
-    GHashTableIter iter;
-    gpointer value;
     if (strcmp(ownership->pool, MEMBER_MACHINE_DUTY) == 0) {
         node->desk = machine_desk_create(&node->context, ownership->fence);
         return;
@@ -238,15 +219,11 @@
     pool->machines =
         pool_machines_create(&node->context, node->waves, pool->owner);
     g_hash_table_insert(node->owners, g_strdup(ownership->pool), pool);
-    if (node->worker_view == NULL) {
-        node->worker_view =
-            prefix_view_create(node->context.loop, node->context.store,
-                               AqPlatform_WorkerPrefix, &worker_ops, node);
-    }
-    g_hash_table_iter_init(&iter, node->vms);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        pool_owner_set_vm(pool->owner, value);
+    if (node->vms == NULL) {
+        node->vms = vm_directory_create(node->context.loop,
+                                        node->context.store, &vm_ops, node);
     }
+    vm_directory_each(node->vms, set_known_vm, pool->owner);
 }
 
 static void
@@ -622,7 +599,6 @@
     AqNode *node = calloc(1, sizeof(*node));
     NodeContext *context = &node->context;
     context->settings = settings;
-    node->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
     node->owners =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     AqTimer_Init(&node->stop_timer, on_stop_due, node);
@@ -695,7 +671,7 @@
     }
     member_destroy(node->member);
     prefix_view_destroy(node->operator_view);
-    prefix_view_destroy(node->worker_view);
+    vm_directory_destroy(node->vms);
     wave_book_destroy(node->waves);
     AqHttpServer_Destroy(node->callers);
     AqHttpServer_Destroy(node->readiness);
@@ -717,7 +693,6 @@
     }
     AqMetrics_Destroy(context->metrics.all);
     AqSiteConfig_Clear(&context->site);
-    g_hash_table_destroy(node->vms);
     g_hash_table_destroy(node->owners);
     AqLoop_Destroy(context->loop);
     free(node);
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -657,8 +657,6 @@
         .generation = ownership->generation,
         .lease_ms = ORDER_LEASE_MS,
         .earlier_owner_ms = ownership->may_have_rival ? MEMBER_LEASE_MS : 0,
-        .early_ms = node->settings->limits_early_ms,
-        .harm_ms = node->settings->limits_harm_ms,
     };
     if (config.lease_ms > node->settings->limits_longest_lease_ms) {
         config.lease_ms = node->settings->limits_longest_lease_ms;
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -3,10 +3,13 @@
 #include <string.h>
 
 #include "aq_log.h"
+#include "aq_platform.h"
 #include "fake_store.h"
 #include "keys.h"
 #include "owner_writer.h"
+#include "platform_samples.h"
 #include "prefix_view.h"
+#include "vm_directory.h"
 
 typedef struct {
     FakeStore *fake;
@@ -278,6 +281,71 @@
     tear_down(&fixture);
 }
 
+/* ---- VMs ---------------------------------------------------------------- */
+
+typedef struct {
+    unsigned listed;
+    unsigned unlisted;
+    char last[64];
+} SeenVms;
+
+static void
+on_vm_listed(void *context, const AqVmReport *report)
+{
+    SeenVms *seen = context;
+    seen->listed++;
+    snprintf(seen->last, sizeof(seen->last), "%s", report->id);
+}
+
+static void
+on_vm_unlisted(void *context, const char *vm)
+{
+    SeenVms *seen = context;
+    seen->unlisted++;
+    snprintf(seen->last, sizeof(seen->last), "%s", vm);
+}
+
+static void
+count_vm(void *context, const AqVmReport *report)
+{
+    (void)report;
+    ++*(unsigned *)context;
+}
+
+/* Guards against orders to a VM by an entry that is no longer readable, and
+ * against the loss of the other VMs with it. */
+static void
+test_garbled_vm_is_unlisted(void)
+{
+    static const VmDirectoryOps ops = {on_vm_listed, on_vm_unlisted};
+    char first[64];
+    char second[64];
+    Fixture fixture;
+    SeenVms seen = {0};
+    unsigned known = 0;
+    set_up(&fixture);
+    snprintf(first, sizeof(first), "%si-1", AqPlatform_WorkerPrefix);
+    snprintf(second, sizeof(second), "%si-2", AqPlatform_WorkerPrefix);
+    fake_store_put(fixture.fake, first, sample_worker);
+    fake_store_put(fixture.fake, second, sample_worker);
+    VmDirectory *directory = vm_directory_create(
+        fixture.node.loop, fixture.node.store, &ops, &seen);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(seen.listed, 2);
+    fake_store_put(fixture.fake, first, "{\"port");
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(seen.unlisted, 1);
+    CU_ASSERT_STRING_EQUAL(seen.last, "i-1");
+    vm_directory_each(directory, count_vm, &known);
+    CU_ASSERT_EQUAL(known, 1);
+    fake_store_put(fixture.fake, first, sample_worker);
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_EQUAL(seen.listed, 3);
+    vm_directory_destroy(directory);
+    fake_store_answer_all(fixture.fake);
+    tear_down(&fixture);
+}
+
 int
 main(void)
 {
@@ -293,6 +361,7 @@
         {"view_follows", test_view_follows},
         {"view_survives_compaction", test_view_survives_compaction},
         {"view_waits_briefly", test_view_waits_briefly},
+        {"garbled_vm_is_unlisted", test_garbled_vm_is_unlisted},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
--- /dev/null
+++ b/packages/pool/vm_directory.c
@@ -0,0 +1,98 @@
+#include "vm_directory.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+#include "aq_log.h"
+#include "aq_platform.h"
+#include "prefix_view.h"
+
+struct VmDirectory {
+    PrefixView *view;
+    GHashTable *vms; /* key -> AqVmReport */
+    VmDirectoryOps ops;
+    void *context;
+};
+
+static void
+on_removed(void *context, const char *key)
+{
+    VmDirectory *directory = context;
+    const AqVmReport *report = g_hash_table_lookup(directory->vms, key);
+    if (report == NULL) {
+        return;
+    }
+    AqLog_Event(AQ_LOG_INFO, "vm_unlisted", "vm=%s pool=%s", report->id,
+                report->pool);
+    directory->ops.unlisted(directory->context, report->id);
+    g_hash_table_remove(directory->vms, key);
+}
+
+static void
+on_put(void *context, const AqStoreItem *item)
+{
+    VmDirectory *directory = context;
+    AqError error;
+    AqVmReport *report = calloc(1, sizeof(*report));
+    if (!AqPlatform_DecodeWorker(item->key, item->value, item->size, report,
+                                 &error)) {
+        AqLog_Event(AQ_LOG_WARNING, "vm_unreadable",
+                    "key=%s index=%llu error=%s", item->key,
+                    (unsigned long long)item->index,
+                    AqLog_Quote(error.message));
+        free(report);
+        on_removed(directory, item->key);
+        return;
+    }
+    AqLog_Event(AQ_LOG_INFO, "vm_listed",
+                "vm=%s pool=%s machine=%s rack=%s draining=%d index=%llu",
+                report->id, report->pool, report->machine, report->rack,
+                report->is_draining, (unsigned long long)item->index);
+    g_hash_table_replace(directory->vms, g_strdup(item->key), report);
+    directory->ops.listed(directory->context, report);
+}
+
+static void
+on_listed(void *context)
+{
+    (void)context;
+}
+
+VmDirectory *
+vm_directory_create(AqLoop *loop, AqStore *store, const VmDirectoryOps *ops,
+                    void *context)
+{
+    static const PrefixViewOps view_ops = {on_put, on_removed, on_listed};
+    VmDirectory *directory = calloc(1, sizeof(*directory));
+    directory->ops = *ops;
+    directory->context = context;
+    directory->vms =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+    directory->view = prefix_view_create(loop, store, AqPlatform_WorkerPrefix,
+                                         &view_ops, directory);
+    return directory;
+}
+
+void
+vm_directory_destroy(VmDirectory *directory)
+{
+    if (directory == NULL) {
+        return;
+    }
+    prefix_view_destroy(directory->view);
+    g_hash_table_destroy(directory->vms);
+    free(directory);
+}
+
+void
+vm_directory_each(const VmDirectory *directory,
+                  void (*visit)(void *context, const AqVmReport *report),
+                  void *context)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, directory->vms);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        visit(context, value);
+    }
+}
--- a/packages/scheduler/Include/aq_job_spec.h
+++ b/packages/scheduler/Include/aq_job_spec.h
@@ -65,7 +65,4 @@
 bool AqJobSpec_Decode(const char *bytes, size_t size, AqJobSpec *spec,
                       AqError *error);
 
-/* Sum of the declared core-milliseconds of one occurrence. */
-int64_t AqJobSpec_Work(const AqJobSpec *spec);
-
 #endif
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -47,8 +47,6 @@
     /* An earlier owner may give orders until so long after the creation;
      * 0: it is known to have ended. */
     AqTime earlier_owner_ms;
-    AqTime early_ms; /* how much too early an occurrence may start */
-    AqTime harm_ms;  /* how long fillers may disturb a serving task */
 } AqSchedulerConfig;
 
 /* What the scheduler wants done.  Orders come back by AqScheduler_On*. */
@@ -180,8 +178,6 @@
                              size_t most);
 void AqScheduler_EndSave(AqScheduler *scheduler, AqJobSave *saves,
                          size_t count, bool is_stored, AqTime now);
-/* Whether a job has reached its end and that is not stored yet. */
-bool AqScheduler_HasUrgentSave(const AqScheduler *scheduler);
 bool AqScheduler_HasUnsaved(const AqScheduler *scheduler);
 
 /* ---- Time --------------------------------------------------------------- */
@@ -200,11 +196,10 @@
     /* Cores that the work submitted lately needs, were it to go on so. */
     int64_t offered_cpu_millis;
     size_t ready_tasks;
-    size_t jobs;                /* not finished */
-    int64_t largest_cpu_millis; /* of one ready task */
-    AqTime longest_wait_ms;     /* of a ready task */
-    size_t widest_spread; /* VMs that a lasting step needs, one for a task */
-    bool is_settled;      /* starts are allowed */
+    size_t jobs;            /* not finished */
+    AqTime longest_wait_ms; /* of a ready task */
+    size_t widest_spread;   /* VMs that a lasting step needs, one for a task */
+    bool is_settled;        /* starts are allowed */
 } AqSchedulerLoad;
 
 void AqScheduler_GetLoad(AqScheduler *scheduler, AqTime now,
--- a/packages/scheduler/Include/aq_site_config.h
+++ b/packages/scheduler/Include/aq_site_config.h
@@ -44,7 +44,5 @@
                                         const char *host, const char *path);
 const AqQueueConfig *AqSiteConfig_FindQueue(const AqSiteConfig *config,
                                             const char *name);
-const AqPoolConfig *AqSiteConfig_FindPool(const AqSiteConfig *config,
-                                          const char *name);
 
 #endif
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -87,18 +87,6 @@
     return true;
 }
 
-int64_t
-AqJobSpec_Work(const AqJobSpec *spec)
-{
-    int64_t work = 0;
-    for (size_t i = 0; i < spec->step_count; i++) {
-        const AqStepSpec *step = &spec->steps[i];
-        work += (int64_t)step->task_count * step->cpu_millis *
-                step->estimate_ms / 1000;
-    }
-    return work;
-}
-
 /* ---- Stored form -------------------------------------------------------- */
 
 static int64_t
--- a/packages/scheduler/lasting.c
+++ b/packages/scheduler/lasting.c
@@ -79,7 +79,6 @@
                     task->step->occurrence->job->spec.id, task->step->number,
                     task->index, vm->report.id,
                     vm->report.is_draining ? "draining" : "cordoned");
-        task->was_ordered_off = true;
         if (task->absent_since == AQ_TIME_NEVER) {
             task->absent_since = s->now;
         }
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -137,7 +137,6 @@
     task->progress_at = s->now;
     task->listed_after = s->now;
     task->is_uncertain = false;
-    task->was_ordered_off = false;
     s->counters.starts++;
     if (job->stage == AQ_STAGE_WAITING) {
         job->stage = AQ_STAGE_RUNNING;
--- a/packages/scheduler/roster.c
+++ b/packages/scheduler/roster.c
@@ -88,7 +88,6 @@
 void
 AqScheduler_RosterSaved(AqScheduler *s, uint64_t version)
 {
-    s->roster_stored = version;
     AqList_ForEach(at, &s->vms)
     {
         Vm *vm = AqList_Entry(at, Vm, link);
--- a/packages/scheduler/saves.c
+++ b/packages/scheduler/saves.c
@@ -35,11 +35,7 @@
 {
     job->is_saving = false;
     if (is_stored) {
-        bool was_finished = job->stored_stage >= AQ_STAGE_COMPLETED;
         job->stored_stage = save->stage;
-        if (save->stage >= AQ_STAGE_COMPLETED && !was_finished) {
-            s->urgent--;
-        }
     }
     if (!is_stored || job->changed_while_saving) {
         job->changed_while_saving = false;
@@ -81,12 +77,6 @@
     }
 }
 
-bool
-AqScheduler_HasUrgentSave(const AqScheduler *s)
-{
-    return s->urgent > 0;
-}
-
 bool
 AqScheduler_HasUnsaved(const AqScheduler *s)
 {
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -78,8 +78,6 @@
     task->index = index;
     task->pace = 100;
     task->absent_since = s->now;
-    task->over_since = AQ_TIME_NEVER;
-    task->under_since = AQ_TIME_NEVER;
     AqList_Init(&task->link);
 }
 
@@ -223,9 +221,7 @@
         return;
     }
     job->stage = stage;
-    job->finished_at = s->now;
     AqList_Remove(&job->link);
-    s->urgent++;
     scheduler_changed(s, job);
     AqList_ForEach(at, &job->occurrences)
     {
@@ -311,7 +307,6 @@
     }
     g_hash_table_insert(s->jobs, job->spec.id, job);
     if (scheduler_is_finished(job)) {
-        job->finished_at = now;
         return true;
     }
     if (s->is_loaded) {
@@ -464,7 +459,6 @@
     task->started_at = 0;
     task->percent = 0;
     task->pace = 100;
-    task->over_since = AQ_TIME_NEVER;
     if (task->absent_since == AQ_TIME_NEVER) {
         task->absent_since = s->now;
     }
@@ -564,9 +558,6 @@
     }
     load->ready_tasks += step->ready;
     load->ready_cpu_millis += cpu * step->ready;
-    if (cpu > load->largest_cpu_millis) {
-        load->largest_cpu_millis = cpu;
-    }
     for (uint32_t i = 0; i < spec->task_count; i++) {
         const Task *task = &step->tasks[i];
         if (task->state == TASK_READY &&
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -53,12 +53,9 @@
     int64_t usage;
     int pace; /* percent it may work at */
     AqTime paced_at;
-    AqTime absent_since;  /* lasting: not at work; AQ_TIME_NEVER: at work */
-    bool was_ordered_off; /* lasting: an order of ours took it away */
-    AqTime over_since;    /* serving: over its target; AQ_TIME_NEVER: not */
-    AqTime under_since;
-    uint64_t seen_in;          /* the VM's hold that listed it last */
-    char *checkpoint;          /* or NULL; owned */
+    AqTime absent_since; /* lasting: not at work; AQ_TIME_NEVER: at work */
+    uint64_t seen_in;    /* the VM's hold that listed it last */
+    char *checkpoint;    /* or NULL; owned */
     char avoid[AQ_VM_ID_SIZE]; /* VM of the last failed run */
 } Task;
 
@@ -103,7 +100,6 @@
     AqLink occurrences;
     uint32_t next_occurrence;
     AqTime submitted_at; /* scheduler time */
-    AqTime finished_at;
     /* Ranking, worked out for one placement. */
     int bucket;
     int64_t remaining_work;
@@ -181,11 +177,9 @@
     uint64_t change_seq;
     uint64_t stored_seq;
     size_t saving;
-    size_t urgent; /* finished jobs that are not stored */
     GHashTable *vms_by_id;
     AqLink vms;
     uint64_t roster_version;
-    uint64_t roster_stored;
     bool place_again;
     AqTime next_place;
     AqTime earliest_place;
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -888,8 +888,6 @@
         .generation = sim->generation++,
         .lease_ms = SIM_LEASE_MS,
         .earlier_owner_ms = is_rival ? SIM_OWNER_LEASE_MS : 0,
-        .early_ms = 250,
-        .harm_ms = 4000,
     };
     if (sim->owner != NULL) {
         sim->owner->expires_at =
--- a/packages/settings/Include/aq_settings.h
+++ b/packages/settings/Include/aq_settings.h
@@ -46,10 +46,6 @@
     char *readiness_listen;
     char *metrics_listen; /* "": none */
     int64_t limits_longest_lease_ms;
-    int64_t limits_stop_ms;
-    int64_t limits_early_ms;
-    int64_t limits_harm_ms;
-    int64_t limits_notice_ms;
     int64_t limits_machine_pause_ms;
     int64_t stop_grace_s;
 } AqSettings;
