Front: hand on a write whose answer was lost; refusals only where certain

Only requests of which nothing was done were handed to a peer. Submitting and cancelling by id do nothing the second time, so they go to a peer after an unanswered try too. A peer's refusal is then told as an unknown outcome, since the first write may still take effect.

Ruled out: the forwarder's pause (peers were answering reads at that time).

The VM list logs an entry when it changes what is decided by, not each time that a VM writes it again.

--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -29,6 +29,7 @@
     char peer[32];
     AqTime sent_at;
     bool is_read; /* it can be asked again without harm */
+    bool may_have_effect;
 } Forward;
 
 static void
@@ -47,6 +48,19 @@
                        body, size);
 }
 
+int
+forwarder_status(int status, bool was_sent, bool is_read, bool may_have_effect)
+{
+    bool is_refusal = status == 429 || status == 503;
+    if (status != 0 && !(is_refusal && may_have_effect)) {
+        return status;
+    }
+    if (may_have_effect || (status == 0 && was_sent && !is_read)) {
+        return 504;
+    }
+    return 503;
+}
+
 static void
 on_answer(void *context, const AqHttpReply *reply)
 {
@@ -61,14 +75,17 @@
     if (!is_whole || reply->status == 503) {
         forwarder->pause_until = AqLoop_Now(forwarder->node->loop) + PAUSE_MS;
     }
-    if (is_whole) {
-        respond(forward, reply->status, reply->body, reply->size);
+    int status = forwarder_status(is_whole ? reply->status : 0,
+                                  reply->result != AQ_HTTP_NOT_SENT,
+                                  forward->is_read, forward->may_have_effect);
+    if (is_whole && status == reply->status) {
+        respond(forward, status, reply->body, reply->size);
     }
-    else if (reply->result == AQ_HTTP_NOT_SENT || forward->is_read) {
-        respond(forward, 503, unavailable, sizeof(unavailable) - 1);
+    else if (status == 503) {
+        respond(forward, status, unavailable, sizeof(unavailable) - 1);
     }
     else {
-        respond(forward, 504, unknown, sizeof(unknown) - 1);
+        respond(forward, status, unknown, sizeof(unknown) - 1);
     }
     free(forward);
 }
@@ -83,7 +100,8 @@
 }
 
 bool
-forwarder_send(Forwarder *forwarder, AqExchange *exchange, AqTime deadline)
+forwarder_send(Forwarder *forwarder, AqExchange *exchange, AqTime deadline,
+               bool may_have_effect)
 {
     const char *peer = forwarder->ops.peer(forwarder->context);
     const char *host = AqExchange_Header(exchange, "Host");
@@ -96,6 +114,7 @@
     forward->forwarder = forwarder;
     forward->exchange = exchange;
     forward->sent_at = AqLoop_Now(forwarder->node->loop);
+    forward->may_have_effect = may_have_effect;
     forward->is_read = strcmp(AqExchange_Method(exchange), "GET") == 0;
     g_strlcpy(forward->peer, peer, sizeof(forward->peer));
     char *url =
--- a/packages/pool/forwarder.h
+++ b/packages/pool/forwarder.h
@@ -20,8 +20,15 @@
 
 /* Sends the request to a peer and answers the exchange with its answer; false,
  * and nothing is done, when there is no peer, the request has been handed on
- * already, or peers have lately been turned away too. */
+ * already, or peers have lately been turned away too.  "may_have_effect" is
+ * as for FrontOps.forward. */
 bool forwarder_send(Forwarder *forwarder, AqExchange *exchange,
-                    AqTime deadline);
+                    AqTime deadline, bool may_have_effect);
+
+/* What the caller is told when a peer's answer is "status", or none came (0)
+ * and "was_sent" says whether the peer may have got the request.  A refusal
+ * says that nothing was done, which holds only where nothing can have been. */
+int forwarder_status(int status, bool was_sent, bool is_read,
+                     bool may_have_effect);
 
 #endif
--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -42,6 +42,7 @@
     AqBuffer job; /* stored form, of a submission */
     uint64_t job_index;
     unsigned tries;
+    bool may_have_effect; /* a write of an earlier try had no answer */
 } Request;
 
 static AqTime
@@ -111,14 +112,14 @@
     free(request);
 }
 
-/* Hands a request of which nothing was done to another node. */
+/* Hands a request to another node.  Submitting and cancelling do nothing the
+ * second time, so that it may go there after a try without an answer too. */
 static bool
 forward(Request *request)
 {
     const Front *front = request->front;
-    if (request->tries > 1 ||
-        !front->ops.forward(front->context, request->exchange,
-                            request->deadline)) {
+    if (!front->ops.forward(front->context, request->exchange,
+                            request->deadline, request->may_have_effect)) {
         return false;
     }
     AqTimer_Stop(&request->retry);
@@ -128,12 +129,12 @@
 }
 
 static void
-finish_unavailable(Request *request, bool is_certain)
+finish_unavailable(Request *request)
 {
-    if (is_certain && forward(request)) {
+    if (forward(request)) {
         return;
     }
-    if (is_certain) {
+    if (!request->may_have_effect) {
         finish(request, 503,
                "{\"error\":\"the store can't be reached; come "
                "back later\"}",
@@ -181,13 +182,14 @@
         finish(request, 200, "{}", "known");
         break;
     case AQ_STORE_UNKNOWN:
-        if (!try_again(request)) {
-            finish_unavailable(request, false);
+        request->may_have_effect = true;
+        if (!forward(request) && !try_again(request)) {
+            finish_unavailable(request);
         }
         break;
     default:
         /* Nothing was done now; an earlier try may still have effect. */
-        finish_unavailable(request, request->tries == 1);
+        finish_unavailable(request);
         break;
     }
 }
@@ -261,7 +263,7 @@
         finish(request, 410, "{\"error\":\"there is no such job\"}", "absent");
     }
     else if (!forward(request) && !try_again(request)) {
-        finish_unavailable(request, true);
+        finish_unavailable(request);
     }
 }
 
@@ -285,7 +287,7 @@
     }
     else if (reply->status != AQ_STORE_OK || reply->count != 1) {
         if (!forward(request) && !try_again(request)) {
-            finish_unavailable(request, true);
+            finish_unavailable(request);
         }
     }
     else if (!AqScheduler_ReadStage(reply->items[0].value,
@@ -312,6 +314,20 @@
 
 /* ---- Cancelling --------------------------------------------------------- */
 
+/* After a write that was not carried out, or had no answer. */
+static void
+retry_cancel(Request *request, const AqStoreReply *reply)
+{
+    bool is_conflict = reply->status == AQ_STORE_CONFLICT;
+    request->may_have_effect |= reply->status == AQ_STORE_UNKNOWN;
+    if (!is_conflict && forward(request)) {
+        return;
+    }
+    if (!try_again(request)) {
+        finish_unavailable(request);
+    }
+}
+
 static void
 on_cancelled(void *context, const AqStoreReply *reply)
 {
@@ -319,8 +335,8 @@
     if (reply->status == AQ_STORE_OK) {
         finish(request, 200, "{}", "cancelled");
     }
-    else if (!try_again(request)) {
-        finish_unavailable(request, false);
+    else {
+        retry_cancel(request, reply);
     }
 }
 
@@ -349,11 +365,8 @@
     else if (reply->status == AQ_STORE_CONFLICT && reply->count > 0) {
         mark_cancelled(request, reply->items[0].index);
     }
-    else if (reply->status == AQ_STORE_UNAVAILABLE && forward(request)) {
-        return;
-    }
-    else if (!try_again(request)) {
-        finish_unavailable(request, false);
+    else {
+        retry_cancel(request, reply);
     }
 }
 
@@ -419,8 +432,8 @@
     else if (reply->status == AQ_STORE_ABSENT) {
         finish_waiting(request, "");
     }
-    else if (!try_again(request)) {
-        finish_unavailable(request, true);
+    else if (!forward(request) && !try_again(request)) {
+        finish_unavailable(request);
     }
 }
 
@@ -504,7 +517,7 @@
     const char *path = AqExchange_Path(exchange);
     if (!front->ops.is_current(front->context)) {
         AqTime deadline = now_of(front) + DEFAULT_DEADLINE_MS;
-        if (front->ops.forward(front->context, exchange, deadline)) {
+        if (front->ops.forward(front->context, exchange, deadline, false)) {
             return;
         }
         AqLog_Event(AQ_LOG_WARNING, "refused", "path=%s reason=no_config",
--- a/packages/pool/front.h
+++ b/packages/pool/front.h
@@ -14,8 +14,11 @@
     /* Whether the node's copy of the configuration follows the store. */
     bool (*is_current)(void *context);
     /* Hands a request to another node, which then answers it; false when that
-     * is not possible. */
-    bool (*forward)(void *context, AqExchange *exchange, AqTime deadline);
+     * is not possible.  "may_have_effect": this node has sent it to the store
+     * and does not know what became of it, so that no later failure shows
+     * that nothing was done. */
+    bool (*forward)(void *context, AqExchange *exchange, AqTime deadline,
+                    bool may_have_effect);
 } FrontOps;
 
 Front *front_create(NodeContext *node, const FrontOps *ops, void *context);
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -156,9 +156,11 @@
 }
 
 static bool
-forward(void *context, AqExchange *exchange, AqTime deadline)
+forward(void *context, AqExchange *exchange, AqTime deadline,
+        bool may_have_effect)
 {
-    return forwarder_send(((AqNode *)context)->forwarder, exchange, deadline);
+    return forwarder_send(((AqNode *)context)->forwarder, exchange, deadline,
+                          may_have_effect);
 }
 
 /* ---- VMs ---------------------------------------------------------------- */
--- a/packages/pool/vm_directory.c
+++ b/packages/pool/vm_directory.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "aq_log.h"
 #include "aq_platform.h"
@@ -28,6 +29,17 @@
     g_hash_table_remove(directory->vms, key);
 }
 
+/* VMs write their entries again and again; most writes change nothing that
+ * is decided by. */
+static bool
+is_news(const AqVmReport *known, const AqVmReport *report)
+{
+    return known == NULL || strcmp(known->pool, report->pool) != 0 ||
+           strcmp(known->machine, report->machine) != 0 ||
+           strcmp(known->rack, report->rack) != 0 ||
+           known->is_draining != report->is_draining;
+}
+
 static void
 on_put(void *context, const AqStoreItem *item)
 {
@@ -44,10 +56,12 @@
         on_removed(directory, item->key);
         return;
     }
-    AqLog_Event(AQ_LOG_INFO, "vm_listed",
-                "vm=%s pool=%s machine=%s rack=%s draining=%d index=%llu",
-                report->id, report->pool, report->machine, report->rack,
-                report->is_draining, (unsigned long long)item->index);
+    if (is_news(g_hash_table_lookup(directory->vms, item->key), report)) {
+        AqLog_Event(AQ_LOG_INFO, "vm_listed",
+                    "vm=%s pool=%s machine=%s rack=%s draining=%d index=%llu",
+                    report->id, report->pool, report->machine, report->rack,
+                    report->is_draining, (unsigned long long)item->index);
+    }
     g_hash_table_replace(directory->vms, g_strdup(item->key), report);
     directory->ops.listed(directory->context, report);
 }
