Front: no writes to a lost store; uncertain ones go on until they are known

The node knew from its earlier calls that the store does not serve it. Now such writes go to a peer, or are refused with 503, which is certain. Writes that did go out are tried on, here or at a peer, until an answer shows their outcome.

--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -25,11 +25,10 @@
 
 typedef struct {
     Forwarder *forwarder;
-    AqExchange *exchange;
+    ForwardOrder order;
     char peer[32];
     AqTime sent_at;
     bool is_read; /* it can be asked again without harm */
-    bool may_have_effect;
 } Forward;
 
 static void
@@ -40,12 +39,13 @@
     bool may_retry = status == 429 || status == 503;
     AqLog_Event(status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "forwarded",
                 "path=%s method=%s peer=%s status=%d took_ms=%lld",
-                AqLog_Quote(AqExchange_Path(forward->exchange)),
-                AqExchange_Method(forward->exchange), forward->peer, status,
+                AqLog_Quote(AqExchange_Path(forward->order.exchange)),
+                AqExchange_Method(forward->order.exchange), forward->peer,
+                status,
                 (long long)(AqLoop_Now(forward->forwarder->node->loop) -
                             forward->sent_at));
-    AqExchange_Respond(forward->exchange, status, headers, may_retry ? 2 : 1,
-                       body, size);
+    AqExchange_Respond(forward->order.exchange, status, headers,
+                       may_retry ? 2 : 1, body, size);
 }
 
 int
@@ -75,10 +75,18 @@
     if (!is_whole || reply->status == 503) {
         forwarder->pause_until = AqLoop_Now(forwarder->node->loop) + PAUSE_MS;
     }
-    int status = forwarder_status(is_whole ? reply->status : 0,
-                                  reply->result != AQ_HTTP_NOT_SENT,
-                                  forward->is_read, forward->may_have_effect);
-    if (is_whole && status == reply->status) {
+    int status = forwarder_status(
+        is_whole ? reply->status : 0, reply->result != AQ_HTTP_NOT_SENT,
+        forward->is_read, forward->order.may_have_effect);
+    bool is_answered = status != 504 || !forward->order.may_have_effect ||
+                       forward->order.done == NULL;
+    if (!is_answered) {
+        AqLog_Event(AQ_LOG_WARNING, "forward_failed",
+                    "path=%s peer=%s result=%d status=%d",
+                    AqLog_Quote(AqExchange_Path(forward->order.exchange)),
+                    forward->peer, (int)reply->result, reply->status);
+    }
+    else if (is_whole && status == reply->status) {
         respond(forward, status, reply->body, reply->size);
     }
     else if (status == 503) {
@@ -87,6 +95,9 @@
     else {
         respond(forward, status, unknown, sizeof(unknown) - 1);
     }
+    if (forward->order.done != NULL) {
+        forward->order.done(forward->order.context, is_answered);
+    }
     free(forward);
 }
 
@@ -100,21 +111,20 @@
 }
 
 bool
-forwarder_send(Forwarder *forwarder, AqExchange *exchange, AqTime deadline,
-               bool may_have_effect)
+forwarder_send(Forwarder *forwarder, const ForwardOrder *order)
 {
+    const AqExchange *exchange = order->exchange;
     const char *peer = forwarder->ops.peer(forwarder->context);
     const char *host = AqExchange_Header(exchange, "Host");
     size_t size;
     if (peer == NULL || host == NULL ||
-        !may_forward(forwarder, exchange, deadline)) {
+        !may_forward(forwarder, exchange, order->deadline)) {
         return false;
     }
     Forward *forward = calloc(1, sizeof(*forward));
     forward->forwarder = forwarder;
-    forward->exchange = exchange;
+    forward->order = *order;
     forward->sent_at = AqLoop_Now(forwarder->node->loop);
-    forward->may_have_effect = may_have_effect;
     forward->is_read = strcmp(AqExchange_Method(exchange), "GET") == 0;
     g_strlcpy(forward->peer, peer, sizeof(forward->peer));
     char *url =
@@ -131,7 +141,7 @@
         .body = body,
         .size = size,
         .has_body = size > 0,
-        .timeout_ms = deadline - forward->sent_at - RESERVE_MS,
+        .timeout_ms = order->deadline - forward->sent_at - RESERVE_MS,
         .connect_timeout_ms = CONNECT_MS,
         .max_answer = MAX_ANSWER,
     };
--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -52,6 +52,7 @@
 }
 
 static void try_state(void *context);
+static void on_forwarded(void *context, bool is_answered);
 
 /* ---- Answers ------------------------------------------------------------ */
 
@@ -94,6 +95,14 @@
     }
 }
 
+static void
+free_request(Request *request)
+{
+    AqTimer_Stop(&request->retry);
+    AqBuffer_Clear(&request->job);
+    free(request);
+}
+
 static void
 finish(Request *request, int status, const char *body, const char *reason)
 {
@@ -107,9 +116,7 @@
                 (long long)request->front->node->site.version);
     count_answer(request, status);
     respond(request->exchange, status, body);
-    AqTimer_Stop(&request->retry);
-    AqBuffer_Clear(&request->job);
-    free(request);
+    free_request(request);
 }
 
 /* Hands a request to another node.  Submitting and cancelling do nothing the
@@ -118,14 +125,18 @@
 forward(Request *request)
 {
     const Front *front = request->front;
-    if (!front->ops.forward(front->context, request->exchange,
-                            request->deadline, request->may_have_effect)) {
-        return false;
-    }
-    AqTimer_Stop(&request->retry);
-    AqBuffer_Clear(&request->job);
-    free(request);
-    return true;
+    ForwardOrder order = {request->exchange, request->deadline,
+                          request->may_have_effect, on_forwarded, request};
+    return front->ops.forward(front->context, &order);
+}
+
+static void
+finish_unknown(Request *request)
+{
+    finish(request, 504,
+           "{\"error\":\"the outcome is not known; ask "
+           "again with the same id\"}",
+           "store_silent");
 }
 
 static void
@@ -141,13 +152,28 @@
                "store_unavailable");
     }
     else {
-        finish(request, 504,
-               "{\"error\":\"the outcome is not known; ask "
-               "again with the same id\"}",
-               "store_silent");
+        finish_unknown(request);
     }
 }
 
+static void
+note_store(const Request *request, const AqStoreReply *reply)
+{
+    store_health_note(&request->front->node->store_health, reply->status);
+}
+
+/* Begins with a write, unless the store is known not to serve this node. */
+static void
+begin_write(Request *request, void (*try)(void *request))
+{
+    request->try = try;
+    if (store_health_is_lost(&request->front->node->store_health)) {
+        finish_unavailable(request);
+        return;
+    }
+    try(request);
+}
+
 static void
 on_retry(void *context)
 {
@@ -167,12 +193,36 @@
     return true;
 }
 
+/* A peer that does not know the outcome either leaves the request here. */
+static void
+on_forwarded(void *context, bool is_answered)
+{
+    Request *request = context;
+    if (is_answered) {
+        free_request(request);
+    }
+    else if (!try_again(request)) {
+        finish_unknown(request);
+    }
+}
+
 /* ---- Submission --------------------------------------------------------- */
 
+/* Only an answer shows the outcome, so that tries go on until there is one,
+ * here or at a peer. */
+static void
+retry_uncertain(Request *request)
+{
+    if (!forward(request) && !try_again(request)) {
+        finish_unknown(request);
+    }
+}
+
 static void
 on_submitted(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    note_store(request, reply);
     switch (reply->status) {
     case AQ_STORE_OK:
         finish(request, 200, "{}", "stored");
@@ -183,13 +233,16 @@
         break;
     case AQ_STORE_UNKNOWN:
         request->may_have_effect = true;
-        if (!forward(request) && !try_again(request)) {
-            finish_unavailable(request);
-        }
+        retry_uncertain(request);
         break;
     default:
         /* Nothing was done now; an earlier try may still have effect. */
-        finish_unavailable(request);
+        if (request->may_have_effect) {
+            retry_uncertain(request);
+        }
+        else {
+            finish_unavailable(request);
+        }
         break;
     }
 }
@@ -236,8 +289,7 @@
     }
     AqJobSpec_Encode(&spec, &request->job);
     AqJobSpec_Clear(&spec);
-    request->try = try_submit;
-    try_submit(request);
+    begin_write(request, try_submit);
 }
 
 /* ---- State -------------------------------------------------------------- */
@@ -256,6 +308,7 @@
 on_job_read(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    note_store(request, reply);
     if (reply->status == AQ_STORE_OK) {
         finish_state(request, AQ_JOB_QUEUED);
     }
@@ -278,6 +331,7 @@
         [AQ_STAGE_CANCELLED] = AQ_JOB_CANCELLED,
     };
     Request *request = context;
+    note_store(request, reply);
     AqStore *store = request->front->node->store;
     AqError error;
     AqJobStage stage;
@@ -320,10 +374,10 @@
 {
     bool is_conflict = reply->status == AQ_STORE_CONFLICT;
     request->may_have_effect |= reply->status == AQ_STORE_UNKNOWN;
-    if (!is_conflict && forward(request)) {
-        return;
+    if (request->may_have_effect) {
+        retry_uncertain(request);
     }
-    if (!try_again(request)) {
+    else if (is_conflict ? !try_again(request) : !forward(request)) {
         finish_unavailable(request);
     }
 }
@@ -332,6 +386,7 @@
 on_cancelled(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    note_store(request, reply);
     if (reply->status == AQ_STORE_OK) {
         finish(request, 200, "{}", "cancelled");
     }
@@ -357,6 +412,7 @@
 on_cancel_first(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    note_store(request, reply);
     if (reply->status == AQ_STORE_OK) {
         /* A submission that comes later finds the mark and never runs. */
         finish(request, 410, "{\"error\":\"there is no such job\"}",
@@ -421,6 +477,7 @@
 on_report(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    note_store(request, reply);
     if (reply->status == AQ_STORE_OK && reply->count == 1) {
         Report *report = calloc(1, sizeof(*report));
         report->text = strndup(reply->items[0].value, reply->items[0].size);
@@ -498,8 +555,7 @@
         request->try(request);
     }
     else if (strcmp(method, "DELETE") == 0 && has_id) {
-        request->try = try_cancel;
-        try_cancel(request);
+        begin_write(request, try_cancel);
     }
     else {
         finish(request, 405,
@@ -516,8 +572,9 @@
     const char *host = AqExchange_Header(exchange, "Host");
     const char *path = AqExchange_Path(exchange);
     if (!front->ops.is_current(front->context)) {
-        AqTime deadline = now_of(front) + DEFAULT_DEADLINE_MS;
-        if (front->ops.forward(front->context, exchange, deadline, false)) {
+        ForwardOrder order = {.exchange = exchange,
+                              .deadline = now_of(front) + DEFAULT_DEADLINE_MS};
+        if (front->ops.forward(front->context, &order)) {
             return;
         }
         AqLog_Event(AQ_LOG_WARNING, "refused", "path=%s reason=no_config",
--- a/packages/pool/front.h
+++ b/packages/pool/front.h
@@ -2,6 +2,7 @@
 #define FRONT_H
 
 #include "aq_http_server.h"
+#include "forwarder.h"
 #include "node.h"
 
 /* Callers' requests: jobs are submitted, asked for and cancelled at any node.
@@ -13,12 +14,8 @@
 typedef struct {
     /* Whether the node's copy of the configuration follows the store. */
     bool (*is_current)(void *context);
-    /* Hands a request to another node, which then answers it; false when that
-     * is not possible.  "may_have_effect": this node has sent it to the store
-     * and does not know what became of it, so that no later failure shows
-     * that nothing was done. */
-    bool (*forward)(void *context, AqExchange *exchange, AqTime deadline,
-                    bool may_have_effect);
+    /* Hands a request to another node; false when that is not possible. */
+    bool (*forward)(void *context, const ForwardOrder *order);
 } FrontOps;
 
 Front *front_create(NodeContext *node, const FrontOps *ops, void *context);
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -125,6 +125,7 @@
 on_registered(void *context, const AqStoreReply *reply)
 {
     Member *member = context;
+    store_health_note(&member->node->store_health, reply->status);
     if (reply->status != AQ_STORE_OK) {
         member->lease = 0;
         schedule_keep(member, KEEP_RETRY_MS);
@@ -151,6 +152,7 @@
 {
     Member *member = context;
     NodeContext *node = member->node;
+    store_health_note(&node->store_health, reply->status);
     if (reply->status != AQ_STORE_OK || reply->lease == 0) {
         schedule_keep(member, KEEP_RETRY_MS);
         return;
@@ -173,6 +175,7 @@
 on_kept(void *context, const AqStoreReply *reply)
 {
     Member *member = context;
+    store_health_note(&member->node->store_health, reply->status);
     if (reply->status == AQ_STORE_OK) {
         note_heard(member, member->keep_sent_at);
         schedule_keep(member, KEEP_MS);
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -156,11 +156,9 @@
 }
 
 static bool
-forward(void *context, AqExchange *exchange, AqTime deadline,
-        bool may_have_effect)
+forward(void *context, const ForwardOrder *order)
 {
-    return forwarder_send(((AqNode *)context)->forwarder, exchange, deadline,
-                          may_have_effect);
+    return forwarder_send(((AqNode *)context)->forwarder, order);
 }
 
 /* ---- VMs ---------------------------------------------------------------- */
--- a/packages/pool/node.h
+++ b/packages/pool/node.h
@@ -12,6 +12,7 @@
 #include "aq_site_config.h"
 #include "aq_store.h"
 #include "aq_worker_calls.h"
+#include "store_health.h"
 
 /* What the parts of a node share; each part gets what it needs from here and
  * knows no other part's inside. */
@@ -41,6 +42,7 @@
     AqMachineCalls *machines; /* NULL: VMs can't be ordered about */
     AqAdviceCalls *advice;    /* NULL: no such service */
     NodeMetrics metrics;
+    StoreHealth store_health;
     AqSiteConfig site;    /* version 0: not known yet */
     char incarnation[40]; /* of this process */
     bool is_stopping;
--- a/packages/pool/tests/test_front.c
+++ b/packages/pool/tests/test_front.c
@@ -25,6 +25,7 @@
     Front *front;
     AqQueueConfig queue;
     bool has_peer;
+    bool is_peer_unsure; /* it gives the first request back */
     unsigned handed_on;
     bool may_have_effect; /* as the peer was told */
     unsigned answers;
@@ -39,17 +40,21 @@
 }
 
 static bool
-hand_on(void *context, AqExchange *exchange, AqTime deadline,
-        bool may_have_effect)
+hand_on(void *context, const ForwardOrder *order)
 {
     Fixture *fixture = context;
-    (void)deadline;
     if (!fixture->has_peer) {
         return false;
     }
     fixture->handed_on++;
-    fixture->may_have_effect = may_have_effect;
-    AqExchange_Respond(exchange, 200, NULL, 0, "{}", 2);
+    fixture->may_have_effect = order->may_have_effect;
+    if (fixture->is_peer_unsure) {
+        fixture->has_peer = false;
+        order->done(order->context, false);
+        return true;
+    }
+    AqExchange_Respond(order->exchange, 200, NULL, 0, "{}", 2);
+    order->done(order->context, true);
     return true;
 }
 
@@ -191,13 +196,63 @@
     send_request(&fixture, "POST");
     run(&fixture);
     fake_store_lose(fixture.fake);
-    run(&fixture); /* the second try */
-    fake_store_refuse(fixture.fake);
-    run_to_answer(&fixture);
+    while (fixture.answers == 0) {
+        run(&fixture);
+        if (fake_store_waiting(fixture.fake) > 0) {
+            fake_store_refuse(fixture.fake);
+        }
+    }
     CU_ASSERT_EQUAL(fixture.status, 504);
     tear_down(&fixture);
 }
 
+/* Guards against an unknown outcome that is told although a later try would
+ * have shown it. */
+static void
+test_unsure_peer_gives_back(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    fixture.has_peer = true;
+    fixture.is_peer_unsure = true;
+    send_request(&fixture, "POST");
+    run(&fixture);
+    fake_store_lose(fixture.fake);
+    run(&fixture);
+    CU_ASSERT_EQUAL(fixture.handed_on, 1);
+    fake_store_answer(fixture.fake);
+    run_to_answer(&fixture);
+    CU_ASSERT_EQUAL(fixture.status, 200);
+    tear_down(&fixture);
+}
+
+/* Guards against a write to a store that is known not to serve the node: its
+ * caller would learn only that the outcome is unknown, and not come back. */
+static void
+test_lost_store_is_not_written_to(void)
+{
+    static const char *const methods[] = {"POST", "DELETE"};
+    for (size_t i = 0; i < 2; i++) {
+        Fixture fixture;
+        set_up(&fixture);
+        StoreHealth *health = &fixture.node.store_health;
+        store_health_note(health, AQ_STORE_UNKNOWN);
+        CU_ASSERT_FALSE(store_health_is_lost(health));
+        store_health_note(health, AQ_STORE_UNKNOWN);
+        send_request(&fixture, methods[i]);
+        run(&fixture);
+        CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 0);
+        CU_ASSERT_EQUAL(fixture.status, 503);
+        store_health_note(health, AQ_STORE_ABSENT);
+        send_request(&fixture, methods[i]);
+        run(&fixture);
+        CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 1);
+        fake_store_answer_all(fixture.fake);
+        run(&fixture);
+        tear_down(&fixture);
+    }
+}
+
 /* Guards against a job that is stored twice, or an answer that is lost, when
  * the first write takes effect without an answer. */
 static void
@@ -252,6 +307,8 @@
         {"silent_store_hands_on", test_silent_store_hands_on},
         {"refusing_store_hands_on", test_refusing_store_hands_on},
         {"refusal_after_silence", test_refusal_after_silence},
+        {"unsure_peer_gives_back", test_unsure_peer_gives_back},
+        {"lost_store_is_not_written_to", test_lost_store_is_not_written_to},
         {"effect_without_answer", test_effect_without_answer},
         {"status_after_peer", test_status_after_peer},
     };
