VM list: gather changes for 150 ms before the next watch

The watch that follows changes is now sent 150 ms later and finds more of them. Watches of jobs, members, asks and waves stay immediate.

--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -246,7 +246,7 @@
     (void)context;
 }
 
-static const PrefixViewOps ask_ops = {on_put, on_removed, on_listed};
+static const PrefixViewOps ask_ops = {on_put, on_removed, on_listed, 0};
 
 /* ---- Answers ------------------------------------------------------------ */
 
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -607,7 +607,7 @@
     consider_all(context);
 }
 
-static const PrefixViewOps node_ops = {on_put, on_removed, on_listed};
+static const PrefixViewOps node_ops = {on_put, on_removed, on_listed, 0};
 
 /* ---- Interface ---------------------------------------------------------- */
 
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -137,8 +137,8 @@
     (void)context;
 }
 
-static const PrefixViewOps operator_ops = {on_operator_put,
-                                           on_operator_removed, ignore_listed};
+static const PrefixViewOps operator_ops = {
+    on_operator_put, on_operator_removed, ignore_listed, 0};
 
 static bool
 is_current(void *context)
--- a/packages/pool/pool_asks.c
+++ b/packages/pool/pool_asks.c
@@ -138,8 +138,8 @@
 void
 machines_watch_answers(PoolMachines *self)
 {
-    static const PrefixViewOps ops = {on_answer, ignore_removed,
-                                      ignore_listed};
+    static const PrefixViewOps ops = {on_answer, ignore_removed, ignore_listed,
+                                      0};
     self->answers =
         prefix_view_create(self->node->loop, self->node->store,
                            key_of(KEY_ANSWER, self->pool), &ops, self);
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -163,7 +163,12 @@
     if (!end_call(view)) {
         return;
     }
-    if (reply->status == AQ_STORE_OK) {
+    if (reply->status == AQ_STORE_OK && reply->count > 0 &&
+        view->ops.gather_ms > 0) {
+        AqTimer_Start(view->loop, &view->retry,
+                      AqLoop_Now(view->loop) + view->ops.gather_ms);
+    }
+    else if (reply->status == AQ_STORE_OK) {
         begin(view);
     }
     else if (reply->status == AQ_STORE_COMPACTED) {
--- a/packages/pool/prefix_view.h
+++ b/packages/pool/prefix_view.h
@@ -15,6 +15,9 @@
     void (*removed)(void *context, const char *key);
     /* A listing is complete: the view is whole. */
     void (*listed)(void *context);
+    /* Pause after changes before the next watch, so that it finds more of
+     * them, ms.  0: each change is heard of at once. */
+    AqTime gather_ms;
 } PrefixViewOps;
 
 /* "loop" and "store" are borrowed.  No call comes from inside. */
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -213,7 +213,7 @@
     ((Seen *)context)->listings++;
 }
 
-static const PrefixViewOps view_ops = {on_put, on_removed, on_listed};
+static const PrefixViewOps view_ops = {on_put, on_removed, on_listed, 0};
 
 /* Guards against changes that are missed or seen twice. */
 static void
@@ -265,6 +265,31 @@
     tear_down(&fixture);
 }
 
+/* Guards against one watch for each of many changes, by every node. */
+static void
+test_view_gathers(void)
+{
+    static const PrefixViewOps ops = {on_put, on_removed, on_listed, 20};
+    Fixture fixture;
+    Seen seen = {0};
+    set_up(&fixture);
+    PrefixView *view = prefix_view_create(
+        fixture.node.loop, fixture.node.store, "p/", &ops, &seen);
+    fake_store_answer_all(fixture.fake);
+    fake_store_put(fixture.fake, "p/a", "1");
+    fake_store_answer(fixture.fake);
+    CU_ASSERT_EQUAL(seen.puts, 1);
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 0);
+    fake_store_put(fixture.fake, "p/b", "2");
+    fake_store_put(fixture.fake, "p/c", "3");
+    run_until_call(&fixture);
+    fake_store_answer(fixture.fake);
+    CU_ASSERT_EQUAL(seen.puts, 3);
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 0);
+    prefix_view_destroy(view);
+    tear_down(&fixture);
+}
+
 /* Guards against a silent watch that delays cancels and configurations for
  * longer than their bounds (3 s and 2 s after 3 s of touch). */
 static void
@@ -339,6 +364,7 @@
     vm_directory_each(directory, count_vm, &known);
     CU_ASSERT_EQUAL(known, 1);
     fake_store_put(fixture.fake, first, sample_worker);
+    run_until_call(&fixture);
     fake_store_answer_all(fixture.fake);
     CU_ASSERT_EQUAL(seen.listed, 3);
     vm_directory_destroy(directory);
@@ -360,6 +386,7 @@
         {"drop_from_callback", test_drop_from_callback},
         {"view_follows", test_view_follows},
         {"view_survives_compaction", test_view_survives_compaction},
+        {"view_gathers", test_view_gathers},
         {"view_waits_briefly", test_view_waits_briefly},
         {"garbled_vm_is_unlisted", test_garbled_vm_is_unlisted},
     };
--- a/packages/pool/vm_directory.c
+++ b/packages/pool/vm_directory.c
@@ -8,6 +8,13 @@
 #include "aq_platform.h"
 #include "prefix_view.h"
 
+enum {
+    /* Each VM writes its entry about once a second, and each write is an
+     * answer to every node that owns a pool.  A VM that has come is listed
+     * so much later; its own replies tell the rest sooner. */
+    GATHER_MS = 150
+};
+
 struct VmDirectory {
     PrefixView *view;
     GHashTable *vms; /* key -> AqVmReport */
@@ -76,7 +83,8 @@
 vm_directory_create(AqLoop *loop, AqStore *store, const VmDirectoryOps *ops,
                     void *context)
 {
-    static const PrefixViewOps view_ops = {on_put, on_removed, on_listed};
+    static const PrefixViewOps view_ops = {on_put, on_removed, on_listed,
+                                           GATHER_MS};
     VmDirectory *directory = calloc(1, sizeof(*directory));
     directory->ops = *ops;
     directory->context = context;
--- a/packages/pool/wave_book.c
+++ b/packages/pool/wave_book.c
@@ -59,7 +59,7 @@
     }
 }
 
-static const PrefixViewOps record_ops = {on_put, on_removed, on_listed};
+static const PrefixViewOps record_ops = {on_put, on_removed, on_listed, 0};
 
 void
 wave_book_add(WaveBook *book, AqWaveSpec *spec)
