--- a/packages/pool/pool_sizes.c
+++ b/packages/pool/pool_sizes.c
@@ -169,6 +169,7 @@
         .coming_vms = machines_count_plans(self, PLAN_TAKE),
         .upkeep_vms = machines_count_plans(self, PLAN_UPKEEP),
         .widest_spread = load.widest_spread,
+        .site_vms = self->list->len,
     };
     size_t idle = 0;
     for (guint i = 0; i < self->vms->len; i++) {
--- a/packages/scheduler/Include/aq_sizing.h
+++ b/packages/scheduler/Include/aq_sizing.h
@@ -29,6 +29,7 @@
     size_t coming_vms;    /* asked for, not here yet */
     size_t upkeep_vms;    /* away for upkeep, or about to be */
     size_t widest_spread; /* VMs that a step needs that wants one each */
+    size_t site_vms;      /* of all pools; 0: not known */
 } AqSizingInput;
 
 typedef struct {
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -5,9 +5,12 @@
 enum {
     /* Room that stays free of the room in use, in hundredths. */
     RESERVE_PERCENT = 30,
-    LEAST_VMS = 3,       /* so that lasting tasks do not all share one VM */
-    RESERVE_VMS = 1,     /* so that a turn can begin before VMs come */
-    MOST_TAKEN = 16,     /* in one decision */
+    LEAST_VMS = 3,   /* so that lasting tasks do not all share one VM */
+    RESERVE_VMS = 1, /* so that a turn can begin before VMs come */
+    /* Taken in one decision at most, so that one mistaken estimate does not
+     * empty the other pools: so many, or this part of a large site. */
+    MOST_TAKEN = 16,
+    MOST_TAKEN_PART = 4,
     AHEAD_PERCENT = 100, /* of what is there: most that is taken ahead */
     FULL_PERCENT = 70,   /* of the room: VMs are taken ahead of need */
     STUCK_MS = 800       /* a task waits although there is room */
@@ -66,7 +69,9 @@
     if (vms < least && take < least - vms) {
         take = least - vms;
     }
-    return take < MOST_TAKEN ? take : MOST_TAKEN;
+    size_t part = input->site_vms / MOST_TAKEN_PART;
+    size_t most_taken = part > MOST_TAKEN ? part : MOST_TAKEN;
+    return take < most_taken ? take : most_taken;
 }
 
 static size_t
