--- a/packages/pool/forwarder.h
+++ b/packages/pool/forwarder.h
@@ -5,7 +5,7 @@
 #include "node.h"
 
 /* Hands a caller's request to another node, for a node that the store turns
- * away while it serves others.  A request is handed on once at most. */
+ * away while it serves others.  The peer does not hand it on again. */
 
 typedef struct Forwarder Forwarder;
 
--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -526,7 +526,7 @@
             const char *id)
 {
     Request *request = calloc(1, sizeof(*request));
-    const char *limit = AqExchange_Header(exchange, "X-Deadline-Ms");
+    const char *limit = AqExchange_Header(exchange, AqPlatform_DeadlineHeader);
     long long deadline = limit != NULL ? strtoll(limit, NULL, 10) : 0;
     request->front = front;
     request->exchange = exchange;
--- a/packages/pool/tests/test_front.c
+++ b/packages/pool/tests/test_front.c
@@ -5,6 +5,7 @@
 
 #include "aq_http_client.h"
 #include "aq_log.h"
+#include "aq_platform.h"
 #include "fake_store.h"
 #include "forwarder.h"
 #include "front.h"
@@ -12,6 +13,7 @@
 
 enum {
     CALL_TIMEOUT_MS = 5000,
+    DEADLINE_MS = 3000,
     TURN_MS = 20
 };
 
@@ -112,9 +114,12 @@
 static void
 send_request(Fixture *fixture, const char *method)
 {
-    static const char *headers[] = {"X-Deadline-Ms: 3000", NULL};
+    char deadline[64];
+    const char *headers[] = {deadline, NULL};
     char url[64];
     bool has_body = strcmp(method, "POST") == 0;
+    snprintf(deadline, sizeof(deadline), "%s: %d", AqPlatform_DeadlineHeader,
+             DEADLINE_MS);
     snprintf(url, sizeof(url), "http://127.0.0.1:%u/q/ab12",
              AqHttpServer_Port(fixture->server));
     AqHttpRequest request = {.method = method,
