Scheduler: a VM with unstored ends is not idle

Ruled out: a stale or partial listing at the takeover, and ends confirmed too early (the confirmed number follows the stored one). The test fails without the change.

--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -106,7 +106,8 @@
 /* Stops what runs on the VM, but for lasting tasks, to be started elsewhere.
  * Saved work is kept. */
 void AqScheduler_StopTasks(AqScheduler *scheduler, const char *id, AqTime now);
-/* Whether nothing runs, starts or stops there. */
+/* Whether nothing runs, starts or stops there, and no end of a run is known to
+ * the VM alone: it may be moved, rebooted or switched off. */
 bool AqScheduler_IsIdle(const AqScheduler *scheduler, const char *id);
 
 typedef struct {
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -29,6 +29,37 @@
     sim_destroy(sim);
 }
 
+static unsigned
+count_idle_vms(Sim *sim)
+{
+    unsigned count = 0;
+    for (unsigned vm = 0; vm < SIM_VMS; vm++) {
+        count += AqScheduler_IsIdle(sim_scheduler(sim), sim_vm_id(sim, vm));
+    }
+    return count;
+}
+
+/* Guards against a VM that is moved or rebooted while only it holds the end
+ * of a run: saves are slow under load, and the next owner would run the task
+ * a second time. */
+static void
+test_unstored_end_keeps_vm(void)
+{
+    static const SimFaults no_saves = {.failed_saves = 1000};
+    static const SimFaults none = {0};
+    Sim *sim = sim_create(17);
+    sim_set_faults(sim, &no_saves);
+    sim_add_simple(sim, "a1", 1, 1, 2000, 500);
+    sim_run(sim, 2500);
+    CU_ASSERT_EQUAL(sim_runs(sim, "a1"), 1);
+    CU_ASSERT_EQUAL(count_idle_vms(sim), SIM_VMS - 1);
+    sim_set_faults(sim, &none);
+    sim_run(sim, 1000);
+    CU_ASSERT_EQUAL(count_idle_vms(sim), SIM_VMS);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
 /* Guards against runs of an earlier owner being taken as stale and started a
  * second time because of the new owner's higher run numbers. */
 static void
@@ -396,6 +427,7 @@
         void (*run)(void);
     } tests[] = {
         {"completes", test_completes},
+        {"unstored_end_keeps_vm", test_unstored_end_keeps_vm},
         {"takeover_adopts_runs", test_takeover_adopts_runs},
         {"takeover_waits_for_silent_vm", test_takeover_waits_for_silent_vm},
         {"failures_count_in_any_order", test_failures_count_in_any_order},
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -406,7 +406,8 @@
 AqScheduler_IsIdle(const AqScheduler *s, const char *id)
 {
     const Vm *vm = vms_find(s, id);
-    return vm == NULL || (vm->task_count == 0 && vm->foreign_cpu == 0);
+    return vm == NULL || (vm->task_count == 0 && vm->foreign_cpu == 0 &&
+                          vm->pending_ends->len == 0);
 }
 
 void
