--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -365,8 +365,11 @@
 fake_store_destroy(FakeStore *fake)
 {
     Call *call;
-    while ((call = g_queue_pop_head(fake->calls)) != NULL ||
-           (call = g_queue_pop_head(fake->lost)) != NULL) {
+    /* A store that goes ends its calls, so that their contexts can go. */
+    while (fake_store_waiting(fake) > 0) {
+        fake_store_refuse(fake);
+    }
+    while ((call = g_queue_pop_head(fake->lost)) != NULL) {
         free_call(call);
     }
     g_queue_free(fake->calls);
--- a/packages/scheduler/asks.c
+++ b/packages/scheduler/asks.c
@@ -103,8 +103,7 @@
     size_t offset = 0;
     memset(list, 0, sizeof(*list));
     msgpack_unpacked_init(&unpacked);
-    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
-                  MSGPACK_UNPACK_SUCCESS &&
+    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
               decode_list(&unpacked.data, list);
     msgpack_unpacked_destroy(&unpacked);
     if (!ok) {
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -260,8 +260,7 @@
     size_t offset = 0;
     memset(spec, 0, sizeof(*spec));
     msgpack_unpacked_init(&unpacked);
-    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
-                  MSGPACK_UNPACK_SUCCESS &&
+    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
               unpack_spec(&unpacked.data, spec) &&
               AqJobSpec_Check(spec, error);
     msgpack_unpacked_destroy(&unpacked);
--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -199,8 +199,7 @@
     msgpack_unpacked unpacked;
     size_t offset = 0;
     msgpack_unpacked_init(&unpacked);
-    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
-                  MSGPACK_UNPACK_SUCCESS &&
+    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
               apply(s, job, &unpacked.data);
     msgpack_unpacked_destroy(&unpacked);
     return ok;
@@ -215,8 +214,7 @@
     int64_t value = 0;
     int64_t next;
     msgpack_unpacked_init(&unpacked);
-    bool ok = msgpack_unpack_next(&unpacked, record, size, &offset) ==
-                  MSGPACK_UNPACK_SUCCESS &&
+    bool ok = record_unpack(&unpacked, record, size, &offset) &&
               read_head(&unpacked.data, &value, &next);
     msgpack_unpacked_destroy(&unpacked);
     if (!ok) {
--- a/packages/scheduler/record_codec.c
+++ b/packages/scheduler/record_codec.c
@@ -24,6 +24,104 @@
     msgpack_pack_str_body(pk, text, size);
 }
 
+typedef struct {
+    const unsigned char *at;
+    const unsigned char *end;
+} Scan;
+
+enum {
+    MAX_DEPTH = 16 /* the records have less; bounds the recursion */
+};
+
+/* Reads a big-endian number of so many bytes. */
+static bool
+scan_number(Scan *scan, size_t bytes, uint64_t *value)
+{
+    if ((size_t)(scan->end - scan->at) < bytes) {
+        return false;
+    }
+    *value = 0;
+    for (size_t i = 0; i < bytes; i++) {
+        *value = *value << 8 | *scan->at++;
+    }
+    return true;
+}
+
+static bool
+scan_skip(Scan *scan, uint64_t bytes)
+{
+    if ((uint64_t)(scan->end - scan->at) < bytes) {
+        return false;
+    }
+    scan->at += bytes;
+    return true;
+}
+
+static bool scan_value(Scan *scan, int depth);
+
+static bool
+scan_array(Scan *scan, uint64_t count, int depth)
+{
+    /* Each element takes a byte at least. */
+    if (depth == MAX_DEPTH || (uint64_t)(scan->end - scan->at) < count) {
+        return false;
+    }
+    for (uint64_t i = 0; i < count; i++) {
+        if (!scan_value(scan, depth + 1)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Passes over one value of the types that records have. */
+static bool
+scan_value(Scan *scan, int depth)
+{
+    uint64_t size;
+    if (scan->at == scan->end) {
+        return false;
+    }
+    unsigned type = *scan->at++;
+    if (type <= 0x7f || type >= 0xe0 || type == 0xc0 || type == 0xc2 ||
+        type == 0xc3) {
+        return true; /* small number, nil, bool */
+    }
+    if (type >= 0x90 && type <= 0x9f) {
+        return scan_array(scan, type & 0x0f, depth);
+    }
+    if (type >= 0xa0 && type <= 0xbf) {
+        return scan_skip(scan, type & 0x1f);
+    }
+    if (type >= 0xcc && type <= 0xd3) {
+        return scan_skip(scan, (uint64_t)1 << (type & 3)); /* number */
+    }
+    if (type >= 0xc4 && type <= 0xc6) { /* bytes */
+        return scan_number(scan, (size_t)1 << (type - 0xc4), &size) &&
+               scan_skip(scan, size);
+    }
+    if (type >= 0xd9 && type <= 0xdb) { /* text */
+        return scan_number(scan, (size_t)1 << (type - 0xd9), &size) &&
+               scan_skip(scan, size);
+    }
+    if (type == 0xdc || type == 0xdd) {
+        return scan_number(scan, type == 0xdc ? 2 : 4, &size) &&
+               scan_array(scan, size, depth);
+    }
+    return false;
+}
+
+bool
+record_unpack(msgpack_unpacked *unpacked, const char *bytes, size_t size,
+              size_t *offset)
+{
+    const unsigned char *start = (const unsigned char *)bytes;
+    Scan scan = {start + *offset, start + size};
+    return scan_value(&scan, 0) &&
+           msgpack_unpack_next(unpacked, bytes, size, offset) ==
+               MSGPACK_UNPACK_SUCCESS;
+}
+
 bool
 record_int(const msgpack_object *object, int64_t low, int64_t high,
            int64_t *value)
@@ -53,6 +151,9 @@
     if (object->type != MSGPACK_OBJECT_STR) {
         return false;
     }
-    *value = strndup(object->via.str.ptr, object->via.str.size);
+    /* msgpack-c gives no pointer with an empty text. */
+    *value = object->via.str.size == 0
+                 ? strdup("")
+                 : strndup(object->via.str.ptr, object->via.str.size);
     return true;
 }
--- a/packages/scheduler/roster.c
+++ b/packages/scheduler/roster.c
@@ -170,8 +170,7 @@
     s->now = now;
     msgpack_unpacked_init(&unpacked);
     const msgpack_object *root = &unpacked.data;
-    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
-                  MSGPACK_UNPACK_SUCCESS &&
+    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
               root->type == MSGPACK_OBJECT_ARRAY &&
               root->via.array.size >= 2 &&
               record_int(&root->via.array.ptr[0], 0, 1, &is_handed_over) &&
--- a/packages/scheduler/waves.c
+++ b/packages/scheduler/waves.c
@@ -138,8 +138,7 @@
     Entry *before = malloc(space);
     memcpy(before, wave->entries, space);
     msgpack_unpacked_init(&unpacked);
-    bool ok = msgpack_unpack_next(&unpacked, bytes, size, &offset) ==
-                  MSGPACK_UNPACK_SUCCESS &&
+    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
               unpacked.data.type == MSGPACK_OBJECT_ARRAY;
     for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++) {
         ok = decode_entry(wave, &unpacked.data.via.array.ptr[i]);
