Stand-in: close its server only when no connection is suspended

MHD_stop_daemon ends the process while a connection is suspended, and the run that resumes connections may take in requests that suspend others.

--- a/packages/testkit/server.c
+++ b/packages/testkit/server.c
@@ -278,23 +278,35 @@
                        server->port, strerror(errno));
 }
 
-void
-AqTestServer_Close(AqTestServer *server)
+/* Whether any connection was suspended. */
+static bool
+resume_all(AqTestServer *server)
 {
-    if (server->daemon == NULL) {
-        return;
-    }
-    /* MHD_stop_daemon does not accept suspended connections. */
+    bool any = false;
     AqList_ForEach(at, &server->requests)
     {
         AqTestRequest *request = AqList_Entry(at, AqTestRequest, link);
         request->state = REQUEST_CLOSING;
         if (request->suspended) {
             request->suspended = false;
+            any = true;
             MHD_resume_connection(request->connection);
         }
     }
-    MHD_run(server->daemon);
+    return any;
+}
+
+void
+AqTestServer_Close(AqTestServer *server)
+{
+    if (server->daemon == NULL) {
+        return;
+    }
+    /* MHD_stop_daemon ends the process while a connection is suspended, and
+     * the run that resumes them may take in requests that suspend others. */
+    while (resume_all(server)) {
+        MHD_run(server->daemon);
+    }
     MHD_stop_daemon(server->daemon);
     server->daemon = NULL;
     server->source.fd = -1;
