Front and forwarder: one copy of answers, one end for tries

Cause: the answer's headers and the two refusals were written in both files, and five places decided alone between peer, another try and a refusal, some asking for a peer twice in a row. A field that nothing reads is removed. Behaviour stays; test_front passes unchanged (37 assertions).

--- /dev/null
+++ b/packages/pool/answers.c
@@ -0,0 +1,18 @@
+#include "answers.h"
+
+#include <stdbool.h>
+
+const char answer_unavailable[] =
+    "{\"error\":\"the store can't be reached; come back later\"}";
+const char answer_unknown[] =
+    "{\"error\":\"the outcome is not known; ask again with the same id\"}";
+
+void
+answer_json(AqExchange *exchange, int status, const char *body, size_t size)
+{
+    AqHttpHeader headers[] = {{"Content-Type", "application/json"},
+                              {"Retry-After", "1"}};
+    bool may_retry = status == 429 || status == 503;
+    AqExchange_Respond(exchange, status, headers, may_retry ? 2 : 1, body,
+                       size);
+}
--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "answers.h"
 #include "aq_log.h"
 
 enum {
@@ -34,9 +35,6 @@
 static void
 respond(const Forward *forward, int status, const char *body, size_t size)
 {
-    AqHttpHeader headers[] = {{"Content-Type", "application/json"},
-                              {"Retry-After", "1"}};
-    bool may_retry = status == 429 || status == 503;
     AqLog_Event(status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "forwarded",
                 "path=%s method=%s peer=%s status=%d took_ms=%lld",
                 AqLog_Quote(AqExchange_Path(forward->order.exchange)),
@@ -44,8 +42,7 @@
                 status,
                 (long long)(AqLoop_Now(forward->forwarder->node->loop) -
                             forward->sent_at));
-    AqExchange_Respond(forward->order.exchange, status, headers,
-                       may_retry ? 2 : 1, body, size);
+    answer_json(forward->order.exchange, status, body, size);
 }
 
 int
@@ -64,11 +61,6 @@
 static void
 on_answer(void *context, const AqHttpReply *reply)
 {
-    static const char unavailable[] =
-        "{\"error\":\"the store can't be reached; come back later\"}";
-    static const char unknown[] =
-        "{\"error\":\"the outcome is not known; ask again with the same "
-        "id\"}";
     Forward *forward = context;
     Forwarder *forwarder = forward->forwarder;
     bool is_whole = reply->result == AQ_HTTP_DONE;
@@ -89,11 +81,9 @@
     else if (is_whole && status == reply->status) {
         respond(forward, status, reply->body, reply->size);
     }
-    else if (status == 503) {
-        respond(forward, status, unavailable, sizeof(unavailable) - 1);
-    }
     else {
-        respond(forward, status, unknown, sizeof(unknown) - 1);
+        const char *body = status == 503 ? answer_unavailable : answer_unknown;
+        respond(forward, status, body, strlen(body));
     }
     if (forward->order.done != NULL) {
         forward->order.done(forward->order.context, is_answered);
--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "answers.h"
 #include "aq_log.h"
 #include "aq_platform.h"
 #include "aq_scheduler.h"
@@ -40,7 +41,6 @@
     AqTimer retry;
     void (*try)(void *request);
     AqBuffer job; /* stored form, of a submission */
-    uint64_t job_index;
     unsigned tries;
     bool may_have_effect; /* a write of an earlier try had no answer */
 } Request;
@@ -56,22 +56,12 @@
 
 /* ---- Answers ------------------------------------------------------------ */
 
-static void
-respond(AqExchange *exchange, int status, const char *body)
-{
-    AqHttpHeader headers[] = {{"Content-Type", "application/json"},
-                              {"Retry-After", "1"}};
-    bool may_retry = status == 429 || status == 503;
-    AqExchange_Respond(exchange, status, headers, may_retry ? 2 : 1, body,
-                       strlen(body));
-}
-
 static void
 respond_error(AqExchange *exchange, int status, const char *message)
 {
     char body[AQ_ERROR_MESSAGE_SIZE + 32];
     snprintf(body, sizeof(body), "{\"error\":%s}", AqLog_Quote(message));
-    respond(exchange, status, body);
+    answer_json(exchange, status, body, strlen(body));
 }
 
 static void
@@ -115,7 +105,7 @@
                 (long long)(now_of(request->front) - request->arrived_at),
                 (long long)request->front->node->site.version);
     count_answer(request, status);
-    respond(request->exchange, status, body);
+    answer_json(request->exchange, status, body, strlen(body));
     free_request(request);
 }
 
@@ -130,29 +120,23 @@
     return front->ops.forward(front->context, &order);
 }
 
+/* Refuses, which says that nothing was done, only where that is certain. */
 static void
-finish_unknown(Request *request)
+finish_unserved(Request *request)
 {
-    finish(request, 504,
-           "{\"error\":\"the outcome is not known; ask "
-           "again with the same id\"}",
-           "store_silent");
+    if (request->may_have_effect) {
+        finish(request, 504, answer_unknown, "store_silent");
+    }
+    else {
+        finish(request, 503, answer_unavailable, "store_unavailable");
+    }
 }
 
 static void
-finish_unavailable(Request *request)
+forward_or_finish(Request *request)
 {
-    if (forward(request)) {
-        return;
-    }
-    if (!request->may_have_effect) {
-        finish(request, 503,
-               "{\"error\":\"the store can't be reached; come "
-               "back later\"}",
-               "store_unavailable");
-    }
-    else {
-        finish_unknown(request);
+    if (!forward(request)) {
+        finish_unserved(request);
     }
 }
 
@@ -168,7 +152,7 @@
 {
     request->try = try;
     if (store_health_is_lost(&request->front->node->store_health)) {
-        finish_unavailable(request);
+        forward_or_finish(request);
         return;
     }
     try(request);
@@ -193,6 +177,24 @@
     return true;
 }
 
+static void
+retry_or_finish(Request *request)
+{
+    if (!try_again(request)) {
+        finish_unserved(request);
+    }
+}
+
+/* Of reads, which change nothing, and of writes without an answer: only an
+ * answer shows what they did, so that tries go on, here or at a peer. */
+static void
+forward_or_retry(Request *request)
+{
+    if (!forward(request)) {
+        retry_or_finish(request);
+    }
+}
+
 /* A peer that does not know the outcome either leaves the request here. */
 static void
 on_forwarded(void *context, bool is_answered)
@@ -201,23 +203,13 @@
     if (is_answered) {
         free_request(request);
     }
-    else if (!try_again(request)) {
-        finish_unknown(request);
+    else {
+        retry_or_finish(request);
     }
 }
 
 /* ---- Submission --------------------------------------------------------- */
 
-/* Only an answer shows the outcome, so that tries go on until there is one,
- * here or at a peer. */
-static void
-retry_uncertain(Request *request)
-{
-    if (!forward(request) && !try_again(request)) {
-        finish_unknown(request);
-    }
-}
-
 static void
 on_submitted(void *context, const AqStoreReply *reply)
 {
@@ -233,15 +225,15 @@
         break;
     case AQ_STORE_UNKNOWN:
         request->may_have_effect = true;
-        retry_uncertain(request);
+        forward_or_retry(request);
         break;
     default:
         /* Nothing was done now; an earlier try may still have effect. */
         if (request->may_have_effect) {
-            retry_uncertain(request);
+            forward_or_retry(request);
         }
         else {
-            finish_unavailable(request);
+            forward_or_finish(request);
         }
         break;
     }
@@ -315,8 +307,8 @@
     else if (reply->status == AQ_STORE_ABSENT) {
         finish(request, 410, "{\"error\":\"there is no such job\"}", "absent");
     }
-    else if (!forward(request) && !try_again(request)) {
-        finish_unavailable(request);
+    else {
+        forward_or_retry(request);
     }
 }
 
@@ -340,9 +332,7 @@
                         on_job_read, request);
     }
     else if (reply->status != AQ_STORE_OK || reply->count != 1) {
-        if (!forward(request) && !try_again(request)) {
-            finish_unavailable(request);
-        }
+        forward_or_retry(request);
     }
     else if (!AqScheduler_ReadStage(reply->items[0].value,
                                     reply->items[0].size, &stage, &error)) {
@@ -372,13 +362,15 @@
 static void
 retry_cancel(Request *request, const AqStoreReply *reply)
 {
-    bool is_conflict = reply->status == AQ_STORE_CONFLICT;
     request->may_have_effect |= reply->status == AQ_STORE_UNKNOWN;
     if (request->may_have_effect) {
-        retry_uncertain(request);
+        forward_or_retry(request);
+    }
+    else if (reply->status == AQ_STORE_CONFLICT) {
+        retry_or_finish(request);
     }
-    else if (is_conflict ? !try_again(request) : !forward(request)) {
-        finish_unavailable(request);
+    else {
+        forward_or_finish(request);
     }
 }
 
@@ -489,8 +481,8 @@
     else if (reply->status == AQ_STORE_ABSENT) {
         finish_waiting(request, "");
     }
-    else if (!forward(request) && !try_again(request)) {
-        finish_unavailable(request);
+    else {
+        forward_or_retry(request);
     }
 }
 
