Members: one table of peers; one reader of text values

Cause: three tables with the same keys held one member's fields, and four places copied a stored text with the same five lines. A loop stood beside consider_all, which is it. Behaviour stays; test_pool and test_front pass unchanged.

--- a/packages/pool/duty.c
+++ b/packages/pool/duty.c
@@ -94,12 +94,10 @@
 static bool
 is_in_pause(const DutyCall *call, const AqStoreItem *item)
 {
-    char text[120] = "";
+    char text[120];
     char holder[64];
     long long at;
-    size_t size =
-        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
-    memcpy(text, item->value, size);
+    key_text(item, text, sizeof(text));
     if (sscanf(text, "%63s %lld", holder, &at) != 2) {
         return false;
     }
--- a/packages/pool/keys.c
+++ b/packages/pool/keys.c
@@ -1,6 +1,7 @@
 #include "keys.h"
 
 #include <stdio.h>
+#include <string.h>
 
 enum {
     SLOTS = 8,
@@ -55,3 +56,11 @@
     snprintf(slot, KEY_SIZE, "aq/progress/%s/%s", pool, id);
     return slot;
 }
+
+void
+key_text(const AqStoreItem *item, char *out, size_t size)
+{
+    size_t length = item->size < size - 1 ? item->size : size - 1;
+    memcpy(out, item->value, length);
+    out[length] = '\0';
+}
--- a/packages/pool/keys.h
+++ b/packages/pool/keys.h
@@ -1,7 +1,9 @@
 #ifndef KEYS_H
 #define KEYS_H
 
-#include "aq_buffer.h"
+#include <stddef.h>
+
+#include "aq_store.h"
 
 /* The product's keys in the store.  One line each: writer, contents.
  *
@@ -49,4 +51,7 @@
 const char *key_of_cancel(const char *pool, const char *id);
 const char *key_of_progress(const char *pool, const char *id);
 
+/* Copies a value that is text, cut to "size" - 1 bytes, with an end. */
+void key_text(const AqStoreItem *item, char *out, size_t size);
+
 #endif
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -55,14 +55,19 @@
     bool may_have_rival;
 } Shard;
 
+/* What a member says of itself. */
+typedef struct {
+    char incarnation[40];
+    char address[32]; /* "IP:port" for callers */
+    int power;        /* thousandths of a core */
+} Peer;
+
 struct Member {
     NodeContext *node;
     MemberOps ops;
     void *context;
     PrefixView *nodes;
-    GHashTable *incarnations; /* node -> incarnation */
-    GHashTable *addresses;    /* node -> "IP:port" for callers */
-    GHashTable *powers;       /* node -> thousandths of a core, as pointer */
+    GHashTable *peers; /* node -> Peer, of all members */
     guint next_peer;
     GHashTable *shards; /* pool -> Shard */
     AqTimer keep_timer;
@@ -249,8 +254,8 @@
 static bool
 is_replaced(const Member *member, const char *node, const char *incarnation)
 {
-    const char *present = g_hash_table_lookup(member->incarnations, node);
-    return present != NULL && strcmp(present, incarnation) != 0;
+    const Peer *present = g_hash_table_lookup(member->peers, node);
+    return present != NULL && strcmp(present->incarnation, incarnation) != 0;
 }
 
 static bool
@@ -340,7 +345,7 @@
 static void
 read_term(Shard *shard, const AqStoreReply *reply)
 {
-    char text[200] = "";
+    char text[200];
     long long generation = 0;
     int released = 0;
     shard->term_index = 0;
@@ -352,9 +357,7 @@
         return;
     }
     const AqStoreItem *item = &reply->items[0];
-    size_t size =
-        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
-    memcpy(text, item->value, size);
+    key_text(item, text, sizeof(text));
     shard->term_index = item->index;
     if (sscanf(text, "%lld %63s %39s %d", &generation, shard->term_node,
                shard->term_incarnation, &released) == 4) {
@@ -422,9 +425,9 @@
     gpointer value;
     int64_t own = own_power(member);
     int64_t most = own;
-    g_hash_table_iter_init(&iter, member->powers);
+    g_hash_table_iter_init(&iter, member->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        int64_t power = GPOINTER_TO_INT(value);
+        int64_t power = ((const Peer *)value)->power;
         most = power > most ? power : most;
     }
     return most > 0 ? WEAK_WAIT_MS * (most - own) / most : 0;
@@ -507,10 +510,8 @@
 {
     Member *member = context;
     Shard *shard = find_shard(member, item->key + strlen(KEYS_OWNERS));
-    char text[120] = "";
-    size_t size =
-        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
-    memcpy(text, item->value, size);
+    char text[120];
+    key_text(item, text, sizeof(text));
     if (shard->state == CLAIM_OWNED) {
         if (item->index > shard->fence) {
             member_deposed(member, shard->pool, "other_owner_seen");
@@ -545,22 +546,16 @@
 {
     Member *member = context;
     const char *node = item->key + strlen(KEYS_MEMBERS);
-    char text[100] = "";
-    char incarnation[40] = "";
-    char address[32] = "";
-    int power = 0;
-    size_t size =
-        item->size < sizeof(text) - 1 ? item->size : sizeof(text) - 1;
-    memcpy(text, item->value, size);
-    if (sscanf(text, "%39s %31s %d", incarnation, address, &power) != 3) {
+    char text[100];
+    Peer peer;
+    key_text(item, text, sizeof(text));
+    if (sscanf(text, "%39s %31s %d", peer.incarnation, peer.address,
+               &peer.power) != 3) {
         AqLog_Event(AQ_LOG_WARNING, "member_unreadable", "node=%s", node);
         return;
     }
-    g_hash_table_replace(member->incarnations, g_strdup(node),
-                         g_strdup(incarnation));
-    g_hash_table_replace(member->addresses, g_strdup(node), g_strdup(address));
-    g_hash_table_replace(member->powers, g_strdup(node),
-                         GINT_TO_POINTER(power));
+    g_hash_table_replace(member->peers, g_strdup(node),
+                         g_memdup2(&peer, sizeof(peer)));
     consider_all(member);
 }
 
@@ -568,9 +563,7 @@
 on_member_removed(void *context, const char *key)
 {
     Member *member = context;
-    g_hash_table_remove(member->incarnations, key + strlen(KEYS_MEMBERS));
-    g_hash_table_remove(member->addresses, key + strlen(KEYS_MEMBERS));
-    g_hash_table_remove(member->powers, key + strlen(KEYS_MEMBERS));
+    g_hash_table_remove(member->peers, key + strlen(KEYS_MEMBERS));
 }
 
 static bool
@@ -614,18 +607,13 @@
 void
 member_site_changed(Member *member)
 {
-    GHashTableIter iter;
-    gpointer value;
     const AqSiteConfig *site = &member->node->site;
     find_shard(member, MEMBER_MACHINE_DUTY)->is_wanted =
         member->node->machines != NULL;
     for (size_t i = 0; i < site->pool_count; i++) {
         find_shard(member, site->pools[i].name)->is_wanted = true;
     }
-    g_hash_table_iter_init(&iter, member->shards);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        consider(value);
-    }
+    consider_all(member);
 }
 
 const char *
@@ -633,13 +621,14 @@
 {
     const char *found = NULL;
     const char *own = member->node->settings->node_id;
-    GList *nodes = g_hash_table_get_keys(member->addresses);
+    GList *nodes = g_hash_table_get_keys(member->peers);
     guint count = g_list_length(nodes);
     for (guint i = 0; i < count && found == NULL; i++) {
         const char *node =
             g_list_nth_data(nodes, (member->next_peer + i) % count);
         if (strcmp(node, own) != 0) {
-            found = g_hash_table_lookup(member->addresses, node);
+            found = ((const Peer *)g_hash_table_lookup(member->peers, node))
+                        ->address;
         }
     }
     member->next_peer++;
@@ -720,12 +709,8 @@
     member->context = context;
     member->joined_at = AQ_TIME_NEVER;
     member->heard_at = -CONNECTED_MS;
-    member->incarnations =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    member->addresses =
+    member->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    member->powers =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     member->shards =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     AqTimer_Init(&member->keep_timer, on_keep_due, member);
@@ -749,9 +734,7 @@
         AqTimer_Stop(&((Shard *)value)->timer);
     }
     prefix_view_destroy(member->nodes);
-    g_hash_table_destroy(member->incarnations);
-    g_hash_table_destroy(member->addresses);
-    g_hash_table_destroy(member->powers);
+    g_hash_table_destroy(member->peers);
     g_hash_table_destroy(member->shards);
     free(member);
 }
