Upkeep: count the plans once a round, not once a VM

Cause: choose_for_wave counted all plans anew for each VM of the pool, also for those that are not in the wave, ten times a second. The count changes only by the VMs that the loop itself cordons. Behaviour stays.

--- a/packages/pool/pool_upkeep.c
+++ b/packages/pool/pool_upkeep.c
@@ -249,10 +249,10 @@
     PoolMachines *self = round->self;
     size_t parallel = AqWave_Parallel(entry->wave, round->waiting,
                                       self->vms->len, machines_now(self));
+    size_t busy = machines_count_plans(self, PLAN_UPKEEP);
     for (guint i = 0; i < self->vms->len; i++) {
         const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
         int at = AqWave_Find(entry->wave, vm->machine);
-        size_t busy = machines_count_plans(self, PLAN_UPKEEP);
         if (at < 0 || !vm->is_usable ||
             AqWave_State(entry->wave, (size_t)at) != AQ_WAVE_WAITING ||
             machines_find_plan(self, vm->machine) != NULL) {
@@ -261,6 +261,7 @@
         size_t most = vm->tasks == 0 ? parallel + 2 : parallel;
         if (busy < most) {
             machines_cordon(self, vm, PLAN_UPKEEP, "wave");
+            busy++;
         }
     }
 }
