--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -240,13 +240,7 @@
     forget_unwanted(desk);
 }
 
-static void
-on_listed(void *context)
-{
-    (void)context;
-}
-
-static const PrefixViewOps ask_ops = {on_put, on_removed, on_listed, 0};
+static const PrefixViewOps ask_ops = {on_put, on_removed, NULL, 0};
 
 /* ---- Answers ------------------------------------------------------------ */
 
--- a/packages/pool/pool_asks.c
+++ b/packages/pool/pool_asks.c
@@ -122,24 +122,10 @@
     AqAskList_Clear(&list);
 }
 
-static void
-ignore_removed(void *context, const char *key)
-{
-    (void)context;
-    (void)key;
-}
-
-static void
-ignore_listed(void *context)
-{
-    (void)context;
-}
-
 void
 machines_watch_answers(PoolMachines *self)
 {
-    static const PrefixViewOps ops = {on_answer, ignore_removed, ignore_listed,
-                                      0};
+    static const PrefixViewOps ops = {on_answer, NULL, NULL, 0};
     self->answers =
         prefix_view_create(self->node->loop, self->node->store,
                            key_of(KEY_ANSWER, self->pool), &ops, self);
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -95,7 +95,7 @@
 static void
 apply_removed(PrefixView *view, const char *key)
 {
-    if (g_hash_table_remove(view->indexes, key)) {
+    if (g_hash_table_remove(view->indexes, key) && view->ops.removed != NULL) {
         view->ops.removed(view->context, key);
     }
 }
@@ -214,7 +214,9 @@
             g_hash_table_destroy(view->listing);
             view->listing = NULL;
             view->is_listed = true;
-            view->ops.listed(view->context);
+            if (view->ops.listed != NULL) {
+                view->ops.listed(view->context);
+            }
         }
     }
     if (!end_call(view)) {
--- a/packages/pool/prefix_view.h
+++ b/packages/pool/prefix_view.h
@@ -12,8 +12,8 @@
 typedef struct {
     /* A key was written; "item" is borrowed for the call. */
     void (*put)(void *context, const AqStoreItem *item);
-    void (*removed)(void *context, const char *key);
-    /* A listing is complete: the view is whole. */
+    void (*removed)(void *context, const char *key); /* NULL: not wanted */
+    /* A listing is complete: the view is whole.  NULL: not wanted. */
     void (*listed)(void *context);
     /* Pause after changes before the next watch, so that it finds more of
      * them, ms.  0: each change is heard of at once. */
--- a/packages/pool/vm_directory.c
+++ b/packages/pool/vm_directory.c
@@ -73,17 +73,11 @@
     directory->ops.listed(directory->context, report);
 }
 
-static void
-on_listed(void *context)
-{
-    (void)context;
-}
-
 VmDirectory *
 vm_directory_create(AqLoop *loop, AqStore *store, const VmDirectoryOps *ops,
                     void *context)
 {
-    static const PrefixViewOps view_ops = {on_put, on_removed, on_listed,
+    static const PrefixViewOps view_ops = {on_put, on_removed, NULL,
                                            GATHER_MS};
     VmDirectory *directory = calloc(1, sizeof(*directory));
     directory->ops = *ops;
