--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -146,6 +146,9 @@
     signals->fd = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
     *watch = AqLoop_Watch(signals->process.loop(signals->process.process),
                           signals->fd, AQ_READABLE, on_signal, signals, error);
+    if (*watch == NULL) {
+        close(signals->fd);
+    }
     return *watch != NULL;
 }
 
