--- a/packages/scheduler/asks.c
+++ b/packages/scheduler/asks.c
@@ -100,10 +100,8 @@
 AqAskList_Decode(const char *bytes, size_t size, AqAskList *list)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
     memset(list, 0, sizeof(*list));
-    msgpack_unpacked_init(&unpacked);
-    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
+    bool ok = record_unpack(&unpacked, bytes, size) &&
               decode_list(&unpacked.data, list);
     msgpack_unpacked_destroy(&unpacked);
     if (!ok) {
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -257,10 +257,8 @@
                  AqError *error)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
     memset(spec, 0, sizeof(*spec));
-    msgpack_unpacked_init(&unpacked);
-    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
+    bool ok = record_unpack(&unpacked, bytes, size) &&
               unpack_spec(&unpacked.data, spec) &&
               AqJobSpec_Check(spec, error);
     msgpack_unpacked_destroy(&unpacked);
--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -197,10 +197,8 @@
 progress_apply(AqScheduler *s, Job *job, const char *bytes, size_t size)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
-    msgpack_unpacked_init(&unpacked);
-    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
-              apply(s, job, &unpacked.data);
+    bool ok =
+        record_unpack(&unpacked, bytes, size) && apply(s, job, &unpacked.data);
     msgpack_unpacked_destroy(&unpacked);
     return ok;
 }
@@ -210,11 +208,9 @@
                       AqError *error)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
     int64_t value = 0;
     int64_t next;
-    msgpack_unpacked_init(&unpacked);
-    bool ok = record_unpack(&unpacked, record, size, &offset) &&
+    bool ok = record_unpack(&unpacked, record, size) &&
               read_head(&unpacked.data, &value, &next);
     msgpack_unpacked_destroy(&unpacked);
     if (!ok) {
--- a/packages/scheduler/record_codec.c
+++ b/packages/scheduler/record_codec.c
@@ -112,13 +112,14 @@
 }
 
 bool
-record_unpack(msgpack_unpacked *unpacked, const char *bytes, size_t size,
-              size_t *offset)
+record_unpack(msgpack_unpacked *unpacked, const char *bytes, size_t size)
 {
+    size_t offset = 0;
+    msgpack_unpacked_init(unpacked);
     const unsigned char *start = (const unsigned char *)bytes;
-    Scan scan = {start + *offset, start + size};
+    Scan scan = {start, start + size};
     return scan_value(&scan, 0) &&
-           msgpack_unpack_next(unpacked, bytes, size, offset) ==
+           msgpack_unpack_next(unpacked, bytes, size, &offset) ==
                MSGPACK_UNPACK_SUCCESS;
 }
 
--- a/packages/scheduler/roster.c
+++ b/packages/scheduler/roster.c
@@ -165,12 +165,10 @@
                       AqTime now)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
     int64_t is_handed_over = 0;
     s->now = now;
-    msgpack_unpacked_init(&unpacked);
     const msgpack_object *root = &unpacked.data;
-    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
+    bool ok = record_unpack(&unpacked, bytes, size) &&
               root->type == MSGPACK_OBJECT_ARRAY &&
               root->via.array.size >= 2 &&
               record_int(&root->via.array.ptr[0], 0, 1, &is_handed_over) &&
--- a/packages/scheduler/waves.c
+++ b/packages/scheduler/waves.c
@@ -133,12 +133,10 @@
 AqWave_Decode(AqWave *wave, const char *bytes, size_t size)
 {
     msgpack_unpacked unpacked;
-    size_t offset = 0;
     size_t space = (wave->count + 1) * sizeof(Entry);
     Entry *before = malloc(space);
     memcpy(before, wave->entries, space);
-    msgpack_unpacked_init(&unpacked);
-    bool ok = record_unpack(&unpacked, bytes, size, &offset) &&
+    bool ok = record_unpack(&unpacked, bytes, size) &&
               unpacked.data.type == MSGPACK_OBJECT_ARRAY;
     for (uint32_t i = 0; ok && i < unpacked.data.via.array.size; i++) {
         ok = decode_entry(wave, &unpacked.data.via.array.ptr[i]);
