Scheduler: ends of one VM are confirmed on its answer, not of all

Cause: each answer of a VM looked at the unconfirmed ends of all VMs, though only its own can be new; others become confirmed when a save ends, which looks at all.

Answers to a start and a stop share the step that ends the order. Fields that nothing reads are removed, and the view of a VM gets a name that the fleet's does not have.

--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -42,13 +42,12 @@
 /* ---- What is there ------------------------------------------------------ */
 
 static void
-copy_vm(void *context, const AqVmView *view)
+copy_vm(void *context, const AqScheduledVm *view)
 {
     PoolMachines *self = context;
     VmCopy copy = {
         .is_usable = view->is_usable,
         .is_answering = view->is_answering,
-        .is_draining = view->is_draining,
         .tasks = view->tasks,
         .lasting = view->lasting_tasks,
         .cpu = view->cpu_millis,
--- a/packages/pool/pool_machines_private.h
+++ b/packages/pool/pool_machines_private.h
@@ -74,7 +74,6 @@
     char machine[AQ_VM_ID_SIZE];
     bool is_usable;
     bool is_answering;
-    bool is_draining;
     size_t tasks;
     size_t lasting;
     int64_t cpu;
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -113,21 +113,18 @@
 typedef struct {
     const char *vm;      /* borrowed */
     const char *machine; /* borrowed */
-    const char *rack;    /* borrowed */
     bool is_usable;      /* listed, answering, not draining or cordoned */
     bool is_answering;
-    bool is_cordoned;
-    bool is_draining;
     size_t tasks;         /* running, starting and stopping */
     size_t lasting_tasks; /* of them perpetual */
     int64_t cpu_millis;
-    int64_t used_cpu_millis;
     AqTime idle_since; /* when the last task ended; AQ_TIME_NEVER: not idle */
-} AqVmView;
+} AqScheduledVm;
 
 /* Calls "visit" for each VM. */
 void AqScheduler_EachVm(const AqScheduler *scheduler,
-                        void (*visit)(void *context, const AqVmView *view),
+                        void (*visit)(void *context,
+                                      const AqScheduledVm *view),
                         void *context);
 
 /* Gives no more orders, for a hand-over: the roster then holds only the VMs
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -118,12 +118,18 @@
     }
 }
 
+/* The task whose order has been answered, or NULL when it is no longer of
+ * that run. */
 static Task *
-find_order(const AqScheduler *s, const Vm *vm, const AqTaskName *name,
-           int64_t run)
+end_order(const AqScheduler *s, const Vm *vm, const AqTaskName *name,
+          int64_t run)
 {
     Task *task = scheduler_find_task(s, name);
-    return task != NULL && task->vm == vm && task->run == run ? task : NULL;
+    if (task == NULL || task->vm != vm || task->run != run) {
+        return NULL;
+    }
+    task->is_order_out = false;
+    return task;
 }
 
 /* ---- Start -------------------------------------------------------------- */
@@ -172,13 +178,10 @@
     if (vm == NULL) {
         return;
     }
-    Task *task = find_order(s, vm, name, run);
-    if (task != NULL) {
-        task->is_order_out = false;
-        if (reply->result != AQ_ORDER_DONE) {
-            log_task(AQ_LOG_WARNING, "start_refused", task, vm, s,
-                     AqOrderResult_Name(reply->result));
-        }
+    Task *task = end_order(s, vm, name, run);
+    if (task != NULL && reply->result != AQ_ORDER_DONE) {
+        log_task(AQ_LOG_WARNING, "start_refused", task, vm, s,
+                 AqOrderResult_Name(reply->result));
     }
     if (note_common(s, vm, reply) || task == NULL ||
         task->state != TASK_STARTING) {
@@ -229,10 +232,7 @@
     if (vm == NULL) {
         return;
     }
-    Task *task = find_order(s, vm, name, run);
-    if (task != NULL) {
-        task->is_order_out = false;
-    }
+    Task *task = end_order(s, vm, name, run);
     if (note_common(s, vm, reply) || task == NULL ||
         task->state != TASK_STOPPING) {
         return;
@@ -494,7 +494,7 @@
     if (are_known) {
         find_vanished(s, vm, sent_at);
     }
-    vms_confirm_ends(s);
+    vms_confirm_ends(s, vm);
     vms_schedule_hold(s, vm);
     if (!are_known && vm->hold_due <= now) {
         vm->hold_due = now + RESEND_MS;
--- a/packages/scheduler/saves.c
+++ b/packages/scheduler/saves.c
@@ -73,7 +73,10 @@
     }
     if (oldest - 1 > s->stored_seq) {
         s->stored_seq = oldest - 1;
-        vms_confirm_ends(s);
+        AqList_ForEach(at, &s->vms)
+        {
+            vms_confirm_ends(s, AqList_Entry(at, Vm, link));
+        }
     }
 }
 
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -136,7 +136,6 @@
     AqTime clock_at;
     AqTime deadline_ms; /* highest in an order, on the VM's clock */
     bool is_hold_out;
-    AqTime hold_sent_at;
     AqTime hold_due;
     AqTime silent_since; /* AQ_TIME_NEVER: it answers */
     AqTime blocked_until;
@@ -223,7 +222,8 @@
 void vms_end(AqScheduler *s, Vm *vm);
 void vms_free(Vm *vm);
 AqTime vms_tick(AqScheduler *s);
-void vms_confirm_ends(AqScheduler *s);
+/* Confirms the ends of the VM that are stored. */
+void vms_confirm_ends(const AqScheduler *s, Vm *vm);
 void vms_target(const Vm *vm, AqOrderTarget *target);
 /* Counts an end for or against the VM. */
 void vms_note_end(AqScheduler *s, Vm *vm, const Task *task, bool is_failure);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -256,30 +256,25 @@
         .wait_ms = hold_wait(vm),
     };
     vm->is_hold_out = true;
-    vm->hold_sent_at = s->now;
     vms_target(vm, &target);
     s->actions.hold(s->context, &target, &order);
 }
 
 void
-vms_confirm_ends(AqScheduler *s)
-{
-    AqList_ForEach(at, &s->vms)
-    {
-        Vm *vm = AqList_Entry(at, Vm, link);
-        guint stored = 0;
-        while (stored < vm->pending_ends->len &&
-               g_array_index(vm->pending_ends, PendingEnd, stored).seq <=
-                   s->stored_seq) {
-            vm->confirmed =
-                g_array_index(vm->pending_ends, PendingEnd, stored).number;
-            stored++;
-        }
-        if (stored > 0) {
-            g_array_remove_range(vm->pending_ends, 0, stored);
-            if (vm->pending_ends->len == 0) {
-                vm->hold_due = s->now;
-            }
+vms_confirm_ends(const AqScheduler *s, Vm *vm)
+{
+    guint stored = 0;
+    while (stored < vm->pending_ends->len &&
+           g_array_index(vm->pending_ends, PendingEnd, stored).seq <=
+               s->stored_seq) {
+        vm->confirmed =
+            g_array_index(vm->pending_ends, PendingEnd, stored).number;
+        stored++;
+    }
+    if (stored > 0) {
+        g_array_remove_range(vm->pending_ends, 0, stored);
+        if (vm->pending_ends->len == 0) {
+            vm->hold_due = s->now;
         }
     }
 }
@@ -412,24 +407,20 @@
 
 void
 AqScheduler_EachVm(const AqScheduler *s,
-                   void (*visit)(void *context, const AqVmView *view),
+                   void (*visit)(void *context, const AqScheduledVm *view),
                    void *context)
 {
     AqList_ForEach(at, &s->vms)
     {
         const Vm *vm = AqList_Entry(at, Vm, link);
-        AqVmView view = {
+        AqScheduledVm view = {
             .vm = vm->report.id,
             .machine = vm->report.machine,
-            .rack = vm->report.rack,
             .is_usable = vms_is_usable(s, vm),
             .is_answering =
                 vm->has_answered && vm->silent_since == AQ_TIME_NEVER,
-            .is_cordoned = vm->is_cordoned,
-            .is_draining = vm->report.is_draining,
             .tasks = vm->task_count,
             .cpu_millis = vm->report.cpu_millis,
-            .used_cpu_millis = vm->used_cpu,
             .idle_since = vm->idle_since,
         };
         AqList_ForEach(each, &vm->tasks)
