Lasting tasks: draining VMs first, and none overtakes a stop that counts

Draining VMs are seen to first now, and their tasks wait while a stop that counts is on its way to a VM that answers. Ruled out: a belief that was too old (all VMs had answered within 0.4 s) and a change of owner.

The stand-in of test_scheduler checks the rule at each stop.

--- a/packages/scheduler/lasting.c
+++ b/packages/scheduler/lasting.c
@@ -39,12 +39,33 @@
     return count;
 }
 
+/* Whether a stop that counts against what the step may miss is on its way to
+ * a VM that answers.  A later one may arrive before it. */
+static bool
+is_stop_under_way(const Step *step)
+{
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *task = &step->tasks[i];
+        if (task->state == TASK_STOPPING && !task->is_stop_acked &&
+            !task->vm->report.is_draining &&
+            task->vm->silent_since == AQ_TIME_NEVER) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tasks leave a draining VM whatever their step may miss. */
 static bool
 may_take_away(const AqScheduler *s, const Vm *vm, const Task *task)
 {
     const AqStepSpec *spec = task->step->spec;
-    return vm->report.is_draining || !spec->limits_missing ||
-           count_absent(s, task->step, task) < spec->may_miss;
+    if (!spec->limits_missing) {
+        return true;
+    }
+    return vm->report.is_draining
+               ? !is_stop_under_way(task->step)
+               : count_absent(s, task->step, task) < spec->may_miss;
 }
 
 static bool
@@ -162,10 +183,18 @@
     }
     s->next_scan = s->now + SCAN_EVERY_MS;
     replies_tick(s);
+    /* Draining VMs first: what leaves them counts for the others. */
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        if (vm->report.is_draining) {
+            move_lasting(s, vm);
+        }
+    }
     AqList_ForEach(at, &s->vms)
     {
         const Vm *vm = AqList_Entry(at, Vm, link);
-        if (vm->is_cordoned || vm->report.is_draining) {
+        if (vm->is_cordoned && !vm->report.is_draining) {
             move_lasting(s, vm);
         }
         pace_fillers(s, vm);
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -43,6 +43,7 @@
     AqTime silent_since;
     bool is_listed;
     bool is_stalled;
+    bool is_draining;
     double rate; /* of its clock */
     uint64_t fence;
     AqTime deadline;  /* on its clock */
@@ -103,6 +104,7 @@
     bool is_done;
     bool is_done_noted;
     AqTime started_at; /* the last run */
+    bool is_stopped;   /* by an order, and not started since */
 } Truth;
 
 typedef struct {
@@ -248,6 +250,7 @@
     snprintf(report->rack, sizeof(report->rack), "r-%u", vm->slot / 4);
     report->cpu_millis = SIM_VM_CPU;
     report->memory_mb = 65536;
+    report->is_draining = vm->is_draining;
     report->leaves_ms = -1;
 }
 
@@ -432,6 +435,7 @@
     }
     const AqStepSpec *step = &spec.steps[event->name.step];
     check_start(sim, vm, &spec, &event->name);
+    truth_of(sim, &event->name)->is_stopped = false;
     Run run = {
         .name = event->name,
         .run = event->run,
@@ -455,12 +459,40 @@
     return AQ_ORDER_DONE;
 }
 
+/* Whether too many of a lasting step are away by orders when another is taken
+ * away.  One on a VM that drains has to go whatever the step may miss. */
+static void
+check_stop(Sim *sim, const SimVm *vm, const AqTaskName *name)
+{
+    AqJobSpec spec;
+    const Stored *stored = stored_of(sim, name->job);
+    if (vm->is_draining || stored == NULL ||
+        !AqJobSpec_Decode(AqBuffer_Text(&stored->spec), stored->spec.size,
+                          &spec, NULL)) {
+        return;
+    }
+    const AqStepSpec *step = &spec.steps[name->step];
+    unsigned away = 0;
+    for (uint32_t i = 0; i < step->task_count; i++) {
+        AqTaskName other = *name;
+        other.index = i;
+        away += i != name->index && truth_of(sim, &other)->is_stopped;
+    }
+    if (step->limits_missing && away >= step->may_miss) {
+        broken(sim, "%s.%u.%u is stopped while %u others are away", name->job,
+               name->step, name->index, away);
+    }
+    AqJobSpec_Clear(&spec);
+}
+
 static void
 do_stop(Sim *sim, SimVm *vm, const Event *event)
 {
     for (guint i = vm->runs->len; i-- > 0;) {
         const Run *run = &g_array_index(vm->runs, Run, i);
         if (run->run <= event->run && is_same_task(&run->name, &event->name)) {
+            check_stop(sim, vm, &event->name);
+            truth_of(sim, &event->name)->is_stopped = true;
             end_run(sim, vm, i, AQ_END_STOPPED);
         }
     }
@@ -1056,6 +1088,13 @@
     sim->vms[vm]->is_stalled = is_stalled;
 }
 
+void
+sim_drain_vm(Sim *sim, unsigned vm)
+{
+    sim->vms[vm]->is_draining = true;
+    list_vm(sim, sim->vms[vm]);
+}
+
 const char *
 sim_vm_id(const Sim *sim, unsigned vm)
 {
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -62,6 +62,8 @@
 void sim_crash_vm(Sim *sim, unsigned vm);
 /* Its runs make no progress. */
 void sim_stall_vm(Sim *sim, unsigned vm, bool is_stalled);
+/* It is listed as draining from now on. */
+void sim_drain_vm(Sim *sim, unsigned vm);
 const char *sim_vm_id(const Sim *sim, unsigned vm);
 /* Runs there now; of one job when "job" is not NULL. */
 unsigned sim_count_runs(const Sim *sim, unsigned vm, const char *job);
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -361,6 +361,49 @@
     sim_destroy(sim);
 }
 
+/* The VMs that run the job, in order; returns how many. */
+static unsigned
+find_vms(const Sim *sim, const char *id, unsigned vms[SIM_VMS])
+{
+    unsigned count = 0;
+    for (unsigned i = 0; i < SIM_VMS; i++) {
+        if (sim_count_runs(sim, i, id) > 0) {
+            vms[count++] = i;
+        }
+    }
+    return count;
+}
+
+/* Guards against a lasting task that is taken off a cordoned VM while others
+ * of its step leave VMs that drain: these go whatever the step may miss, and
+ * their stops may reach the VMs first. */
+static void
+test_draining_goes_before_cordoned(void)
+{
+    /* Between the cordon and the draining: none, and while the stop on the
+     * cordoned VM is under way. */
+    static const AqTime pauses[] = {0, 5, 10, 15, 20, 25, 30, 40, 60};
+    for (size_t i = 0; i < sizeof(pauses) / sizeof(pauses[0]); i++) {
+        for (uint64_t seed = 1; seed <= 20; seed++) {
+            unsigned vms[SIM_VMS];
+            Sim *sim = sim_create(seed);
+            add_lasting(sim, "b1", 4, 1);
+            sim_run(sim, 1500);
+            CU_ASSERT_EQUAL_FATAL(find_vms(sim, "b1", vms), 4);
+            AqScheduler_SetCordon(sim_scheduler(sim), sim_vm_id(sim, vms[0]),
+                                  true);
+            sim_run(sim, pauses[i]);
+            sim_drain_vm(sim, vms[2]);
+            sim_drain_vm(sim, vms[3]);
+            sim_run(sim, 4000);
+            CU_ASSERT_EQUAL(sim_count_runs(sim, vms[0], "b1"), 0);
+            CU_ASSERT_EQUAL(count_running(sim, "b1"), 4);
+            expect_unbroken(sim);
+            sim_destroy(sim);
+        }
+    }
+}
+
 /* Guards against a lasting task being taken away while another of its step is
  * on a VM that has gone silent. */
 static void
@@ -441,6 +484,7 @@
         {"cancel_stops", test_cancel_stops},
         {"uncertain_owner_is_quiet", test_uncertain_owner_is_quiet},
         {"lasting_moves_one_by_one", test_lasting_moves_one_by_one},
+        {"draining_goes_before_cordoned", test_draining_goes_before_cordoned},
         {"lasting_stays_beside_silence", test_lasting_stays_beside_silence},
         {"fillers_are_paced", test_fillers_are_paced},
     };
