Report of waiting jobs under its owner's lease

Cause: the report of a pool's waiting jobs lasted in the store after its owner had lost its lease.

Ruled out: a wall-clock time in the report, since the time of day may jump by seconds; counting the jobs at the front, two listings of a pool a call.

Change: the report is written under the owner's lease and removed by a release. Without a report the front refuses with 503. Tests report_ends_with_lease, report_ends_with_release and waiting_needs_an_owner fail before.

--- a/packages/pool/front.c
+++ b/packages/pool/front.c
@@ -17,6 +17,9 @@
     REPORT_AGE_MS = 400         /* a copy of a report is good for so long */
 };
 
+static const char no_owner[] =
+    "{\"error\":\"no node counts the queue's jobs now; come back later\"}";
+
 struct Front {
     NodeContext *node;
     FrontOps ops;
@@ -479,7 +482,7 @@
         finish_waiting(request, report->text);
     }
     else if (reply->status == AQ_STORE_ABSENT) {
-        finish_waiting(request, "");
+        finish(request, 503, no_owner, "no_owner");
     }
     else {
         forward_or_retry(request);
--- a/packages/pool/keys.h
+++ b/packages/pool/keys.h
@@ -16,7 +16,7 @@
  * aq/job/POOL/ID       the node that accepted it: the job (AqJobSpec)
  * aq/job/POOL/ID.c     any node: the job is cancelled, perhaps before it came
  * aq/progress/POOL/ID  the owner: stage, done tasks, failures
- * aq/report/POOL       the owner: jobs waiting of each queue
+ * aq/report/POOL       the owner, under its lease: jobs waiting of each queue
  * aq/ask/POOL          the owner: orders for VMs that it asks for
  * aq/answer/POOL       the machine duty: asks that have ended
  * aq/machine/MACHINE   the machine duty: who gave the VM its last order, when
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -225,6 +225,12 @@
     return AqClock_ReadMonotonic() + ORDER_MS < member->certain_until;
 }
 
+uint64_t
+member_lease(const Member *member)
+{
+    return member->lease;
+}
+
 bool
 member_is_connected(const Member *member)
 {
@@ -670,15 +676,16 @@
     shard->state = CLAIM_NONE;
     size_t size =
         format_term(term, sizeof(term), shard, shard->generation + 1, true);
-    const char *owner = key_of(KEY_OWNER, pool);
-    AqStoreExpect expect = {owner, shard->fence};
+    const char *deletes[] = {key_of(KEY_OWNER, pool),
+                             key_of(KEY_REPORT, pool)};
+    AqStoreExpect expect = {deletes[0], shard->fence};
     AqStorePut put = {key_of(KEY_TERM, pool), term, size, 0};
     AqStoreCommit commit = {.expects = &expect,
                             .expect_count = 1,
                             .puts = &put,
                             .put_count = 1,
-                            .deletes = &owner,
-                            .delete_count = 1};
+                            .deletes = deletes,
+                            .delete_count = 2};
     node->store->ops->commit(node->store, &commit, on_released, shard);
 }
 
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -37,6 +37,8 @@
 /* Whether this node's lease holds for certain, and for long enough that an
  * order given now is carried out within it. */
 bool member_may_order(const Member *member);
+/* For keys that are to go with this node's ownerships; 0: there is none. */
+uint64_t member_lease(const Member *member);
 /* Whether the store has answered lately. */
 bool member_is_connected(const Member *member);
 /* "IP:port" where some other member takes callers, each time another one; or
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -586,7 +586,8 @@
         free(owner->report);
         owner->report = strdup(AqBuffer_Text(&text));
         AqStorePut put = {key_of(KEY_REPORT, owner->ownership.pool),
-                          owner->report, strlen(owner->report), 0};
+                          owner->report, strlen(owner->report),
+                          member_lease(owner->member)};
         owner->is_reporting = true;
         commit_as_owner(owner, &put, 1, on_reported);
     }
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -9,7 +9,8 @@
     CALL_LIST,
     CALL_CHANGES,
     CALL_COMMIT,
-    CALL_OTHER
+    CALL_GRANT,
+    CALL_KEEP
 } CallKind;
 
 typedef struct {
@@ -17,6 +18,7 @@
     char *value;
     size_t size;
     uint64_t index;
+    uint64_t lease; /* 0: none */
     bool removed;
 } Record;
 
@@ -27,6 +29,7 @@
     uint64_t index;
     GPtrArray *expects; /* of Record: key and index */
     GPtrArray *puts;    /* of Record */
+    GPtrArray *deletes; /* of Record: key */
     AqStoreDone done;
     void *context;
 } Call;
@@ -39,6 +42,8 @@
     uint64_t index;
     uint64_t forgotten; /* history up to this index is gone */
     int64_t longest_wait;
+    uint64_t lease; /* the last one granted; 0: none holds */
+    uint64_t leases;
 };
 
 static void
@@ -57,6 +62,7 @@
     g_free(call->after);
     g_ptr_array_free(call->expects, TRUE);
     g_ptr_array_free(call->puts, TRUE);
+    g_ptr_array_free(call->deletes, TRUE);
     g_free(call);
 }
 
@@ -74,7 +80,7 @@
 
 static void
 write_record(FakeStore *fake, const char *key, const char *value, size_t size,
-             bool removed)
+             uint64_t lease)
 {
     Record *record = find(fake, key);
     if (record == NULL) {
@@ -85,7 +91,15 @@
     g_free(record->value);
     record->value = g_strndup(value, size);
     record->size = size;
-    record->removed = removed;
+    record->removed = false;
+    record->lease = lease;
+    record->index = fake->index;
+}
+
+static void
+remove_record(FakeStore *fake, Record *record)
+{
+    record->removed = true;
     record->index = fake->index;
 }
 
@@ -102,6 +116,7 @@
     call->after = g_strdup("");
     call->expects = g_ptr_array_new_with_free_func(free_record);
     call->puts = g_ptr_array_new_with_free_func(free_record);
+    call->deletes = g_ptr_array_new_with_free_func(free_record);
     call->done = done;
     call->context = context;
     g_queue_push_tail(fake->calls, call);
@@ -151,8 +166,27 @@
         record->key = g_strdup(commit->puts[i].key);
         record->value = g_strndup(commit->puts[i].value, commit->puts[i].size);
         record->size = commit->puts[i].size;
+        record->lease = commit->puts[i].lease;
         g_ptr_array_add(call->puts, record);
     }
+    for (size_t i = 0; i < commit->delete_count; i++) {
+        Record *record = g_new0(Record, 1);
+        record->key = g_strdup(commit->deletes[i]);
+        g_ptr_array_add(call->deletes, record);
+    }
+}
+
+static void
+on_grant(AqStore *store, int64_t ttl_ms, AqStoreDone done, void *context)
+{
+    (void)ttl_ms;
+    add_call(store, CALL_GRANT, "", done, context);
+}
+
+static void
+on_keep(AqStore *store, uint64_t lease, AqStoreDone done, void *context)
+{
+    add_call(store, CALL_KEEP, "", done, context)->index = lease;
 }
 
 static const AqStoreOps ops = {
@@ -160,6 +194,8 @@
     .list_after = on_list,
     .changes = on_changes,
     .commit = on_commit,
+    .lease_grant = on_grant,
+    .lease_keep = on_keep,
 };
 
 /* ---- Answers ------------------------------------------------------------ */
@@ -195,7 +231,14 @@
     fake->index++;
     for (guint i = 0; i < call->puts->len; i++) {
         const Record *put = g_ptr_array_index(call->puts, i);
-        write_record(fake, put->key, put->value, put->size, false);
+        write_record(fake, put->key, put->value, put->size, put->lease);
+    }
+    for (guint i = 0; i < call->deletes->len; i++) {
+        const Record *key = g_ptr_array_index(call->deletes, i);
+        Record *record = find(fake, key->key);
+        if (record != NULL) {
+            remove_record(fake, record);
+        }
     }
     return AQ_STORE_OK;
 }
@@ -206,6 +249,13 @@
     if (call->kind == CALL_COMMIT) {
         return carry_out_commit(fake, call, items);
     }
+    if (call->kind == CALL_GRANT) {
+        fake->lease = ++fake->leases;
+        return AQ_STORE_OK;
+    }
+    if (call->kind == CALL_KEEP) {
+        return call->index == fake->lease ? AQ_STORE_OK : AQ_STORE_ABSENT;
+    }
     if (call->kind == CALL_CHANGES && call->index < fake->forgotten) {
         return AQ_STORE_COMPACTED;
     }
@@ -232,6 +282,7 @@
                           .items = (const AqStoreItem *)(void *)items->data,
                           .count = items->len,
                           .index = fake->index,
+                          .lease = fake->lease,
                           .is_complete = true};
     call->done(call->context, &reply);
     g_array_free(items, TRUE);
@@ -317,7 +368,7 @@
 fake_store_put(FakeStore *fake, const char *key, const char *value)
 {
     fake->index++;
-    write_record(fake, key, value, strlen(value), false);
+    write_record(fake, key, value, strlen(value), 0);
     return fake->index;
 }
 
@@ -325,7 +376,20 @@
 fake_store_remove(FakeStore *fake, const char *key)
 {
     fake->index++;
-    write_record(fake, key, "", 0, true);
+    remove_record(fake, find(fake, key));
+}
+
+void
+fake_store_end_lease(FakeStore *fake)
+{
+    fake->index++;
+    for (guint i = 0; i < fake->records->len; i++) {
+        Record *record = g_ptr_array_index(fake->records, i);
+        if (record->lease != 0 && record->lease == fake->lease) {
+            remove_record(fake, record);
+        }
+    }
+    fake->lease = 0;
 }
 
 const char *
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -30,6 +30,8 @@
 /* Writes as another process would. */
 uint64_t fake_store_put(FakeStore *fake, const char *key, const char *value);
 void fake_store_remove(FakeStore *fake, const char *key);
+/* Ends the lease that was granted last; its keys go with it. */
+void fake_store_end_lease(FakeStore *fake);
 /* The value of a key, or NULL. */
 const char *fake_store_value(const FakeStore *fake, const char *key);
 /* The longest wait that a watch has asked for, ms. */
--- a/packages/pool/tests/test_front.c
+++ b/packages/pool/tests/test_front.c
@@ -9,6 +9,7 @@
 #include "fake_store.h"
 #include "forwarder.h"
 #include "front.h"
+#include "keys.h"
 #include "platform_samples.h"
 
 enum {
@@ -112,7 +113,7 @@
 }
 
 static void
-send_request(Fixture *fixture, const char *method)
+send_to(Fixture *fixture, const char *method, const char *path)
 {
     char deadline[64];
     const char *headers[] = {deadline, NULL};
@@ -120,8 +121,8 @@
     bool has_body = strcmp(method, "POST") == 0;
     snprintf(deadline, sizeof(deadline), "%s: %d", AqPlatform_DeadlineHeader,
              DEADLINE_MS);
-    snprintf(url, sizeof(url), "http://127.0.0.1:%u/q/ab12",
-             AqHttpServer_Port(fixture->server));
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u%s",
+             AqHttpServer_Port(fixture->server), path);
     AqHttpRequest request = {.method = method,
                              .url = url,
                              .headers = headers,
@@ -134,6 +135,12 @@
     AqHttpClient_Start(fixture->client, &request, on_reply, fixture);
 }
 
+static void
+send_request(Fixture *fixture, const char *method)
+{
+    send_to(fixture, method, "/q/ab12");
+}
+
 /* Until the front asks the store, or the caller has an answer. */
 static void
 run(Fixture *fixture)
@@ -276,6 +283,29 @@
     tear_down(&fixture);
 }
 
+/* Guards against a count of waiting jobs that is older than its bound, or made
+ * up, while a pool has no owner: its report has ended with the owner's lease.
+ */
+static void
+test_waiting_needs_an_owner(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    send_to(&fixture, "GET", "/q/");
+    run(&fixture);
+    fake_store_answer(fixture.fake);
+    run_to_answer(&fixture);
+    CU_ASSERT_EQUAL(fixture.status, 503);
+    fake_store_put(fixture.fake, key_of(KEY_REPORT, "p"), "q 7\n");
+    fixture.answers = 0;
+    send_to(&fixture, "GET", "/q/");
+    run(&fixture);
+    fake_store_answer(fixture.fake);
+    run_to_answer(&fixture);
+    CU_ASSERT_EQUAL(fixture.status, 200);
+    tear_down(&fixture);
+}
+
 /* Guards against a peer's failure that is passed on as a certain refusal
  * where this node's own write may have effect, and the other way round. */
 static void
@@ -315,6 +345,7 @@
         {"unsure_peer_gives_back", test_unsure_peer_gives_back},
         {"lost_store_is_not_written_to", test_lost_store_is_not_written_to},
         {"effect_without_answer", test_effect_without_answer},
+        {"waiting_needs_an_owner", test_waiting_needs_an_owner},
         {"status_after_peer", test_status_after_peer},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -7,6 +7,7 @@
 #include "fake_store.h"
 #include "keys.h"
 #include "owner_writer.h"
+#include "pool_owner.h"
 #include "platform_samples.h"
 #include "prefix_view.h"
 #include "vm_directory.h"
@@ -372,6 +373,115 @@
     tear_down(&fixture);
 }
 
+/* ---- Report ------------------------------------------------------------- */
+
+typedef struct {
+    Fixture *fixture;
+    Member *member;
+    PoolOwner *owner;
+} OwnerFixture;
+
+static void
+on_deposed(void *context, const char *pool, const char *reason)
+{
+    (void)context;
+    (void)pool;
+    (void)reason;
+}
+
+static void
+on_gained(void *context, const Ownership *ownership)
+{
+    static const PoolOwnerOps ops = {on_deposed};
+    OwnerFixture *self = context;
+    self->owner = pool_owner_create(&self->fixture->node, self->member,
+                                    ownership, &ops, self);
+}
+
+static void
+on_lost(void *context, const char *pool, const char *reason)
+{
+    OwnerFixture *self = context;
+    (void)pool;
+    (void)reason;
+    pool_owner_drop(self->owner);
+    self->owner = NULL;
+}
+
+static void
+set_up_owner(OwnerFixture *self, Fixture *fixture)
+{
+    static const MemberOps ops = {on_gained, on_lost};
+    static AqSettings settings = {.node_id = "n-1",
+                                  .node_cpu_share = "0.25",
+                                  .callers_listen = "127.0.0.1:1",
+                                  .limits_longest_lease_ms = 5000};
+    static AqQueueConfig queue = {
+        .name = "q", .host = "h", .prefix = "/q/", .pool = "pool"};
+    static AqPoolConfig pool = {.name = "pool"};
+    NodeMetrics *metrics = &fixture->node.metrics;
+    set_up(fixture);
+    metrics->all = AqMetrics_Create();
+    metrics->save_ms = AqMetrics_Histogram(metrics->all, "save", "");
+    metrics->takeover_ms = AqMetrics_Histogram(metrics->all, "takeover", "");
+    fixture->node.settings = &settings;
+    fixture->node.site = (AqSiteConfig){.version = 1,
+                                        .queues = &queue,
+                                        .queue_count = 1,
+                                        .pools = &pool,
+                                        .pool_count = 1};
+    *self = (OwnerFixture){.fixture = fixture};
+    self->member = member_create(&fixture->node, &ops, self);
+    member_site_changed(self->member);
+    while (fake_store_value(fixture->fake, key_of(KEY_REPORT, "pool")) ==
+           NULL) {
+        AqLoop_RunOnce(fixture->node.loop, 10);
+        fake_store_answer_all(fixture->fake);
+        if (self->owner != NULL) {
+            pool_owner_round(self->owner);
+        }
+    }
+}
+
+static void
+tear_down_owner(OwnerFixture *self)
+{
+    if (self->owner != NULL) {
+        pool_owner_drop(self->owner);
+    }
+    AqMetrics_Destroy(self->fixture->node.metrics.all);
+    member_destroy(self->member);
+    tear_down(self->fixture);
+}
+
+/* Guards against a report that stands, older and older, after its owner has
+ * gone: callers would be told too few waiting jobs. */
+static void
+test_report_ends_with_lease(void)
+{
+    Fixture fixture;
+    OwnerFixture self;
+    set_up_owner(&self, &fixture);
+    fake_store_end_lease(fixture.fake);
+    CU_ASSERT_PTR_NULL(
+        fake_store_value(fixture.fake, key_of(KEY_REPORT, "pool")));
+    tear_down_owner(&self);
+}
+
+/* The same for a pool that is handed over while the node stays. */
+static void
+test_report_ends_with_release(void)
+{
+    Fixture fixture;
+    OwnerFixture self;
+    set_up_owner(&self, &fixture);
+    member_release(self.member, "pool");
+    fake_store_answer_all(fixture.fake);
+    CU_ASSERT_PTR_NULL(
+        fake_store_value(fixture.fake, key_of(KEY_REPORT, "pool")));
+    tear_down_owner(&self);
+}
+
 int
 main(void)
 {
@@ -389,6 +499,8 @@
         {"view_gathers", test_view_gathers},
         {"view_waits_briefly", test_view_waits_briefly},
         {"garbled_vm_is_unlisted", test_garbled_vm_is_unlisted},
+        {"report_ends_with_lease", test_report_ends_with_lease},
+        {"report_ends_with_release", test_report_ends_with_release},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
