Sizes: what a pool needs beyond one decision is wanted from pools that give

Cause: the limit of one decision, a quarter of the site, also limited how many VMs a pool said that it wants.

Ruled out: a slow machine duty (75 moves a second, the platform takes 64) and a late release by veld (its tasks were running).

Change: only what is taken from the spare pool is limited. The pattern stands in test_sizing.

--- a/packages/pool/pool_sizes.c
+++ b/packages/pool/pool_sizes.c
@@ -63,8 +63,9 @@
 }
 
 static void
-take(PoolMachines *self, size_t count, const char *spare)
+take(PoolMachines *self, const AqSizingDecision *decision, const char *spare)
 {
+    size_t count = decision->take;
     if (!machines_need_list(self, LIST_FRESH_MS)) {
         return;
     }
@@ -87,7 +88,7 @@
                      machines_add_plan(self, machine->machine, "", PLAN_TAKE));
         count--;
     }
-    set_wanted(self, count);
+    set_wanted(self, decision->need - (decision->take - count));
 }
 
 /* Whether a move has ended: the VM has come, or gone, or will not. */
@@ -185,7 +186,7 @@
     AqSizing_Decide(&input, &decision);
     log_load(self, &input, &decision, load.jobs, idle);
     if (decision.take > 0) {
-        take(self, decision.take, spare);
+        take(self, &decision, spare);
         return;
     }
     set_wanted(self, 0);
--- a/packages/scheduler/Include/aq_sizing.h
+++ b/packages/scheduler/Include/aq_sizing.h
@@ -33,7 +33,8 @@
 } AqSizingInput;
 
 typedef struct {
-    size_t take; /* VMs to take from the spare pool */
+    size_t need; /* VMs that would be of use */
+    size_t take; /* of them to take from the spare pool now */
     size_t give; /* VMs to give to it, once their tasks have ended */
 } AqSizingDecision;
 
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -43,7 +43,7 @@
 }
 
 static size_t
-decide_take(const AqSizingInput *input)
+decide_need(const AqSizingInput *input)
 {
     size_t coming_vms = input->coming_vms + input->upkeep_vms;
     int64_t coming = (int64_t)coming_vms * input->vm_cpu_millis;
@@ -69,9 +69,17 @@
     if (vms < least && take < least - vms) {
         take = least - vms;
     }
+    return take;
+}
+
+/* What other pools give away is not theirs to use: only what is taken from
+ * the spare pool is limited. */
+static size_t
+limit_take(const AqSizingInput *input, size_t need)
+{
     size_t part = input->site_vms / MOST_TAKEN_PART;
     size_t most_taken = part > MOST_TAKEN ? part : MOST_TAKEN;
-    return take < most_taken ? take : most_taken;
+    return need < most_taken ? need : most_taken;
 }
 
 static size_t
@@ -94,8 +102,9 @@
 AqSizing_Decide(const AqSizingInput *input, AqSizingDecision *decision)
 {
     memset(decision, 0, sizeof(*decision));
-    decision->take = decide_take(input);
-    if (decision->take == 0) {
+    decision->need = decide_need(input);
+    decision->take = limit_take(input, decision->need);
+    if (decision->need == 0) {
         decision->give = decide_give(input);
     }
 }
--- a/packages/scheduler/tests/test_sizing.c
+++ b/packages/scheduler/tests/test_sizing.c
@@ -14,6 +14,7 @@
     AqSizingInput input;
     size_t take;
     size_t give;
+    size_t need; /* with those that only come when other pools give them */
 } cases[] = {
     {"quiet pool with its lasting tasks gives its idle VMs",
      {.used_cpu_millis = 2 * VM,
@@ -24,7 +25,8 @@
       .lasting_vms = 4,
       .widest_spread = 4},
      0,
-     7},
+     7,
+     0},
     {"quiet pool keeps one VM beside those that a lasting step needs",
      {.used_cpu_millis = VM / 2,
       .lasting_cpu_millis = VM / 2,
@@ -34,7 +36,8 @@
       .lasting_vms = 6,
       .widest_spread = 6},
      0,
-     2},
+     2,
+     0},
     {"turn begins: work waits and more is offered than the pool holds",
      {.used_cpu_millis = 4 * VM,
       .ready_cpu_millis = 2 * VM,
@@ -43,7 +46,8 @@
       .vm_cpu_millis = VM,
       .usable_vms = 4},
      8,
-     0},
+     0,
+     8},
     {"a few large jobs in one second, the pool half empty",
      {.used_cpu_millis = 2 * VM,
       .offered_cpu_millis = 20 * VM,
@@ -51,6 +55,7 @@
       .vm_cpu_millis = VM,
       .usable_vms = 8},
      0,
+     0,
      0},
     {"turn begins on a small site: no more than the fixed limit",
      {.used_cpu_millis = 28 * VM,
@@ -61,7 +66,8 @@
       .usable_vms = 31,
       .site_vms = 50},
      16,
-     0},
+     0,
+     77},
     {"turn begins on a large site: what is needed comes in one decision",
      {.used_cpu_millis = 28 * VM,
       .ready_cpu_millis = 26 * VM,
@@ -71,8 +77,10 @@
       .usable_vms = 31,
       .site_vms = 350},
      77,
-     0},
-    {"large site: at most a quarter of it in one decision",
+     0,
+     77},
+    {"large site: at most a quarter of it in one decision, the rest is wanted "
+     "from pools that give VMs away",
      {.used_cpu_millis = 100 * VM,
       .ready_cpu_millis = 250 * VM,
       .room_cpu_millis = 100 * VM,
@@ -80,7 +88,8 @@
       .usable_vms = 100,
       .site_vms = 352},
      88,
-     0},
+     0,
+     250},
     {"height of a turn: VMs that come are counted",
      {.used_cpu_millis = 4 * VM,
       .ready_cpu_millis = 5 * VM,
@@ -90,6 +99,7 @@
       .usable_vms = 4,
       .coming_vms = 5},
      0,
+     0,
      0},
     {"turn has ended: VMs go back as far as the rest leaves them",
      {
@@ -99,7 +109,8 @@
          .usable_vms = 16,
      },
      0,
-     9},
+     9,
+     0},
     {"wave: VMs away for upkeep do not keep idle ones in the pool",
      {.used_cpu_millis = 4 * VM,
       .room_cpu_millis = 16 * VM,
@@ -107,7 +118,8 @@
       .usable_vms = 16,
       .upkeep_vms = 2},
      0,
-     9},
+     9,
+     0},
     {"nothing goes back while VMs come or work waits",
      {
          .used_cpu_millis = 4 * VM,
@@ -117,6 +129,7 @@
          .usable_vms = 16,
      },
      0,
+     0,
      0},
     {"a task finds no place although there is room",
      {.used_cpu_millis = 2 * VM,
@@ -126,7 +139,8 @@
       .vm_cpu_millis = VM,
       .usable_vms = 8},
      1,
-     0},
+     0,
+     1},
     {"a rack is lost: fewer VMs than a lasting step needs",
      {.used_cpu_millis = VM,
       .lasting_cpu_millis = VM,
@@ -136,7 +150,8 @@
       .lasting_vms = 3,
       .widest_spread = 5},
      3,
-     0},
+     0,
+     3},
 };
 
 /* Guards against pools that lag behind a turn, hoard VMs after it, or send
@@ -153,6 +168,8 @@
         }
         CU_ASSERT_EQUAL(decision.take, cases[i].take);
         CU_ASSERT_EQUAL(decision.give, cases[i].give);
+        CU_ASSERT_EQUAL(decision.need,
+                        cases[i].need != 0 ? cases[i].need : cases[i].take);
     }
 }
 
