Waves: the states of a round in one write

Cause: each owner wrote one VM's new state of a wave a call, and calls of several owners collide on the one record. A wave of 154 VMs needs 308 states, so that waves were late though many of their VMs stood idle in the spare pool, and VMs were off while turns of the queues began.

Ruled out: the cap (57 at once; 2 s each), the machine duty (64 orders a second) and a lack of idle VMs.

Change: the new states of a round are gathered and written in one call; VMs that a write has claimed are asked for together. The test wave_states_in_one_write fails before. The fake store keeps values with zero bytes whole.

--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -23,6 +23,7 @@
     g_hash_table_destroy(self->plans);
     g_array_free(self->vms, TRUE);
     g_array_free(self->list, TRUE);
+    g_array_free(self->wave_changes, TRUE);
     free(self);
 }
 
@@ -244,6 +245,7 @@
     self->plans = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     self->vms = g_array_new(FALSE, FALSE, sizeof(VmCopy));
     self->list = g_array_new(FALSE, FALSE, sizeof(AqMachine));
+    self->wave_changes = machines_new_wave_changes();
     machines_watch_answers(self);
     return self;
 }
--- a/packages/pool/pool_machines_private.h
+++ b/packages/pool/pool_machines_private.h
@@ -60,9 +60,9 @@
     AqTime asks_due;
     PrefixView *answers;
     bool is_writing_wave;
-    char claiming[AQ_VM_ID_SIZE]; /* VM of the write of a wave's record */
-    GHashTable *plans;            /* machine -> Plan */
-    GArray *vms;                  /* of VmCopy, of this round */
+    GArray *wave_changes; /* of this round, not written yet */
+    GHashTable *plans;    /* machine -> Plan */
+    GArray *vms;          /* of VmCopy, of this round */
     /* The platform's list of VMs. */
     GArray *list; /* of AqMachine */
     AqTime listed_at;
@@ -110,6 +110,7 @@
 
 /* ---- pool_upkeep.c */
 void machines_upkeep_round(PoolMachines *self);
+GArray *machines_new_wave_changes(void);
 
 /* ---- pool_sizes.c */
 void machines_sizes_round(PoolMachines *self, AqScheduler *s);
--- a/packages/pool/pool_upkeep.c
+++ b/packages/pool/pool_upkeep.c
@@ -11,98 +11,113 @@
     BACK_MS = 4000 /* a VM that is there so long after its order is back */
 };
 
-/* Fills the writes of a wave's record for a new state of one VM. */
-typedef struct {
-    AqBuffer record_key;
-    AqBuffer record;
-    AqBuffer status_key;
-    AqBuffer status;
-    AqStoreExpect expect;
-    AqStorePut puts[2];
-} WaveWrite;
-
-static void
-begin_wave_write(WaveWrite *write, WaveEntry *entry, size_t at,
-                 AqWaveState state)
-{
-    char name[32];
-    AqWaveState before = AqWave_State(entry->wave, at);
-    AqBuffer_Init(&write->record_key);
-    AqBuffer_Init(&write->record);
-    AqBuffer_Init(&write->status_key);
-    AqBuffer_Init(&write->status);
-    snprintf(name, sizeof(name), "%lld",
-             (long long)AqWave_Number(entry->wave));
-    AqBuffer_AppendText(&write->record_key, key_of(KEY_WAVE, name));
-    AqWave_Set(entry->wave, at, state);
-    AqWave_Encode(entry->wave, &write->record);
-    AqPlatform_WaveStatus(AqWave_Number(entry->wave),
-                          AqWave_IsOver(entry->wave), &write->status_key,
-                          &write->status);
-    AqWave_Set(entry->wave, at, before);
-    write->expect.key = AqBuffer_Text(&write->record_key);
-    write->expect.index = entry->index;
-    write->puts[0] =
-        (AqStorePut){AqBuffer_Text(&write->record_key),
-                     AqBuffer_Text(&write->record), write->record.size, 0};
-    write->puts[1] =
-        (AqStorePut){AqBuffer_Text(&write->status_key),
-                     AqBuffer_Text(&write->status), write->status.size, 0};
-}
+/* ---- Record ------------------------------------------------------------- */
 
-static void
-end_wave_write(WaveWrite *write)
-{
-    AqBuffer_Clear(&write->record_key);
-    AqBuffer_Clear(&write->record);
-    AqBuffer_Clear(&write->status_key);
-    AqBuffer_Clear(&write->status);
-}
+/* A new state that goes into the next write of the wave's record. */
+typedef struct {
+    size_t at;
+    AqWaveState before;
+} WaveChange;
 
 static void
 on_wave_written(void *context, AqStoreStatus status)
 {
     PoolMachines *self = context;
+    GHashTableIter iter;
+    gpointer value;
     if (!machines_end_call(self)) {
         return;
     }
     self->is_writing_wave = false;
-    Plan *plan = machines_find_plan(self, self->claiming);
-    if (plan == NULL || plan->phase != VM_CLAIMING) {
-        return;
-    }
-    if (status == AQ_STORE_OK) {
-        machines_ask(self, plan);
-    }
-    else {
-        plan->phase = VM_CORDONED;
-        plan->retry_at = machines_now(self) + MACHINES_RETRY_MS;
+    g_hash_table_iter_init(&iter, self->plans);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Plan *plan = value;
+        if (plan->phase != VM_CLAIMING) {
+            continue;
+        }
+        if (status == AQ_STORE_OK) {
+            machines_ask(self, plan);
+        }
+        else {
+            plan->phase = VM_CORDONED;
+            plan->retry_at = machines_now(self) + MACHINES_RETRY_MS;
+        }
     }
 }
 
-/* Writes a new state of one VM; one write at a time. */
+/* Sets a new state of one VM, to be written at the end of the round with the
+ * others; false while a write is under way. */
 static bool
-write_wave(PoolMachines *self, WaveEntry *entry, size_t at, AqWaveState state)
+change_wave(PoolMachines *self, WaveEntry *entry, size_t at, AqWaveState state)
 {
-    WaveWrite write;
+    WaveChange change = {at, AqWave_State(entry->wave, at)};
     if (self->is_writing_wave) {
         return false;
     }
-    begin_wave_write(&write, entry, at, state);
-    self->is_writing_wave = true;
-    self->calls++;
-    g_strlcpy(self->claiming, AqWave_Machine(entry->wave, at),
-              sizeof(self->claiming));
     AqLog_Event(AQ_LOG_INFO, "wave_state",
-                "wave=%lld machine=%s state=%d pool=%s",
+                "wave=%lld machine=%s state=%d pool=%s index=%llu",
                 (long long)AqWave_Number(entry->wave),
-                AqWave_Machine(entry->wave, at), (int)state, self->pool);
-    owner_writer_commit(pool_owner_writer(self->owner), &write.expect, 1,
-                        write.puts, 2, on_wave_written, self);
-    end_wave_write(&write);
+                AqWave_Machine(entry->wave, at), (int)state, self->pool,
+                (unsigned long long)entry->index);
+    AqWave_Set(entry->wave, at, state);
+    g_array_append_val(self->wave_changes, change);
     return true;
 }
 
+static void
+commit_wave(PoolMachines *self, const WaveEntry *entry)
+{
+    char name[32];
+    AqBuffer record;
+    AqBuffer status_key;
+    AqBuffer status;
+    AqBuffer_Init(&record);
+    AqBuffer_Init(&status_key);
+    AqBuffer_Init(&status);
+    snprintf(name, sizeof(name), "%lld",
+             (long long)AqWave_Number(entry->wave));
+    AqWave_Encode(entry->wave, &record);
+    AqPlatform_WaveStatus(AqWave_Number(entry->wave),
+                          AqWave_IsOver(entry->wave), &status_key, &status);
+    AqStoreExpect expect = {key_of(KEY_WAVE, name), entry->index};
+    AqStorePut puts[] = {
+        {expect.key, AqBuffer_Text(&record), record.size, 0},
+        {AqBuffer_Text(&status_key), AqBuffer_Text(&status), status.size, 0},
+    };
+    self->is_writing_wave = true;
+    self->calls++;
+    owner_writer_commit(pool_owner_writer(self->owner), &expect, 1, puts, 2,
+                        on_wave_written, self);
+    AqBuffer_Clear(&record);
+    AqBuffer_Clear(&status_key);
+    AqBuffer_Clear(&status);
+}
+
+/* Writes the changes of this round in one call.  The copy here changes only
+ * when the record is seen to have changed. */
+static void
+write_wave(PoolMachines *self, const WaveEntry *entry)
+{
+    if (self->wave_changes->len == 0) {
+        return;
+    }
+    commit_wave(self, entry);
+    for (guint i = self->wave_changes->len; i-- > 0;) {
+        const WaveChange *change =
+            &g_array_index(self->wave_changes, WaveChange, i);
+        AqWave_Set(entry->wave, change->at, change->before);
+    }
+    g_array_set_size(self->wave_changes, 0);
+}
+
+GArray *
+machines_new_wave_changes(void)
+{
+    return g_array_new(FALSE, FALSE, sizeof(WaveChange));
+}
+
+/* ---- Rounds ------------------------------------------------------------- */
+
 /* Has an empty VM taken down: claims a slot of the wave first, unless the
  * record says that it has one. */
 static void
@@ -116,7 +131,7 @@
         machines_ask(self, plan);
     }
     else if (AqWave_HasSlot(entry->wave) &&
-             write_wave(self, entry, at, AQ_WAVE_BEGUN)) {
+             change_wave(self, entry, at, AQ_WAVE_BEGUN)) {
         plan->phase = VM_CLAIMING;
     }
 }
@@ -150,7 +165,7 @@
                               false);
     }
     if (plan->retry_at <= machines_now(self) &&
-        write_wave(self, entry, at, AQ_WAVE_DONE)) {
+        change_wave(self, entry, at, AQ_WAVE_DONE)) {
         plan->retry_at = machines_now(self) + MACHINES_RETRY_MS;
     }
 }
@@ -308,7 +323,7 @@
             continue;
         }
         if (listed == NULL) {
-            write_wave(self, entry, i, AQ_WAVE_GONE);
+            change_wave(self, entry, i, AQ_WAVE_GONE);
         }
         else if (strcmp(listed->pool, self->pool) == 0 &&
                  listed->state == AQ_MACHINE_UP) {
@@ -340,13 +355,13 @@
                             machines_find_vm(self, machine));
         }
     }
-    if (AqWave_IsOver(entry->wave)) {
-        return;
-    }
-    choose_for_wave(round, entry);
-    if (is_caretaker(self)) {
-        care_for_rest(round, entry);
+    if (!AqWave_IsOver(entry->wave)) {
+        choose_for_wave(round, entry);
+        if (is_caretaker(self)) {
+            care_for_rest(round, entry);
+        }
     }
+    write_wave(self, entry);
 }
 
 void
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -66,6 +66,15 @@
     g_free(call);
 }
 
+/* Values may hold any bytes; one that is text also has an end. */
+static char *
+copy_bytes(const char *bytes, size_t size)
+{
+    char *copy = g_malloc0(size + 1);
+    memcpy(copy, bytes, size);
+    return copy;
+}
+
 static Record *
 find(const FakeStore *fake, const char *key)
 {
@@ -89,7 +98,7 @@
         g_ptr_array_add(fake->records, record);
     }
     g_free(record->value);
-    record->value = g_strndup(value, size);
+    record->value = copy_bytes(value, size);
     record->size = size;
     record->removed = false;
     record->lease = lease;
@@ -164,7 +173,8 @@
     for (size_t i = 0; i < commit->put_count; i++) {
         Record *record = g_new0(Record, 1);
         record->key = g_strdup(commit->puts[i].key);
-        record->value = g_strndup(commit->puts[i].value, commit->puts[i].size);
+        record->value =
+            copy_bytes(commit->puts[i].value, commit->puts[i].size);
         record->size = commit->puts[i].size;
         record->lease = commit->puts[i].lease;
         g_ptr_array_add(call->puts, record);
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -7,6 +7,7 @@
 #include "fake_store.h"
 #include "keys.h"
 #include "owner_writer.h"
+#include "pool_machines.h"
 #include "pool_owner.h"
 #include "platform_samples.h"
 #include "prefix_view.h"
@@ -482,6 +483,81 @@
     tear_down_owner(&self);
 }
 
+/* ---- Upkeep ------------------------------------------------------------- */
+
+enum {
+    WAVE_VMS = 6,
+    WAVE_CAP = 4
+};
+
+/* The platform's list: VMs of the wave, all up and without tasks. */
+static void
+list_machines(AqMachineCalls *calls, AqMachineListDone done, void *context)
+{
+    AqMachine machines[WAVE_VMS];
+    AqMachineList list = {
+        .is_whole = true, .machines = machines, .count = WAVE_VMS};
+    (void)calls;
+    memset(machines, 0, sizeof(machines));
+    for (int i = 0; i < WAVE_VMS; i++) {
+        snprintf(machines[i].machine, sizeof(machines[i].machine), "m-%d", i);
+        strcpy(machines[i].pool, "pool");
+        machines[i].state = AQ_MACHINE_UP;
+    }
+    done(context, &list);
+}
+
+static WaveBook *
+make_wave_book(NodeContext *node)
+{
+    WaveBook *book = wave_book_create(node);
+    AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
+    spec.machines = calloc(WAVE_VMS, sizeof(*spec.machines));
+    spec.machine_count = WAVE_VMS;
+    for (int i = 0; i < WAVE_VMS; i++) {
+        snprintf(spec.machines[i], sizeof(spec.machines[i]), "m-%d", i);
+    }
+    wave_book_add(book, &spec);
+    return book;
+}
+
+static void
+count_begun(void *context, WaveEntry *entry)
+{
+    for (size_t i = 0; i < AqWave_Count(entry->wave); i++) {
+        *(int *)context += AqWave_State(entry->wave, i) == AQ_WAVE_BEGUN;
+    }
+}
+
+/* Guards against a wave that is late because its states are written one by
+ * one, while many of its VMs stand idle; and against more than its cap in one
+ * write. */
+static void
+test_wave_states_in_one_write(void)
+{
+    static const AqMachineCallsOps ops = {.list = list_machines};
+    AqMachineCalls machines = {&ops};
+    Fixture fixture;
+    OwnerFixture self;
+    int begun = 0;
+    set_up_owner(&self, &fixture);
+    fixture.node.machines = &machines;
+    WaveBook *book = make_wave_book(&fixture.node);
+    PoolMachines *pool = pool_machines_create(&fixture.node, book, self.owner);
+    while (fake_store_value(fixture.fake, key_of(KEY_WAVE, "1")) == NULL) {
+        fake_store_answer_all(fixture.fake);
+        AqLoop_RunOnce(fixture.node.loop, 10);
+        pool_machines_round(pool, true);
+    }
+    fake_store_answer_all(fixture.fake);
+    wave_book_each(book, count_begun, &begun);
+    CU_ASSERT_EQUAL(begun, WAVE_CAP);
+    pool_machines_drop(pool);
+    wave_book_destroy(book);
+    fake_store_answer_all(fixture.fake);
+    tear_down_owner(&self);
+}
+
 int
 main(void)
 {
@@ -501,6 +577,7 @@
         {"garbled_vm_is_unlisted", test_garbled_vm_is_unlisted},
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
+        {"wave_states_in_one_write", test_wave_states_in_one_write},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
