Waves: only owners of pools follow the records

Cause: every node followed the record of a wave, and each of its changes was answered to each of 33 or 44 nodes.

Change: a node follows the records from the first pool on that it owns. The test only_owners_follow_waves fails before.

--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -213,6 +213,7 @@
     pool->machines =
         pool_machines_create(&node->context, node->waves, pool->owner);
     g_hash_table_insert(node->owners, g_strdup(ownership->pool), pool);
+    wave_book_follow(node->waves);
     if (node->vms == NULL) {
         node->vms = vm_directory_create(node->context.loop,
                                         node->context.store, &vm_ops, node);
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -511,6 +511,7 @@
 make_wave_book(NodeContext *node)
 {
     WaveBook *book = wave_book_create(node);
+    wave_book_follow(book);
     AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
     spec.machines = calloc(WAVE_VMS, sizeof(*spec.machines));
     spec.machine_count = WAVE_VMS;
@@ -558,6 +559,24 @@
     tear_down_owner(&self);
 }
 
+/* Guards against a call of every node for each change of a wave's record,
+ * which only owners of pools need. */
+static void
+test_only_owners_follow_waves(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    WaveBook *book = wave_book_create(&fixture.node);
+    AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
+    wave_book_add(book, &spec);
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 0);
+    wave_book_follow(book);
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 1);
+    wave_book_destroy(book);
+    fake_store_answer_all(fixture.fake);
+    tear_down(&fixture);
+}
+
 int
 main(void)
 {
@@ -578,6 +597,7 @@
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
         {"wave_states_in_one_write", test_wave_states_in_one_write},
+        {"only_owners_follow_waves", test_only_owners_follow_waves},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
--- a/packages/pool/wave_book.c
+++ b/packages/pool/wave_book.c
@@ -11,7 +11,8 @@
 struct WaveBook {
     NodeContext *node;
     GHashTable *entries; /* number as text -> WaveEntry */
-    PrefixView *records; /* from the first wave on */
+    bool is_following;
+    PrefixView *records; /* while following, from the first wave on */
 };
 
 static void
@@ -61,6 +62,26 @@
 
 static const PrefixViewOps record_ops = {on_put, on_removed, on_listed, 0};
 
+/* A record that was listed before its wave was known is read again. */
+static void
+read_records(WaveBook *book)
+{
+    if (book->is_following && g_hash_table_size(book->entries) > 0) {
+        prefix_view_destroy(book->records);
+        book->records = prefix_view_create(book->node->loop, book->node->store,
+                                           KEYS_WAVES, &record_ops, book);
+    }
+}
+
+void
+wave_book_follow(WaveBook *book)
+{
+    if (!book->is_following) {
+        book->is_following = true;
+        read_records(book);
+    }
+}
+
 void
 wave_book_add(WaveBook *book, AqWaveSpec *spec)
 {
@@ -77,10 +98,7 @@
                 spec->machine_count, (long long)spec->within_ms, spec->cap);
     AqWaveSpec_Clear(spec);
     g_hash_table_insert(book->entries, g_strdup(name), entry);
-    /* A record that was listed before its wave was known is read again. */
-    prefix_view_destroy(book->records);
-    book->records = prefix_view_create(book->node->loop, book->node->store,
-                                       KEYS_WAVES, &record_ops, book);
+    read_records(book);
 }
 
 void
--- a/packages/pool/wave_book.h
+++ b/packages/pool/wave_book.h
@@ -18,6 +18,9 @@
 WaveBook *wave_book_create(NodeContext *node);
 void wave_book_destroy(WaveBook *book);
 
+/* Reads and follows the records from now on, for a node that owns a pool;
+ * each change of a record is a call of every node that follows it. */
+void wave_book_follow(WaveBook *book);
 /* A wave of the operator; the spec is taken. */
 void wave_book_add(WaveBook *book, AqWaveSpec *spec);
 /* Calls "visit" for each wave whose record has been read. */
