Views: a watch that the store has lost is noticed after a second

Cause: when the store drops its history, watches that were waiting are cut without a word, and an owner noticed after its wait and the time-out, 3.2 s.

Ruled out: a shorter time-out, since every watch would fail while the store is slow (an answer takes 250 ms at 60 times its time) and nothing would be heard.

Change: views that owners decide by wait 500 ms a call; 500 ms later another watch begins beside a silent one, whose answer is used when it comes after all. The test silent_watch_is_replaced fails before.

--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -240,7 +240,7 @@
     forget_unwanted(desk);
 }
 
-static const PrefixViewOps ask_ops = {on_put, on_removed, NULL, 0};
+static const PrefixViewOps ask_ops = {on_put, on_removed, NULL, 0, true};
 
 /* ---- Answers ------------------------------------------------------------ */
 
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -606,7 +606,8 @@
     consider_all(context);
 }
 
-static const PrefixViewOps node_ops = {on_put, on_removed, on_listed, 0};
+static const PrefixViewOps node_ops = {on_put, on_removed, on_listed, 0,
+                                       false};
 
 /* ---- Interface ---------------------------------------------------------- */
 
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -131,8 +131,8 @@
     AqLog_Event(AQ_LOG_WARNING, "operator_key_removed", "key=%s", key);
 }
 
-static const PrefixViewOps operator_ops = {on_operator_put,
-                                           on_operator_removed, NULL, 0};
+static const PrefixViewOps operator_ops = {
+    on_operator_put, on_operator_removed, NULL, 0, false};
 
 static bool
 is_current(void *context)
--- a/packages/pool/pool_asks.c
+++ b/packages/pool/pool_asks.c
@@ -125,7 +125,7 @@
 void
 machines_watch_answers(PoolMachines *self)
 {
-    static const PrefixViewOps ops = {on_answer, NULL, NULL, 0};
+    static const PrefixViewOps ops = {on_answer, NULL, NULL, 0, true};
     self->answers =
         prefix_view_create(self->node->loop, self->node->store,
                            key_of(KEY_ANSWER, self->pool), &ops, self);
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -407,7 +407,7 @@
 }
 
 static const PrefixViewOps job_ops = {on_job_put, on_job_removed,
-                                      on_jobs_listed, 0};
+                                      on_jobs_listed, 0, true};
 
 static void
 load_next(PoolOwner *owner)
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -11,6 +11,10 @@
      * connection has gone silent, is noticed after this and the store's
      * time-out. */
     WATCH_WAIT_MS = 2000,
+    /* Of a prompt view: the wait, and how much later the answer may come
+     * before another watch is begun beside it. */
+    PROMPT_WAIT_MS = 500,
+    ANSWER_MS = 500,
     RETRY_MS = 120,
     LONGEST_RETRY_MS = 500
 };
@@ -22,6 +26,9 @@
     PrefixViewOps ops;
     void *context;
     AqTimer retry;
+    AqTimer silence;
+    uint64_t watch; /* number of the last watch; answers to earlier ones are
+                     * used, but nothing follows them */
     GHashTable *indexes; /* key -> index of its last write, as uint64_t* */
     GHashTable *listing; /* keys of the listing under way, or NULL */
     char *after;         /* last key of the pages so far */
@@ -40,6 +47,7 @@
 free_view(PrefixView *view)
 {
     AqTimer_Stop(&view->retry);
+    AqTimer_Stop(&view->silence);
     g_hash_table_destroy(view->indexes);
     if (view->listing != NULL) {
         g_hash_table_destroy(view->listing);
@@ -100,11 +108,19 @@
     }
 }
 
+/* Passes over what another watch has told already. */
 static void
 apply_changes(PrefixView *view, const AqStoreReply *reply)
 {
+    uint64_t known = view->index;
+    if (reply->index > view->index) {
+        view->index = reply->index;
+    }
     for (size_t i = 0; i < reply->count && !view->is_destroyed; i++) {
         const AqStoreItem *item = &reply->items[i];
+        if (item->index <= known) {
+            continue;
+        }
         if (item->removed) {
             apply_removed(view, item->key);
         }
@@ -149,20 +165,14 @@
     return true;
 }
 
+typedef struct {
+    PrefixView *view;
+    uint64_t number;
+} WatchCall;
+
 static void
-on_changes(void *context, const AqStoreReply *reply)
+follow_changes(PrefixView *view, const AqStoreReply *reply)
 {
-    PrefixView *view = context;
-    if (!view->is_destroyed && reply->status == AQ_STORE_OK) {
-        note_reachable(view, true, reply->status);
-        if (reply->index > view->index) {
-            view->index = reply->index;
-        }
-        apply_changes(view, reply);
-    }
-    if (!end_call(view)) {
-        return;
-    }
     if (reply->status == AQ_STORE_OK && reply->count > 0 &&
         view->ops.gather_ms > 0) {
         AqTimer_Start(view->loop, &view->retry,
@@ -183,6 +193,24 @@
     }
 }
 
+static void
+on_changes(void *context, const AqStoreReply *reply)
+{
+    WatchCall *call = context;
+    PrefixView *view = call->view;
+    bool is_last = call->number == view->watch;
+    free(call);
+    if (!view->is_destroyed && reply->status == AQ_STORE_OK &&
+        view->is_listed) {
+        note_reachable(view, true, reply->status);
+        apply_changes(view, reply);
+    }
+    if (end_call(view) && is_last) {
+        AqTimer_Stop(&view->silence);
+        follow_changes(view, reply);
+    }
+}
+
 static void
 take_page(PrefixView *view, const AqStoreReply *reply)
 {
@@ -234,13 +262,27 @@
     begin(view);
 }
 
+static void
+begin_watch(PrefixView *view)
+{
+    AqTime wait = view->ops.is_prompt ? PROMPT_WAIT_MS : WATCH_WAIT_MS;
+    WatchCall *call = malloc(sizeof(*call));
+    call->view = view;
+    call->number = ++view->watch;
+    if (view->ops.is_prompt) {
+        AqTimer_Start(view->loop, &view->silence,
+                      AqLoop_Now(view->loop) + wait + ANSWER_MS);
+    }
+    view->store->ops->changes(view->store, view->prefix, view->index, wait,
+                              on_changes, call);
+}
+
 static void
 begin(PrefixView *view)
 {
     view->in_flight++;
     if (view->is_listed) {
-        view->store->ops->changes(view->store, view->prefix, view->index,
-                                  WATCH_WAIT_MS, on_changes, view);
+        begin_watch(view);
         return;
     }
     if (view->listing == NULL) {
@@ -259,6 +301,17 @@
     begin(context);
 }
 
+/* The watch may be cut off without a word: another one begins.  An answer
+ * that is only late is used when it comes. */
+static void
+on_silence(void *context)
+{
+    PrefixView *view = context;
+    AqLog_Event(AQ_LOG_INFO, "watch_silent", "prefix=%s index=%llu",
+                view->prefix, (unsigned long long)view->index);
+    begin(view);
+}
+
 /* ---- Lifecycle ---------------------------------------------------------- */
 
 PrefixView *
@@ -277,6 +330,7 @@
     view->indexes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     AqTimer_Init(&view->retry, on_retry, view);
+    AqTimer_Init(&view->silence, on_silence, view);
     begin(view);
     return view;
 }
@@ -289,6 +343,7 @@
     }
     view->is_destroyed = true;
     AqTimer_Stop(&view->retry);
+    AqTimer_Stop(&view->silence);
     if (view->in_flight == 0) {
         free_view(view);
     }
--- a/packages/pool/prefix_view.h
+++ b/packages/pool/prefix_view.h
@@ -18,6 +18,9 @@
     /* Pause after changes before the next watch, so that it finds more of
      * them, ms.  0: each change is heard of at once. */
     AqTime gather_ms;
+    /* A watch that the store has lost without a word is noticed after one
+     * second instead of three; a quiet prefix costs two calls a second. */
+    bool is_prompt;
 } PrefixViewOps;
 
 /* "loop" and "store" are borrowed.  No call comes from inside. */
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -215,7 +215,8 @@
     ((Seen *)context)->listings++;
 }
 
-static const PrefixViewOps view_ops = {on_put, on_removed, on_listed, 0};
+static const PrefixViewOps view_ops = {on_put, on_removed, on_listed, 0,
+                                       false};
 
 /* Guards against changes that are missed or seen twice. */
 static void
@@ -271,7 +272,8 @@
 static void
 test_view_gathers(void)
 {
-    static const PrefixViewOps ops = {on_put, on_removed, on_listed, 20};
+    static const PrefixViewOps ops = {on_put, on_removed, on_listed, 20,
+                                      false};
     Fixture fixture;
     Seen seen = {0};
     set_up(&fixture);
@@ -308,6 +310,36 @@
     tear_down(&fixture);
 }
 
+/* Guards against changes that are not heard of for seconds because the store
+ * has lost a watch without a word, and against changes that are seen twice
+ * when it answers after all. */
+static void
+test_silent_watch_is_replaced(void)
+{
+    static const PrefixViewOps ops = {on_put, on_removed, on_listed, 0, true};
+    Fixture fixture;
+    Seen seen = {0};
+    set_up(&fixture);
+    PrefixView *view = prefix_view_create(
+        fixture.node.loop, fixture.node.store, "p/", &ops, &seen);
+    fake_store_answer(fixture.fake);
+    fake_store_put(fixture.fake, "p/a", "1");
+    for (int i = 0; i < 100 && fake_store_waiting(fixture.fake) < 2; i++) {
+        AqLoop_RunOnce(fixture.node.loop, 50);
+    }
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 2);
+    fake_store_answer(fixture.fake);
+    CU_ASSERT_EQUAL(seen.puts, 1);
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 1);
+    fake_store_put(fixture.fake, "p/b", "1");
+    fake_store_answer(fixture.fake);
+    CU_ASSERT_EQUAL(seen.puts, 2);
+    CU_ASSERT_EQUAL(fake_store_waiting(fixture.fake), 1);
+    prefix_view_destroy(view);
+    fake_store_answer_all(fixture.fake);
+    tear_down(&fixture);
+}
+
 /* ---- VMs ---------------------------------------------------------------- */
 
 typedef struct {
@@ -593,6 +625,7 @@
         {"view_survives_compaction", test_view_survives_compaction},
         {"view_gathers", test_view_gathers},
         {"view_waits_briefly", test_view_waits_briefly},
+        {"silent_watch_is_replaced", test_silent_watch_is_replaced},
         {"garbled_vm_is_unlisted", test_garbled_vm_is_unlisted},
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
--- a/packages/pool/vm_directory.c
+++ b/packages/pool/vm_directory.c
@@ -77,8 +77,8 @@
 vm_directory_create(AqLoop *loop, AqStore *store, const VmDirectoryOps *ops,
                     void *context)
 {
-    static const PrefixViewOps view_ops = {on_put, on_removed, NULL,
-                                           GATHER_MS};
+    static const PrefixViewOps view_ops = {on_put, on_removed, NULL, GATHER_MS,
+                                           true};
     VmDirectory *directory = calloc(1, sizeof(*directory));
     directory->ops = *ops;
     directory->context = context;
--- a/packages/pool/wave_book.c
+++ b/packages/pool/wave_book.c
@@ -60,7 +60,8 @@
     }
 }
 
-static const PrefixViewOps record_ops = {on_put, on_removed, on_listed, 0};
+static const PrefixViewOps record_ops = {on_put, on_removed, on_listed, 0,
+                                         false};
 
 /* A record that was listed before its wave was known is read again. */
 static void
