Takeover: VMs that the platform's list shows as replaced are not awaited

Cause: a new owner starts nothing that may run already until each VM of the roster has answered or its leases have lapsed, 5 s and up to 3 s more. Of the VMs that were moved or rebooted shortly before, the new life answers at another address and the old one never.

Ruled out: late claims (all within 0.6 s) and slow loading (within 0.2 s).

Change: the roster names the machine of each VM. While a VM is silent, the owner reads the platform's list, asked for after the silence began, and takes the life as ended if the machine is moving, in upkeep or lives under another id. Tests replaced_vm_is_not_awaited and replaced_vm_has_ended; the second fails without the look at the list.

--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -7,8 +7,9 @@
 
 enum {
     ROUND_MS = 100,
-    LONG_AGO_MS = 60000, /* the list has not been read */
-    LASTING_WEIGHT = 100 /* a lasting task counts as so many others */
+    LONG_AGO_MS = 60000,   /* the list has not been read */
+    SILENT_LIST_MS = 1000, /* how old it may be while a VM is silent */
+    LASTING_WEIGHT = 100   /* a lasting task counts as so many others */
 };
 
 AqTime
@@ -49,6 +50,7 @@
     VmCopy copy = {
         .is_usable = view->is_usable,
         .is_answering = view->is_answering,
+        .silent_since = view->silent_since,
         .tasks = view->tasks,
         .lasting = view->lasting_tasks,
         .cpu = view->cpu_millis,
@@ -185,19 +187,27 @@
     g_array_set_size(self->list, 0);
     g_array_append_vals(self->list, list->machines, (guint)list->count);
     self->listed_at = machines_now(self);
+    self->list_asked_at = self->listing_since;
 }
 
-bool
-machines_need_list(PoolMachines *self, AqTime age)
+static void
+read_list(PoolMachines *self)
 {
-    if (machines_now(self) - self->listed_at <= age) {
-        return true;
-    }
     if (!self->is_listing) {
         self->is_listing = true;
+        self->listing_since = machines_now(self);
         self->calls++;
         self->node->machines->ops->list(self->node->machines, on_list, self);
     }
+}
+
+bool
+machines_need_list(PoolMachines *self, AqTime age)
+{
+    if (machines_now(self) - self->listed_at <= age) {
+        return true;
+    }
+    read_list(self);
     return false;
 }
 
@@ -213,6 +223,47 @@
     return NULL;
 }
 
+/* Whether the platform has ended a life of a VM by an order: it goes through
+ * a move or an upkeep, or lives again under another id. */
+static bool
+is_replaced(const AqMachine *listed, const char *life)
+{
+    return listed->state == AQ_MACHINE_MOVING ||
+           listed->state == AQ_MACHINE_UPKEEP ||
+           (listed->state == AQ_MACHINE_UP && listed->vm[0] != '\0' &&
+            strcmp(listed->vm, life) != 0);
+}
+
+/* Silent VMs are waited for until their leases have lapsed.  The list shows
+ * earlier which of them an order has ended, such as one that an owner before
+ * us had asked for. */
+static void
+end_replaced(PoolMachines *self, AqScheduler *s)
+{
+    for (guint i = 0; i < self->vms->len; i++) {
+        const VmCopy *vm = &g_array_index(self->vms, VmCopy, i);
+        if (vm->silent_since == AQ_TIME_NEVER || vm->machine[0] == '\0') {
+            continue;
+        }
+        /* An earlier list may show the VM before this life of it. */
+        if (self->list_asked_at <= vm->silent_since ||
+            machines_now(self) - self->listed_at > SILENT_LIST_MS) {
+            read_list(self);
+            continue;
+        }
+        const AqMachine *listed = machines_find_listed(self, vm->machine);
+        if (listed != NULL && is_replaced(listed, vm->vm)) {
+            AqLog_Event(AQ_LOG_INFO, "vm_replaced",
+                        "vm=%s machine=%s pool=%s now=%s state=%d "
+                        "listed_ms_ago=%lld",
+                        vm->vm, vm->machine, self->pool, listed->vm,
+                        (int)listed->state,
+                        (long long)(machines_now(self) - self->listed_at));
+            AqScheduler_VmEnded(s, vm->vm, machines_now(self));
+        }
+    }
+}
+
 /* ---- Rounds ------------------------------------------------------------- */
 
 void
@@ -227,6 +278,7 @@
     g_array_set_size(self->vms, 0);
     AqScheduler_EachVm(s, copy_vm, self);
     g_array_sort(self->vms, compare_vms);
+    end_replaced(self, s);
     machines_upkeep_round(self);
     machines_sizes_round(self, s);
     machines_write_asks(self);
@@ -241,6 +293,7 @@
     self->owner = owner;
     self->fence = pool_owner_fence(owner);
     self->listed_at = -LONG_AGO_MS;
+    self->list_asked_at = -LONG_AGO_MS;
     g_strlcpy(self->pool, pool_owner_pool(owner), sizeof(self->pool));
     self->plans = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     self->vms = g_array_new(FALSE, FALSE, sizeof(VmCopy));
--- a/packages/pool/pool_machines_private.h
+++ b/packages/pool/pool_machines_private.h
@@ -66,6 +66,8 @@
     /* The platform's list of VMs. */
     GArray *list; /* of AqMachine */
     AqTime listed_at;
+    AqTime list_asked_at; /* of this list */
+    AqTime listing_since; /* of the one under way */
     bool is_listing;
 };
 
@@ -78,6 +80,7 @@
     size_t lasting;
     int64_t cpu;
     AqTime idle_since;
+    AqTime silent_since;
 } VmCopy;
 
 AqTime machines_now(const PoolMachines *self);
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -441,9 +441,24 @@
     self->owner = NULL;
 }
 
+/* No VM answers. */
+static void
+hold_silently(AqWorkerCalls *calls, const AqOrderTarget *target,
+              const AqHoldOrder *order, AqOrderDone done, void *context)
+{
+    AqOrderReply reply = {.result = AQ_ORDER_UNKNOWN, .clock_ms = -1};
+    (void)calls;
+    (void)target;
+    (void)order;
+    done(context, &reply);
+}
+
+/* The fixture may hold what earlier owners have stored. */
 static void
 set_up_owner(OwnerFixture *self, Fixture *fixture)
 {
+    static const AqWorkerCallsOps worker_ops = {.hold = hold_silently};
+    static AqWorkerCalls workers = {&worker_ops};
     static const MemberOps ops = {on_gained, on_lost};
     static AqSettings settings = {.node_id = "n-1",
                                   .node_cpu_share = "0.25",
@@ -453,7 +468,7 @@
         .name = "q", .host = "h", .prefix = "/q/", .pool = "pool"};
     static AqPoolConfig pool = {.name = "pool"};
     NodeMetrics *metrics = &fixture->node.metrics;
-    set_up(fixture);
+    fixture->node.workers = &workers;
     metrics->all = AqMetrics_Create();
     metrics->save_ms = AqMetrics_Histogram(metrics->all, "save", "");
     metrics->takeover_ms = AqMetrics_Histogram(metrics->all, "takeover", "");
@@ -494,6 +509,7 @@
 {
     Fixture fixture;
     OwnerFixture self;
+    set_up(&fixture);
     set_up_owner(&self, &fixture);
     fake_store_end_lease(fixture.fake);
     CU_ASSERT_PTR_NULL(
@@ -507,6 +523,7 @@
 {
     Fixture fixture;
     OwnerFixture self;
+    set_up(&fixture);
     set_up_owner(&self, &fixture);
     member_release(self.member, "pool");
     fake_store_answer_all(fixture.fake);
@@ -515,11 +532,12 @@
     tear_down_owner(&self);
 }
 
-/* ---- Upkeep ------------------------------------------------------------- */
+/* ---- VMs that live again ------------------------------------------------ */
 
 enum {
     WAVE_VMS = 6,
-    WAVE_CAP = 4
+    WAVE_CAP = 4,
+    SETTLE_MS = 2000 /* well below the lease of an order */
 };
 
 /* The platform's list: VMs of the wave, all up and without tasks. */
@@ -533,12 +551,77 @@
     memset(machines, 0, sizeof(machines));
     for (int i = 0; i < WAVE_VMS; i++) {
         snprintf(machines[i].machine, sizeof(machines[i].machine), "m-%d", i);
+        snprintf(machines[i].vm, sizeof(machines[i].vm), "i-%d", i);
         strcpy(machines[i].pool, "pool");
         machines[i].state = AQ_MACHINE_UP;
     }
     done(context, &list);
 }
 
+static void
+ignore_reply(void *context, const AqStoreReply *reply)
+{
+    (void)context;
+    (void)reply;
+}
+
+/* A life of VM m-0 that an earlier owner of the pool gave orders to. */
+static void
+store_roster(Fixture *fixture)
+{
+    static const AqSchedulerActions actions = {0};
+    AqVmReport report = {.id = "i-old", .machine = "m-0", .leaves_ms = -1};
+    AqSchedulerConfig config = {.pool = "pool", .fence = 1, .lease_ms = 5000};
+    AqScheduler *earlier = AqScheduler_Create(&config, &actions, NULL, 0);
+    AqStore *store = fixture->node.store;
+    AqBuffer bytes;
+    AqBuffer_Init(&bytes);
+    AqScheduler_SetVm(earlier, &report, 0);
+    AqScheduler_EncodeRoster(earlier, &bytes);
+    AqStorePut put = {key_of(KEY_ROSTER, "pool"), AqBuffer_Text(&bytes),
+                      bytes.size, 0};
+    AqStoreCommit commit = {.puts = &put, .put_count = 1};
+    store->ops->commit(store, &commit, ignore_reply, NULL);
+    fake_store_answer_all(fixture->fake);
+    AqBuffer_Clear(&bytes);
+    AqScheduler_Destroy(earlier);
+}
+
+/* Guards against an owner that starts nothing for the length of a lease,
+ * since it waits for a VM that was moved or rebooted under the owner before
+ * it and lives again under another id. */
+static void
+test_replaced_vm_has_ended(void)
+{
+    static const AqMachineCallsOps ops = {.list = list_machines};
+    AqMachineCalls machines = {&ops};
+    Fixture fixture;
+    OwnerFixture self;
+    AqSchedulerLoad load = {0};
+    set_up(&fixture);
+    store_roster(&fixture);
+    set_up_owner(&self, &fixture);
+    fixture.node.machines = &machines;
+    WaveBook *book = wave_book_create(&fixture.node);
+    PoolMachines *pool = pool_machines_create(&fixture.node, book, self.owner);
+    AqScheduler *s = pool_owner_scheduler(self.owner);
+    AqTime begin = AqLoop_Now(fixture.node.loop);
+    while (!load.is_settled &&
+           AqLoop_Now(fixture.node.loop) - begin < SETTLE_MS) {
+        AqLoop_RunOnce(fixture.node.loop, 10);
+        pool_machines_round(pool, true);
+        AqScheduler_Tick(s, AqLoop_Now(fixture.node.loop), 0, false);
+        AqScheduler_GetLoad(s, AqLoop_Now(fixture.node.loop), &load);
+    }
+    CU_ASSERT_TRUE(load.is_settled);
+    pool_machines_drop(pool);
+    wave_book_destroy(book);
+    fake_store_answer_all(fixture.fake);
+    tear_down_owner(&self);
+}
+
+/* ---- Upkeep ------------------------------------------------------------- */
+
 static WaveBook *
 make_wave_book(NodeContext *node)
 {
@@ -573,6 +656,7 @@
     Fixture fixture;
     OwnerFixture self;
     int begun = 0;
+    set_up(&fixture);
     set_up_owner(&self, &fixture);
     fixture.node.machines = &machines;
     WaveBook *book = make_wave_book(&fixture.node);
@@ -629,6 +713,7 @@
         {"garbled_vm_is_unlisted", test_garbled_vm_is_unlisted},
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
+        {"replaced_vm_has_ended", test_replaced_vm_has_ended},
         {"wave_states_in_one_write", test_wave_states_in_one_write},
         {"only_owners_follow_waves", test_only_owners_follow_waves},
     };
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -119,6 +119,9 @@
     size_t lasting_tasks; /* of them perpetual */
     int64_t cpu_millis;
     AqTime idle_since; /* when the last task ended; AQ_TIME_NEVER: not idle */
+    /* Orders may have gone to it, it is not known to have ended, and does not
+     * answer since then; AQ_TIME_NEVER: none of that. */
+    AqTime silent_since;
 } AqScheduledVm;
 
 /* Calls "visit" for each VM. */
--- a/packages/scheduler/roster.c
+++ b/packages/scheduler/roster.c
@@ -9,7 +9,8 @@
  * it; on a hand-over with the runs that it leaves. */
 
 enum {
-    TASK_FIELDS = 5 /* of a task in the roster */
+    TASK_FIELDS = 5, /* of a task in the roster */
+    VM_FIELDS = 4
 };
 
 uint64_t
@@ -53,7 +54,7 @@
 }
 
 /* The stored form: [is_handed_over, [[id, address, [[job, occurrence, step,
- * task, run] ...]] ...]].  Only a hand-over names the tasks. */
+ * task, run] ...], machine] ...]].  Only a hand-over names the tasks. */
 void
 AqScheduler_EncodeRoster(const AqScheduler *s, AqBuffer *out)
 {
@@ -73,7 +74,7 @@
         if (!is_on_roster(s, vm)) {
             continue;
         }
-        msgpack_pack_array(&packer, 3);
+        msgpack_pack_array(&packer, VM_FIELDS);
         record_pack_text(&packer, vm->report.id);
         record_pack_text(&packer, vm->report.address);
         if (s->is_closed) {
@@ -82,6 +83,7 @@
         else {
             msgpack_pack_array(&packer, 0);
         }
+        record_pack_text(&packer, vm->report.machine);
     }
 }
 
@@ -124,11 +126,13 @@
 }
 
 static Vm *
-add_roster_vm(AqScheduler *s, const char *id, const char *address)
+add_roster_vm(AqScheduler *s, const char *id, const char *address,
+              const char *machine)
 {
     AqVmReport report = {.leaves_ms = -1};
     g_strlcpy(report.id, id, sizeof(report.id));
     g_strlcpy(report.address, address, sizeof(report.address));
+    g_strlcpy(report.machine, machine, sizeof(report.machine));
     Vm *vm = vms_find(s, id);
     if (vm == NULL) {
         vm = vms_add(s, &report);
@@ -143,13 +147,16 @@
 {
     char *id = NULL;
     char *address = NULL;
-    bool ok = row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= 3 &&
+    char *machine = NULL;
+    bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
+              row->via.array.size >= VM_FIELDS &&
               record_text(&row->via.array.ptr[0], &id) && id != NULL &&
               record_text(&row->via.array.ptr[1], &address) &&
               address != NULL && strlen(id) < AQ_VM_ID_SIZE &&
-              row->via.array.ptr[2].type == MSGPACK_OBJECT_ARRAY;
+              row->via.array.ptr[2].type == MSGPACK_OBJECT_ARRAY &&
+              record_text(&row->via.array.ptr[3], &machine) && machine != NULL;
     if (ok) {
-        const Vm *vm = add_roster_vm(s, id, address);
+        const Vm *vm = add_roster_vm(s, id, address, machine);
         const msgpack_object_array *tasks = &row->via.array.ptr[2].via.array;
         for (uint32_t i = 0; ok && i < tasks->size; i++) {
             ok = add_handed_task(s, vm, &tasks->ptr[i]);
@@ -157,6 +164,7 @@
     }
     free(id);
     free(address);
+    free(machine);
     return ok;
 }
 
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -220,6 +220,52 @@
     sim_destroy(sim);
 }
 
+typedef struct {
+    AqScheduler *scheduler;
+    AqTime now;
+    unsigned ended;
+} Replaced;
+
+/* Tells the scheduler, as the platform's list would, that a silent life of a
+ * known VM has ended. */
+static void
+end_silent(void *context, const AqScheduledVm *view)
+{
+    Replaced *replaced = context;
+    if (view->silent_since != AQ_TIME_NEVER && view->machine[0] != '\0') {
+        replaced->ended++;
+        AqScheduler_VmEnded(replaced->scheduler, view->vm, replaced->now);
+    }
+}
+
+/* Guards against a new owner that waits for the leases of a VM which was
+ * ended by an order of the owner before it: the roster must name the machine,
+ * so that the platform's list can tell. */
+static void
+test_replaced_vm_is_not_awaited(void)
+{
+    Sim *sim = sim_create(15);
+    sim_add_simple(sim, "a1", 1, 4, 1000, 200);
+    sim_run(sim, 500);
+    sim_kill_owner(sim);
+    sim_silence_vm(sim, 0, 20000);
+    sim_add_simple(sim, "a2", 1, 4, 1000, 200);
+    sim_start_owner(sim, false);
+    sim_run(sim, 300);
+    Replaced replaced = {sim_scheduler(sim), sim_now(sim), 0};
+    AqSchedulerLoad load;
+    AqScheduler_GetLoad(replaced.scheduler, replaced.now, &load);
+    CU_ASSERT_FALSE(load.is_settled);
+    AqScheduler_EachVm(replaced.scheduler, end_silent, &replaced);
+    CU_ASSERT_EQUAL(replaced.ended, 1);
+    sim_run(sim, 100);
+    AqScheduler_GetLoad(replaced.scheduler, sim_now(sim), &load);
+    CU_ASSERT_TRUE(load.is_settled);
+    CU_ASSERT_TRUE(sim_finish(sim, 1500));
+    expect_unbroken(sim);
+    sim_destroy(sim);
+}
+
 /* Guards against a hand-over after which tasks wait for a silent VM that does
  * not run them: the earlier owner has said what runs where. */
 static void
@@ -480,6 +526,7 @@
         {"copies_beside_silence", test_copies_beside_silence},
         {"ended_vm_is_not_awaited", test_ended_vm_is_not_awaited},
         {"new_jobs_start_at_once", test_new_jobs_start_at_once},
+        {"replaced_vm_is_not_awaited", test_replaced_vm_is_not_awaited},
         {"hand_over_is_exact", test_hand_over_is_exact},
         {"cancel_stops", test_cancel_stops},
         {"uncertain_owner_is_quiet", test_uncertain_owner_is_quiet},
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -290,7 +290,8 @@
     AqList_ForEach(at, &s->vms)
     {
         const Vm *vm = AqList_Entry(at, Vm, link);
-        if (vm->was_used && !vm->has_answered && !has_lapsed(s, vm)) {
+        if (vm->was_used && !vm->has_answered && !vm->has_ended &&
+            !has_lapsed(s, vm)) {
             return;
         }
     }
@@ -405,6 +406,16 @@
                           vm->pending_ends->len == 0);
 }
 
+static AqTime
+silent_since(const AqScheduler *s, const Vm *vm)
+{
+    if (vm->has_ended) {
+        return AQ_TIME_NEVER;
+    }
+    return vm->was_used && !vm->has_answered ? s->created_at
+                                             : vm->silent_since;
+}
+
 void
 AqScheduler_EachVm(const AqScheduler *s,
                    void (*visit)(void *context, const AqScheduledVm *view),
@@ -419,6 +430,7 @@
             .is_usable = vms_is_usable(s, vm),
             .is_answering =
                 vm->has_answered && vm->silent_since == AQ_TIME_NEVER,
+            .silent_since = silent_since(s, vm),
             .tasks = vm->task_count,
             .cpu_millis = vm->report.cpu_millis,
             .idle_since = vm->idle_since,
