--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -472,6 +472,7 @@
     metrics->all = AqMetrics_Create();
     metrics->save_ms = AqMetrics_Histogram(metrics->all, "save", "");
     metrics->takeover_ms = AqMetrics_Histogram(metrics->all, "takeover", "");
+    metrics->orders_failed = AqMetrics_Counter(metrics->all, "unanswered", "");
     fixture->node.settings = &settings;
     fixture->node.site = (AqSiteConfig){.version = 1,
                                         .queues = &queue,
