Sizes: what is offered follows the durations measured, and a rise

Cause: a pool's estimate of the work that is submitted was the mean of the ratios of measured to declared durations; declared ones are off by large factors either way, so that it was twice the work.

Change: the ratio of the means; the difference of a mean over 1 s and one over 2 s gives the rise, which is continued for the 2 s that a VM takes to come; VMs are taken ahead from half of the room on and up to twice the need. A third of the room and four times the need, and a reserve of 60%, measured the same within the noise and were left out. Tests misdeclared_durations and offer_rises_on fail before.

--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -7,7 +7,10 @@
 #include "scheduler_internal.h"
 
 enum {
-    TICK_MS = 100 /* longest time between two ticks with work */
+    TICK_MS = 100, /* longest time between two ticks with work */
+    /* Weight of a measured duration is one in so many. */
+    MEASUREMENTS = 32,
+    AHEAD_MS = 2000 /* a VM takes so long to come */
 };
 
 /* ---- Jobs --------------------------------------------------------------- */
@@ -254,8 +257,9 @@
     finish_job(s, job, AQ_STAGE_COMPLETED);
 }
 
-/* Work that has been submitted fades with this time constant. */
+/* Work that has been submitted fades with these time constants. */
 static const double offered_ms = 1000.0;
+static const double offered_long_ms = 2000.0;
 
 static void
 fade_offered(AqScheduler *s)
@@ -263,10 +267,23 @@
     double passed = (double)(s->now - s->offered_at);
     if (passed > 0) {
         s->offered *= exp(-passed / offered_ms);
+        s->offered_long *= exp(-passed / offered_long_ms);
         s->offered_at = s->now;
     }
 }
 
+/* Cores that are offered once a VM that is asked for now has come.  While the
+ * load rises steadily, the mean over the longer time lags by one time constant
+ * more than that over the shorter one: their difference is the rise. */
+static double
+expected_offer(const AqScheduler *s)
+{
+    double now = s->offered / offered_ms;
+    double rise = (now - s->offered_long / offered_long_ms) /
+                  (offered_long_ms - offered_ms);
+    return rise > 0 ? now + rise * AHEAD_MS : now;
+}
+
 static void
 count_offered(AqScheduler *s, const AqJobSpec *spec)
 {
@@ -274,8 +291,10 @@
     for (size_t i = 0; i < spec->step_count; i++) {
         const AqStepSpec *step = &spec->steps[i];
         if (!step->is_perpetual && spec->occurrences == 0) {
-            s->offered += (double)step->task_count * (double)step->cpu_millis /
+            double work = (double)step->task_count * (double)step->cpu_millis /
                           1000.0 * (double)scheduler_estimate(s, step);
+            s->offered += work;
+            s->offered_long += work;
         }
     }
 }
@@ -374,25 +393,25 @@
 
 /* ---- Ends of tasks ------------------------------------------------------ */
 
+/* Declared durations are off by large factors either way.  The mean of the
+ * single ratios is far above the ratio of the means, which says how much work
+ * there is. */
 static void
 measure_duration(AqScheduler *s, const Task *task)
 {
-    enum {
-        SHARE = 16
-    }; /* of one measurement in the mean */
     AqTime declared = task->step->spec->estimate_ms;
     AqTime taken = s->now - task->started_at;
     if (declared > 0 && task->started_at > 0 && taken > 0 &&
         task->checkpoint == NULL) {
-        double ratio = (double)taken / (double)declared;
-        s->duration_ratio += (ratio - s->duration_ratio) / SHARE;
+        s->declared_ms += ((double)declared - s->declared_ms) / MEASUREMENTS;
+        s->taken_ms += ((double)taken - s->taken_ms) / MEASUREMENTS;
     }
 }
 
 AqTime
 scheduler_estimate(const AqScheduler *s, const AqStepSpec *spec)
 {
-    return (AqTime)((double)spec->estimate_ms * s->duration_ratio);
+    return (AqTime)((double)spec->estimate_ms * s->taken_ms / s->declared_ms);
 }
 
 static void
@@ -573,7 +592,7 @@
     memset(load, 0, sizeof(*load));
     s->now = now;
     fade_offered(s);
-    load->offered_cpu_millis = (int64_t)(s->offered / offered_ms * 1000.0);
+    load->offered_cpu_millis = (int64_t)(expected_offer(s) * 1000.0);
     load->is_settled = s->is_settled;
     AqList_ForEach(at, &s->active)
     {
@@ -618,7 +637,8 @@
     s->context = context;
     s->created_at = now;
     s->now = now;
-    s->duration_ratio = 1.0;
+    s->declared_ms = 1000.0;
+    s->taken_ms = 1000.0;
     s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     s->vms_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     s->handed = g_array_new(FALSE, FALSE, sizeof(HandedTask));
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -184,9 +184,12 @@
     AqTime earliest_place;
     AqTime next_scan;     /* of all tasks, for orders due again and pacing */
     int64_t largest_free; /* cores of one usable VM, during a placement */
-    double offered; /* work submitted lately, core-milliseconds, fading */
+    double offered;      /* work submitted lately, core-milliseconds, fading */
+    double offered_long; /* the same over a longer time */
     AqTime offered_at;
-    double duration_ratio; /* measured against declared durations */
+    /* Means over the last tasks that were done: declared and measured. */
+    double declared_ms;
+    double taken_ms;
     AqSchedulerCounters counters;
 };
 
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -11,8 +11,8 @@
      * empty the other pools: so many, or this part of a large site. */
     MOST_TAKEN = 16,
     MOST_TAKEN_PART = 4,
-    AHEAD_PERCENT = 100, /* of what is there: most that is taken ahead */
-    FULL_PERCENT = 70,   /* of the room: VMs are taken ahead of need */
+    AHEAD_PERCENT = 200, /* of what is there: most that is taken ahead */
+    FULL_PERCENT = 50,   /* of the room: VMs are taken ahead of need */
     STUCK_MS = 800       /* a task waits although there is room */
 };
 
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -79,6 +79,8 @@
 /* A job of "steps" steps in a chain, each of "tasks" tasks. */
 void sim_add_simple(Sim *sim, const char *id, unsigned steps, unsigned tasks,
                     int64_t cpu_millis, AqTime duration_ms);
+/* Runs of the job take so many percent of what it declares. */
+void sim_misdeclare(Sim *sim, const char *id, int percent);
 /* The next runs of a job fail. */
 void sim_fail_job(Sim *sim, const char *id, unsigned runs);
 void sim_cancel_job(Sim *sim, const char *id);
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -508,6 +508,102 @@
     sim_destroy(sim);
 }
 
+/* ---- Offered work ------------------------------------------------------- */
+
+/* What is offered once 40 jobs have shown how long tasks take and eight more
+ * have come; half of them declare "long_ms", half "short_ms", and all take
+ * 400 ms. */
+static int64_t
+offered_after(AqTime long_ms, AqTime short_ms)
+{
+    enum {
+        JOBS = 40,
+        MORE = 8,
+        TAKEN_MS = 400
+    };
+    AqSchedulerLoad load;
+    Sim *sim = sim_create(21);
+    for (int i = 0; i < JOBS + MORE; i++) {
+        AqTime declared = i % 2 == 0 ? long_ms : short_ms;
+        char id[AQ_JOB_ID_SIZE];
+        snprintf(id, sizeof(id), "a%d", i);
+        sim_add_simple(sim, id, 1, 2, 1000, declared);
+        sim_misdeclare(sim, id, (int)(TAKEN_MS * 100 / declared));
+        if (i < JOBS) {
+            sim_run(sim, TAKEN_MS);
+        }
+        if (i == JOBS - 1) {
+            sim_run(sim, 20000);
+        }
+    }
+    AqScheduler_GetLoad(sim_scheduler(sim), sim_now(sim), &load);
+    expect_unbroken(sim);
+    sim_destroy(sim);
+    return load.offered_cpu_millis;
+}
+
+/* Guards against a pool that hoards VMs because declared durations are off by
+ * large factors either way. */
+static void
+test_misdeclared_durations(void)
+{
+    int64_t truth = offered_after(400, 400);
+    int64_t seen = offered_after(1600, 100);
+    CU_ASSERT_TRUE(seen > truth * 7 / 10);
+    CU_ASSERT_TRUE(seen < truth * 14 / 10);
+}
+
+enum {
+    OFFER_STEP_MS = 50
+};
+
+/* Adds jobs that need one core for 100 ms each. */
+static void
+offer(AqScheduler *s, unsigned jobs, AqTime now)
+{
+    static unsigned number;
+    for (unsigned i = 0; i < jobs; i++) {
+        AqError error;
+        AqJobSpec spec = {.step_count = 1};
+        snprintf(spec.id, sizeof(spec.id), "%x", ++number);
+        spec.queue = strdup("queue");
+        spec.text = strdup("text");
+        spec.steps = calloc(1, sizeof(*spec.steps));
+        spec.steps[0] = (AqStepSpec){
+            .task_count = 1, .cpu_millis = 1000, .estimate_ms = 100};
+        CU_ASSERT_TRUE(AqScheduler_AddJob(s, &spec, NULL, 0, now, &error));
+    }
+}
+
+/* Guards against VMs that come too late for a turn: while the load rises, the
+ * offer must not lag behind it, and while it is steady not exceed it. */
+static void
+test_offer_rises_on(void)
+{
+    static const AqSchedulerActions actions = {0};
+    AqSiteConfig site = {.version = 1};
+    AqSchedulerConfig config = {.pool = "pool", .fence = 1, .lease_ms = 5000};
+    AqScheduler *s = AqScheduler_Create(&config, &actions, NULL, 0);
+    AqSchedulerLoad load;
+    AqTime now = 0;
+    AqScheduler_SetSite(s, &site);
+    AqScheduler_SetLoaded(s);
+    for (; now < 10000; now += OFFER_STEP_MS) {
+        offer(s, 1, now);
+    }
+    AqScheduler_GetLoad(s, now, &load);
+    CU_ASSERT_TRUE(load.offered_cpu_millis > 1800);
+    CU_ASSERT_TRUE(load.offered_cpu_millis < 2200);
+    /* From 2 to 20 cores in 3 s. */
+    for (; now < 13000; now += OFFER_STEP_MS) {
+        offer(s, 1 + (unsigned)(now - 10000) / 300, now);
+    }
+    AqScheduler_GetLoad(s, now, &load);
+    CU_ASSERT_TRUE(load.offered_cpu_millis > 20000);
+    CU_ASSERT_TRUE(load.offered_cpu_millis < 36000);
+    AqScheduler_Destroy(s);
+}
+
 int
 main(void)
 {
@@ -534,6 +630,8 @@
         {"draining_goes_before_cordoned", test_draining_goes_before_cordoned},
         {"lasting_stays_beside_silence", test_lasting_stays_beside_silence},
         {"fillers_are_paced", test_fillers_are_paced},
+        {"misdeclared_durations", test_misdeclared_durations},
+        {"offer_rises_on", test_offer_rises_on},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
