Machine duty: no order for a VM that was moved away; VMs that are due last

Cause: the owner of the spare pool sees VMs by the platform's list, up to 2.5 s old. Pools also took VMs whose upkeep was due while others were not, and gave them up again in the middle of a turn.

Ruled out: two owners of one pool (fences rise) and the record of the wave (it named the VM once).

Change: the duty remembers where it moved each VM and refuses asks of a pool that does not have it any more; the list is read every 0.8 s while a wave goes on; of the VMs in the spare pool those that are due are taken last. Tests moved_vm_is_not_taken_down and due_vm_is_taken_last fail before.

--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -49,6 +49,7 @@
     OwnerWriter *writer;
     GPtrArray *entries;  /* of Entry */
     GHashTable *demands; /* pool -> Demand */
+    GHashTable *places;  /* machine -> pool that this desk moved it to last */
     GHashTable *answers; /* pools with answers to be written */
     bool is_answering;
     AqTime answers_due;
@@ -67,6 +68,7 @@
     g_ptr_array_free(desk->entries, TRUE);
     g_hash_table_destroy(desk->answers);
     g_hash_table_destroy(desk->demands);
+    g_hash_table_destroy(desk->places);
     free(desk);
 }
 
@@ -104,6 +106,42 @@
     return false;
 }
 
+static bool
+is_spare(const MachineDesk *desk, const char *pool)
+{
+    const AqSiteConfig *site = &desk->node->site;
+    for (size_t i = 0; i < site->pool_count; i++) {
+        if (strcmp(site->pools[i].name, pool) == 0) {
+            return site->pools[i].is_spare;
+        }
+    }
+    return false;
+}
+
+/* Whether the VM has been moved away from where the owner saw it: the list
+ * that the owner has read is older than the move, and the order would end
+ * tasks of another pool. */
+static bool
+is_moved_away(const MachineDesk *desk, const Entry *entry)
+{
+    const char *place = g_hash_table_lookup(desk->places, entry->ask.machine);
+    if (place == NULL || strcmp(place, entry->pool) == 0) {
+        return false;
+    }
+    bool is_taken = strcmp(entry->ask.to_pool, entry->pool) == 0;
+    return !is_taken || !is_spare(desk, place);
+}
+
+/* Why an ask is refused, or NULL. */
+static const char *
+find_objection(const MachineDesk *desk, const Entry *entry)
+{
+    if (is_asked_elsewhere(desk, entry)) {
+        return "asked_by_other_pool";
+    }
+    return is_moved_away(desk, entry) ? "moved_away" : NULL;
+}
+
 static void
 end_entry(MachineDesk *desk, Entry *entry, bool is_refused)
 {
@@ -217,10 +255,11 @@
             entry->ask = list.asks[i];
             entry->fence = list.fence;
             g_strlcpy(entry->pool, pool, sizeof(entry->pool));
-            if (is_asked_elsewhere(desk, entry)) {
+            const char *objection = find_objection(desk, entry);
+            if (objection != NULL) {
                 AqLog_Event(AQ_LOG_INFO, "ask_refused",
-                            "machine=%s pool=%s reason=asked_by_other_pool",
-                            entry->ask.machine, pool);
+                            "machine=%s pool=%s reason=%s", entry->ask.machine,
+                            pool, objection);
                 end_entry(desk, entry, true);
             }
             g_ptr_array_add(desk->entries, entry);
@@ -318,6 +357,10 @@
     Entry *entry = call->entry;
     free(call);
     desk->calls--;
+    if (result == DUTY_DONE && entry->target[0] != '\0') {
+        g_hash_table_replace(desk->places, g_strdup(entry->ask.machine),
+                             g_strdup(entry->target));
+    }
     if (result == DUTY_DONE || result == DUTY_REFUSED) {
         end_entry(desk, entry, result == DUTY_REFUSED);
     }
@@ -376,6 +419,8 @@
     desk->entries = g_ptr_array_new_with_free_func(free);
     desk->demands =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_demand);
+    desk->places =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     desk->answers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     desk->writer = owner_writer_create(node, MEMBER_MACHINE_DUTY, fence);
--- a/packages/pool/pool_sizes.c
+++ b/packages/pool/pool_sizes.c
@@ -22,7 +22,7 @@
             machines_now(self) - vm->idle_since < AQ_SIZING_IDLE_MS;
         if (!vm->is_usable || vm->lasting > 0 || is_just_idle ||
             machines_find_plan(self, vm->machine) != NULL ||
-            wave_book_is_begun(self->waves, vm->machine)) {
+            wave_book_has(self->waves, vm->machine, AQ_WAVE_BEGUN)) {
             continue;
         }
         machines_cordon(self, vm, PLAN_GIVE, "surplus");
@@ -62,33 +62,53 @@
     self->wanted = wanted;
 }
 
-static void
-take(PoolMachines *self, const AqSizingDecision *decision, const char *spare)
+/* Whether the VM is off in the spare pool and free to be taken. */
+static bool
+is_spare_vm(const PoolMachines *self, const AqMachine *machine,
+            const char *spare)
+{
+    return strcmp(machine->pool, spare) == 0 &&
+           machine->state == AQ_MACHINE_UP &&
+           machines_find_plan(self, machine->machine) == NULL &&
+           !wave_book_has(self->waves, machine->machine, AQ_WAVE_BEGUN);
+}
+
+/* Takes up to "count" VMs whose upkeep is due, or is not; returns how many
+ * are still wanted. */
+static size_t
+take_some(PoolMachines *self, const char *spare, bool is_due, size_t count)
 {
-    size_t count = decision->take;
-    if (!machines_need_list(self, LIST_FRESH_MS)) {
-        return;
-    }
     /* Owners that take at the same time begin at different places. */
     size_t offset = g_str_hash(self->pool);
     for (guint i = 0; i < self->list->len && count > 0; i++) {
         const AqMachine *machine = &g_array_index(
             self->list, AqMachine, (i + offset) % self->list->len);
-        if (strcmp(machine->pool, spare) != 0 ||
-            machine->state != AQ_MACHINE_UP ||
-            machines_find_plan(self, machine->machine) != NULL ||
-            wave_book_is_begun(self->waves, machine->machine)) {
+        if (!is_spare_vm(self, machine, spare) ||
+            wave_book_has(self->waves, machine->machine, AQ_WAVE_WAITING) !=
+                is_due) {
             continue;
         }
         AqLog_Event(AQ_LOG_INFO, "vm_taken",
-                    "machine=%s pool=%s listed_ms_ago=%lld", machine->machine,
-                    self->pool,
+                    "machine=%s pool=%s due=%d listed_ms_ago=%lld",
+                    machine->machine, self->pool, is_due,
                     (long long)(machines_now(self) - self->listed_at));
         machines_ask(self,
                      machines_add_plan(self, machine->machine, "", PLAN_TAKE));
         count--;
     }
-    set_wanted(self, decision->need - (decision->take - count));
+    return count;
+}
+
+static void
+take(PoolMachines *self, const AqSizingDecision *decision, const char *spare)
+{
+    if (!machines_need_list(self, LIST_FRESH_MS)) {
+        return;
+    }
+    /* A VM that is due has its upkeep better while it is off. */
+    size_t left = take_some(self, spare, false, decision->take);
+    left = take_some(self, spare, true, left);
+    set_wanted(self, decision->need - (decision->take - left));
 }
 
 /* Whether a move has ended: the VM has come, or gone, or will not. */
--- a/packages/pool/pool_upkeep.c
+++ b/packages/pool/pool_upkeep.c
@@ -7,7 +7,7 @@
 #include "pool_machines_private.h"
 
 enum {
-    LIST_EVERY_MS = 2500, /* while VMs outside of the pools' view matter */
+    LIST_EVERY_MS = 800, /* while VMs outside of the pools' view matter */
     BACK_MS = 4000 /* a VM that is there so long after its order is back */
 };
 
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -403,10 +403,19 @@
 }
 
 const char *
-fake_store_value(const FakeStore *fake, const char *key)
+fake_store_bytes(const FakeStore *fake, const char *key, size_t *size)
 {
     const Record *record = find(fake, key);
-    return record != NULL && !record->removed ? record->value : NULL;
+    bool is_there = record != NULL && !record->removed;
+    *size = is_there ? record->size : 0;
+    return is_there ? record->value : NULL;
+}
+
+const char *
+fake_store_value(const FakeStore *fake, const char *key)
+{
+    size_t size;
+    return fake_store_bytes(fake, key, &size);
 }
 
 int64_t
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -34,6 +34,8 @@
 void fake_store_end_lease(FakeStore *fake);
 /* The value of a key, or NULL. */
 const char *fake_store_value(const FakeStore *fake, const char *key);
+const char *fake_store_bytes(const FakeStore *fake, const char *key,
+                             size_t *size);
 /* The longest wait that a watch has asked for, ms. */
 int64_t fake_store_longest_wait(const FakeStore *fake);
 
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -2,10 +2,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "aq_asks.h"
 #include "aq_log.h"
 #include "aq_platform.h"
 #include "fake_store.h"
 #include "keys.h"
+#include "machine_desk.h"
 #include "owner_writer.h"
 #include "pool_machines.h"
 #include "pool_owner.h"
@@ -538,27 +540,42 @@
 enum {
     WAVE_VMS = 6,
     WAVE_CAP = 4,
+    NOT_DUE = 4,     /* the one VM that is in no wave */
     SETTLE_MS = 2000 /* well below the lease of an order */
 };
 
-/* The platform's list: VMs of the wave, all up and without tasks. */
+/* The platform's list: VMs without tasks, all up in one pool. */
 static void
-list_machines(AqMachineCalls *calls, AqMachineListDone done, void *context)
+give_list(const char *pool, AqMachineListDone done, void *context)
 {
     AqMachine machines[WAVE_VMS];
     AqMachineList list = {
         .is_whole = true, .machines = machines, .count = WAVE_VMS};
-    (void)calls;
     memset(machines, 0, sizeof(machines));
     for (int i = 0; i < WAVE_VMS; i++) {
         snprintf(machines[i].machine, sizeof(machines[i].machine), "m-%d", i);
         snprintf(machines[i].vm, sizeof(machines[i].vm), "i-%d", i);
-        strcpy(machines[i].pool, "pool");
+        strcpy(machines[i].pool, pool);
         machines[i].state = AQ_MACHINE_UP;
     }
     done(context, &list);
 }
 
+static void
+list_machines(AqMachineCalls *calls, AqMachineListDone done, void *context)
+{
+    (void)calls;
+    give_list("pool", done, context);
+}
+
+static void
+list_spare_machines(AqMachineCalls *calls, AqMachineListDone done,
+                    void *context)
+{
+    (void)calls;
+    give_list("spare", done, context);
+}
+
 static void
 ignore_reply(void *context, const AqStoreReply *reply)
 {
@@ -566,6 +583,16 @@
     (void)reply;
 }
 
+static void
+store_bytes(Fixture *fixture, const char *key, const AqBuffer *bytes)
+{
+    AqStore *store = fixture->node.store;
+    AqStorePut put = {key, AqBuffer_Text(bytes), bytes->size, 0};
+    AqStoreCommit commit = {.puts = &put, .put_count = 1};
+    store->ops->commit(store, &commit, ignore_reply, NULL);
+    fake_store_answer_all(fixture->fake);
+}
+
 /* A life of VM m-0 that an earlier owner of the pool gave orders to. */
 static void
 store_roster(Fixture *fixture)
@@ -574,16 +601,11 @@
     AqVmReport report = {.id = "i-old", .machine = "m-0", .leaves_ms = -1};
     AqSchedulerConfig config = {.pool = "pool", .fence = 1, .lease_ms = 5000};
     AqScheduler *earlier = AqScheduler_Create(&config, &actions, NULL, 0);
-    AqStore *store = fixture->node.store;
     AqBuffer bytes;
     AqBuffer_Init(&bytes);
     AqScheduler_SetVm(earlier, &report, 0);
     AqScheduler_EncodeRoster(earlier, &bytes);
-    AqStorePut put = {key_of(KEY_ROSTER, "pool"), AqBuffer_Text(&bytes),
-                      bytes.size, 0};
-    AqStoreCommit commit = {.puts = &put, .put_count = 1};
-    store->ops->commit(store, &commit, ignore_reply, NULL);
-    fake_store_answer_all(fixture->fake);
+    store_bytes(fixture, key_of(KEY_ROSTER, "pool"), &bytes);
     AqBuffer_Clear(&bytes);
     AqScheduler_Destroy(earlier);
 }
@@ -676,6 +698,153 @@
     tear_down_owner(&self);
 }
 
+/* ---- The machine duty --------------------------------------------------- */
+
+typedef struct {
+    AqMachineCalls calls;
+    unsigned moves;
+    unsigned upkeeps;
+} CountedMachines;
+
+static void
+count_move(AqMachineCalls *calls, const char *machine, const char *pool,
+           const char *holder, uint64_t fence, AqMachineOrderDone done,
+           void *context)
+{
+    (void)machine;
+    (void)pool;
+    (void)holder;
+    (void)fence;
+    ((CountedMachines *)calls)->moves++;
+    done(context, AQ_MACHINE_ORDER_DONE);
+}
+
+static void
+count_upkeep(AqMachineCalls *calls, const char *machine, int64_t wave,
+             const char *holder, uint64_t fence, AqMachineOrderDone done,
+             void *context)
+{
+    (void)machine;
+    (void)wave;
+    (void)holder;
+    (void)fence;
+    ((CountedMachines *)calls)->upkeeps++;
+    done(context, AQ_MACHINE_ORDER_DONE);
+}
+
+/* Asks of a pool for VM m-1; to no pool: for its upkeep. */
+static void
+store_ask(Fixture *fixture, const char *pool, uint64_t fence, int64_t number,
+          const char *to_pool)
+{
+    AqAsk ask = {.number = number, .wave = to_pool[0] == '\0'};
+    AqAskList list = {.fence = fence, .asks = &ask, .count = 1};
+    AqBuffer bytes;
+    AqBuffer_Init(&bytes);
+    strcpy(ask.machine, "m-1");
+    strcpy(ask.to_pool, to_pool);
+    AqAskList_Encode(&list, &bytes);
+    store_bytes(fixture, key_of(KEY_ASK, pool), &bytes);
+    AqBuffer_Clear(&bytes);
+}
+
+static void
+run_desk(Fixture *fixture, MachineDesk *desk)
+{
+    fake_store_answer_all(fixture->fake);
+    machine_desk_round(desk, true);
+    fake_store_answer_all(fixture->fake);
+}
+
+/* Guards against the upkeep of a VM that works for another pool by now: the
+ * owner of the spare pool has read the list before the VM was moved. */
+static void
+test_moved_vm_is_not_taken_down(void)
+{
+    static const AqMachineCallsOps ops = {.move = count_move,
+                                          .upkeep = count_upkeep};
+    static AqSettings settings = {.node_id = "n-1"};
+    static AqPoolConfig pools[] = {{.name = "a"},
+                                   {.name = "spare", .is_spare = true}};
+    CountedMachines machines = {{&ops}, 0, 0};
+    Fixture fixture;
+    set_up(&fixture);
+    fixture.node.settings = &settings;
+    fixture.node.machines = &machines.calls;
+    fixture.node.site =
+        (AqSiteConfig){.version = 1, .pools = pools, .pool_count = 2};
+    uint64_t duty = fake_store_put(
+        fixture.fake, key_of(KEY_OWNER, MEMBER_MACHINE_DUTY), "n-1");
+    uint64_t taker =
+        fake_store_put(fixture.fake, key_of(KEY_OWNER, "a"), "n-1");
+    uint64_t keeper =
+        fake_store_put(fixture.fake, key_of(KEY_OWNER, "spare"), "n-1");
+    MachineDesk *desk = machine_desk_create(&fixture.node, duty);
+    store_ask(&fixture, "a", taker, 1, "a");
+    run_desk(&fixture, desk);
+    CU_ASSERT_EQUAL(machines.moves, 1);
+    /* The VM has come, and its new owner asks for nothing more. */
+    fake_store_remove(fixture.fake, key_of(KEY_ASK, "a"));
+    store_ask(&fixture, "spare", keeper, 1, "");
+    run_desk(&fixture, desk);
+    CU_ASSERT_EQUAL(machines.upkeeps, 0);
+    store_ask(&fixture, "a", taker, 2, "");
+    run_desk(&fixture, desk);
+    CU_ASSERT_EQUAL(machines.upkeeps, 1);
+    machine_desk_drop(desk);
+    fake_store_answer_all(fixture.fake);
+    tear_down(&fixture);
+}
+
+/* ---- Taking VMs --------------------------------------------------------- */
+
+/* Guards against a VM that is taken to work just before its upkeep is due,
+ * while another one is not due. */
+static void
+test_due_vm_is_taken_last(void)
+{
+    static const AqMachineCallsOps ops = {.list = list_spare_machines};
+    AqMachineCalls machines = {&ops};
+    static AqPoolConfig pools[] = {{.name = "pool"},
+                                   {.name = "spare", .is_spare = true}};
+    Fixture fixture;
+    OwnerFixture self;
+    AqAskList list;
+    set_up(&fixture);
+    set_up_owner(&self, &fixture);
+    fixture.node.machines = &machines;
+    fixture.node.site.pools = pools;
+    fixture.node.site.pool_count = 2;
+    WaveBook *book = wave_book_create(&fixture.node);
+    AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
+    spec.machines = calloc(WAVE_VMS, sizeof(*spec.machines));
+    for (int i = 0; i < WAVE_VMS; i++) {
+        if (i != NOT_DUE) {
+            snprintf(spec.machines[spec.machine_count++], AQ_VM_ID_SIZE,
+                     "m-%d", i);
+        }
+    }
+    wave_book_add(book, &spec);
+    wave_book_follow(book);
+    PoolMachines *pool = pool_machines_create(&fixture.node, book, self.owner);
+    while (fake_store_value(fixture.fake, key_of(KEY_ASK, "pool")) == NULL) {
+        fake_store_answer_all(fixture.fake);
+        AqLoop_RunOnce(fixture.node.loop, 10);
+        pool_machines_round(pool, true);
+    }
+    size_t size;
+    const char *bytes =
+        fake_store_bytes(fixture.fake, key_of(KEY_ASK, "pool"), &size);
+    CU_ASSERT_TRUE_FATAL(AqAskList_Decode(bytes, size, &list));
+    CU_ASSERT_EQUAL_FATAL(list.count, 1);
+    CU_ASSERT_STRING_EQUAL(list.asks[0].machine, "m-4");
+    AqAskList_Clear(&list);
+    pool_machines_drop(pool);
+    wave_book_destroy(book);
+    fake_store_answer_all(fixture.fake);
+    tear_down_owner(&self);
+}
+
 /* Guards against a call of every node for each change of a wave's record,
  * which only owners of pools need. */
 static void
@@ -716,6 +885,8 @@
         {"report_ends_with_release", test_report_ends_with_release},
         {"replaced_vm_has_ended", test_replaced_vm_has_ended},
         {"wave_states_in_one_write", test_wave_states_in_one_write},
+        {"moved_vm_is_not_taken_down", test_moved_vm_is_not_taken_down},
+        {"due_vm_is_taken_last", test_due_vm_is_taken_last},
         {"only_owners_follow_waves", test_only_owners_follow_waves},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
--- a/packages/pool/wave_book.c
+++ b/packages/pool/wave_book.c
@@ -118,7 +118,7 @@
 }
 
 bool
-wave_book_is_begun(WaveBook *book, const char *machine)
+wave_book_has(WaveBook *book, const char *machine, AqWaveState state)
 {
     GHashTableIter iter;
     gpointer value;
@@ -126,8 +126,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const WaveEntry *entry = value;
         int at = AqWave_Find(entry->wave, machine);
-        if (at >= 0 &&
-            AqWave_State(entry->wave, (size_t)at) == AQ_WAVE_BEGUN) {
+        if (at >= 0 && AqWave_State(entry->wave, (size_t)at) == state) {
             return true;
         }
     }
--- a/packages/pool/wave_book.h
+++ b/packages/pool/wave_book.h
@@ -27,7 +27,7 @@
 void wave_book_each(WaveBook *book,
                     void (*visit)(void *context, WaveEntry *entry),
                     void *context);
-/* Whether the upkeep of a VM has begun and is not known to be over. */
-bool wave_book_is_begun(WaveBook *book, const char *machine);
+/* Whether a wave has the VM in that state. */
+bool wave_book_has(WaveBook *book, const char *machine, AqWaveState state);
 
 #endif
