Machine duty: no look at the store before a known claim

Change: the duty remembers the index of its last claim for each VM; the claim itself requires it, so that an order of another node in between is still seen and paused for.

--- a/packages/pool/duty.c
+++ b/packages/pool/duty.c
@@ -38,7 +38,7 @@
                 call->machine, call->to_pool[0] != '\0' ? "move" : "upkeep",
                 call->to_pool, (long long)call->wave, call->pool,
                 (unsigned long long)call->fence, names[result], reason);
-    call->done(call->context, result);
+    call->done(call->context, result, call->fence);
     free(call);
 }
 
@@ -159,6 +159,10 @@
     g_strlcpy(call->pool, order->pool, sizeof(call->pool));
     g_strlcpy(call->machine, order->machine, sizeof(call->machine));
     g_strlcpy(call->to_pool, order->to_pool, sizeof(call->to_pool));
+    if (order->last_claim != 0) {
+        claim(call, order->last_claim);
+        return;
+    }
     node->store->ops->get(node->store, key_of(KEY_MACHINE, order->machine),
                           on_read, call);
 }
--- a/packages/pool/duty.h
+++ b/packages/pool/duty.h
@@ -20,7 +20,8 @@
     DUTY_UNKNOWN  /* no answer; it may be carried out */
 } DutyResult;
 
-typedef void (*DutyDone)(void *context, DutyResult result);
+/* "claim" is the index of the order's claim; 0: it was not claimed. */
+typedef void (*DutyDone)(void *context, DutyResult result, uint64_t claim);
 
 typedef struct {
     const char *pool; /* whose owner asks, and its fence */
@@ -29,6 +30,10 @@
     const char *machine;
     const char *to_pool; /* a move; "": upkeep */
     int64_t wave;        /* of an upkeep */
+    /* This node's last claim for the VM, which saves a look at the store; 0:
+     * not known.  If another node has claimed it since, the order ends with
+     * DUTY_LATER. */
+    uint64_t last_claim;
 } DutyOrder;
 
 /* "done" is called once, from the loop. */
--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -42,6 +42,12 @@
     GArray *sent; /* of AqTime: when VMs were sent there */
 } Demand;
 
+/* What this desk has done with a VM last. */
+typedef struct {
+    char pool[64];  /* it was moved there; "": not moved */
+    uint64_t claim; /* 0: not known */
+} Place;
+
 struct MachineDesk {
     NodeContext *node;
     uint64_t fence;
@@ -49,7 +55,7 @@
     OwnerWriter *writer;
     GPtrArray *entries;  /* of Entry */
     GHashTable *demands; /* pool -> Demand */
-    GHashTable *places;  /* machine -> pool that this desk moved it to last */
+    GHashTable *places;  /* machine -> Place */
     GHashTable *answers; /* pools with answers to be written */
     bool is_answering;
     AqTime answers_due;
@@ -124,12 +130,13 @@
 static bool
 is_moved_away(const MachineDesk *desk, const Entry *entry)
 {
-    const char *place = g_hash_table_lookup(desk->places, entry->ask.machine);
-    if (place == NULL || strcmp(place, entry->pool) == 0) {
+    const Place *place = g_hash_table_lookup(desk->places, entry->ask.machine);
+    if (place == NULL || place->pool[0] == '\0' ||
+        strcmp(place->pool, entry->pool) == 0) {
         return false;
     }
     bool is_taken = strcmp(entry->ask.to_pool, entry->pool) == 0;
-    return !is_taken || !is_spare(desk, place);
+    return !is_taken || !is_spare(desk, place->pool);
 }
 
 /* Why an ask is refused, or NULL. */
@@ -349,17 +356,29 @@
 
 /* ---- Orders ------------------------------------------------------------- */
 
+static Place *
+find_place(const MachineDesk *desk, const char *machine)
+{
+    Place *place = g_hash_table_lookup(desk->places, machine);
+    if (place == NULL) {
+        place = calloc(1, sizeof(*place));
+        g_hash_table_insert(desk->places, g_strdup(machine), place);
+    }
+    return place;
+}
+
 static void
-on_done(void *context, DutyResult result)
+on_done(void *context, DutyResult result, uint64_t claim)
 {
     DeskCall *call = context;
     MachineDesk *desk = call->desk;
     Entry *entry = call->entry;
     free(call);
     desk->calls--;
+    Place *place = find_place(desk, entry->ask.machine);
+    place->claim = claim;
     if (result == DUTY_DONE && entry->target[0] != '\0') {
-        g_hash_table_replace(desk->places, g_strdup(entry->ask.machine),
-                             g_strdup(entry->target));
+        g_strlcpy(place->pool, entry->target, sizeof(place->pool));
     }
     if (result == DUTY_DONE || result == DUTY_REFUSED) {
         end_entry(desk, entry, result == DUTY_REFUSED);
@@ -386,6 +405,7 @@
         .machine = entry->ask.machine,
         .to_pool = entry->target,
         .wave = entry->ask.wave,
+        .last_claim = find_place(desk, entry->ask.machine)->claim,
     };
     DeskCall *call = calloc(1, sizeof(*call));
     call->desk = desk;
@@ -420,7 +440,7 @@
     desk->demands =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_demand);
     desk->places =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
     desk->answers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     desk->writer = owner_writer_create(node, MEMBER_MACHINE_DUTY, fence);
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -42,6 +42,7 @@
     uint64_t index;
     uint64_t forgotten; /* history up to this index is gone */
     int64_t longest_wait;
+    unsigned reads;
     uint64_t lease; /* the last one granted; 0: none holds */
     uint64_t leases;
 };
@@ -135,6 +136,7 @@
 static void
 on_get(AqStore *store, const char *key, AqStoreDone done, void *context)
 {
+    ((FakeStore *)store)->reads++;
     add_call(store, CALL_GET, key, done, context);
 }
 
@@ -418,6 +420,12 @@
     return fake_store_bytes(fake, key, &size);
 }
 
+unsigned
+fake_store_reads(const FakeStore *fake)
+{
+    return fake->reads;
+}
+
 int64_t
 fake_store_longest_wait(const FakeStore *fake)
 {
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -36,6 +36,8 @@
 const char *fake_store_value(const FakeStore *fake, const char *key);
 const char *fake_store_bytes(const FakeStore *fake, const char *key,
                              size_t *size);
+/* Looks at single keys that were asked for so far. */
+unsigned fake_store_reads(const FakeStore *fake);
 /* The longest wait that a watch has asked for, ms. */
 int64_t fake_store_longest_wait(const FakeStore *fake);
 
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -756,44 +756,104 @@
     fake_store_answer_all(fixture->fake);
 }
 
-/* Guards against the upkeep of a VM that works for another pool by now: the
- * owner of the spare pool has read the list before the VM was moved. */
+typedef struct {
+    Fixture fixture;
+    CountedMachines machines;
+    MachineDesk *desk;
+    uint64_t taker;  /* fence of pool "a" */
+    uint64_t keeper; /* fence of pool "spare" */
+} DeskFixture;
+
 static void
-test_moved_vm_is_not_taken_down(void)
+set_up_desk(DeskFixture *self)
 {
     static const AqMachineCallsOps ops = {.move = count_move,
                                           .upkeep = count_upkeep};
-    static AqSettings settings = {.node_id = "n-1"};
+    static AqSettings settings = {.node_id = "n-1",
+                                  .limits_machine_pause_ms = 3000};
     static AqPoolConfig pools[] = {{.name = "a"},
                                    {.name = "spare", .is_spare = true}};
-    CountedMachines machines = {{&ops}, 0, 0};
-    Fixture fixture;
-    set_up(&fixture);
-    fixture.node.settings = &settings;
-    fixture.node.machines = &machines.calls;
-    fixture.node.site =
+    Fixture *fixture = &self->fixture;
+    self->machines = (CountedMachines){{&ops}, 0, 0};
+    set_up(fixture);
+    fixture->node.settings = &settings;
+    fixture->node.machines = &self->machines.calls;
+    fixture->node.site =
         (AqSiteConfig){.version = 1, .pools = pools, .pool_count = 2};
     uint64_t duty = fake_store_put(
-        fixture.fake, key_of(KEY_OWNER, MEMBER_MACHINE_DUTY), "n-1");
-    uint64_t taker =
-        fake_store_put(fixture.fake, key_of(KEY_OWNER, "a"), "n-1");
-    uint64_t keeper =
-        fake_store_put(fixture.fake, key_of(KEY_OWNER, "spare"), "n-1");
-    MachineDesk *desk = machine_desk_create(&fixture.node, duty);
-    store_ask(&fixture, "a", taker, 1, "a");
-    run_desk(&fixture, desk);
-    CU_ASSERT_EQUAL(machines.moves, 1);
+        fixture->fake, key_of(KEY_OWNER, MEMBER_MACHINE_DUTY), "n-1");
+    self->taker = fake_store_put(fixture->fake, key_of(KEY_OWNER, "a"), "n-1");
+    self->keeper =
+        fake_store_put(fixture->fake, key_of(KEY_OWNER, "spare"), "n-1");
+    self->desk = machine_desk_create(&fixture->node, duty);
+}
+
+static void
+tear_down_desk(DeskFixture *self)
+{
+    machine_desk_drop(self->desk);
+    fake_store_answer_all(self->fixture.fake);
+    tear_down(&self->fixture);
+}
+
+/* Guards against the upkeep of a VM that works for another pool by now: the
+ * owner of the spare pool has read the list before the VM was moved. */
+static void
+test_moved_vm_is_not_taken_down(void)
+{
+    DeskFixture self;
+    set_up_desk(&self);
+    store_ask(&self.fixture, "a", self.taker, 1, "a");
+    run_desk(&self.fixture, self.desk);
+    CU_ASSERT_EQUAL(self.machines.moves, 1);
     /* The VM has come, and its new owner asks for nothing more. */
-    fake_store_remove(fixture.fake, key_of(KEY_ASK, "a"));
-    store_ask(&fixture, "spare", keeper, 1, "");
-    run_desk(&fixture, desk);
-    CU_ASSERT_EQUAL(machines.upkeeps, 0);
-    store_ask(&fixture, "a", taker, 2, "");
-    run_desk(&fixture, desk);
-    CU_ASSERT_EQUAL(machines.upkeeps, 1);
-    machine_desk_drop(desk);
-    fake_store_answer_all(fixture.fake);
-    tear_down(&fixture);
+    fake_store_remove(self.fixture.fake, key_of(KEY_ASK, "a"));
+    store_ask(&self.fixture, "spare", self.keeper, 1, "");
+    run_desk(&self.fixture, self.desk);
+    CU_ASSERT_EQUAL(self.machines.upkeeps, 0);
+    store_ask(&self.fixture, "a", self.taker, 2, "");
+    run_desk(&self.fixture, self.desk);
+    CU_ASSERT_EQUAL(self.machines.upkeeps, 1);
+    tear_down_desk(&self);
+}
+
+/* Guards against asks that are refused for ever after an upkeep, which moves
+ * the VM nowhere. */
+static void
+test_upkeep_leaves_place(void)
+{
+    DeskFixture self;
+    set_up_desk(&self);
+    for (int64_t i = 1; i <= 2; i++) {
+        store_ask(&self.fixture, "a", self.taker, i, "");
+        run_desk(&self.fixture, self.desk);
+        CU_ASSERT_EQUAL(self.machines.upkeeps, i);
+    }
+    tear_down_desk(&self);
+}
+
+/* Guards against a look at the store before every order, and against an order
+ * without the pause after another node's, which only that look would show. */
+static void
+test_known_claim_is_not_read(void)
+{
+    DeskFixture self;
+    set_up_desk(&self);
+    store_ask(&self.fixture, "a", self.taker, 1, "a");
+    run_desk(&self.fixture, self.desk);
+    run_desk(&self.fixture, self.desk); /* the answer is written */
+    unsigned reads = fake_store_reads(self.fixture.fake);
+    store_ask(&self.fixture, "a", self.taker, 2, "");
+    run_desk(&self.fixture, self.desk);
+    CU_ASSERT_EQUAL(self.machines.upkeeps, 1);
+    CU_ASSERT_EQUAL(fake_store_reads(self.fixture.fake), reads);
+    char claim[64];
+    snprintf(claim, sizeof(claim), "n-2 %lld", (long long)AqClock_ReadWall());
+    fake_store_put(self.fixture.fake, key_of(KEY_MACHINE, "m-1"), claim);
+    store_ask(&self.fixture, "a", self.taker, 3, "");
+    run_desk(&self.fixture, self.desk);
+    CU_ASSERT_EQUAL(self.machines.upkeeps, 1);
+    tear_down_desk(&self);
 }
 
 /* ---- Taking VMs --------------------------------------------------------- */
@@ -886,6 +946,8 @@
         {"replaced_vm_has_ended", test_replaced_vm_has_ended},
         {"wave_states_in_one_write", test_wave_states_in_one_write},
         {"moved_vm_is_not_taken_down", test_moved_vm_is_not_taken_down},
+        {"upkeep_leaves_place", test_upkeep_leaves_place},
+        {"known_claim_is_not_read", test_known_claim_is_not_read},
         {"due_vm_is_taken_last", test_due_vm_is_taken_last},
         {"only_owners_follow_waves", test_only_owners_follow_waves},
     };
