Membership: a node that is gone is replaced after 2 s

Ruled out: the wait before a claim (0.1 to 0.4 s) and loading (0.03 s).

Change: the lease is 2 s, renewed every 0.45 s, so that one renewal without an answer (1.2 s) does not end it.

--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -10,7 +10,7 @@
 #include "prefix_view.h"
 
 enum {
-    KEEP_MS = 700,
+    KEEP_MS = 450,
     KEEP_RETRY_MS = 150,
     ORDER_MS = 300, /* for an order to leave and be carried out */
     /* The clock of the store may run a little faster than ours. */
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -52,7 +52,7 @@
 void member_leave(Member *member);
 
 enum {
-    MEMBER_LEASE_MS = 3000 /* a node that is gone is replaced after that */
+    MEMBER_LEASE_MS = 2000 /* a node that is gone is replaced after that */
 };
 
 #endif
