explain: a request's life and the cause of its end, from logs

Cause: an engineer with only the logs had to put a request's lines together by hand and to look for the owner, the store and the load around them.

Change: package explain, without I/O, and the command amaranthquay explain ID [FILE...]. Two passes over the logs: the request's lines, then what happened around them. Tests of the pool use bounded copies, which the linter asks for.

--- a/packages/cli/cli.c
+++ b/packages/cli/cli.c
@@ -12,6 +12,7 @@
 #include "aq_json.h"
 #include "client.h"
 #include "command.h"
+#include "explain_command.h"
 #include "table.h"
 
 enum {
@@ -393,6 +394,10 @@
     if (command == NULL) {
         goto error;
     }
+    if (command->type == COMMAND_EXPLAIN) {
+        return explain_run(arguments.words + used, arguments.word_count - used,
+                           arguments.json);
+    }
     args = command_args(command, arguments.words + used,
                         arguments.word_count - used, &error);
     if (args == NULL || !read_token(&arguments, &error)) {
--- a/packages/cli/command.c
+++ b/packages/cli/command.c
@@ -57,6 +57,8 @@
      "buffer moves time", "weigh buffer cost, moves and roll-out time"},
     {"config", "show", COMMAND_STATE, "weights", "", "", "show the weights"},
     {"member", "list", COMMAND_STATE, "members", "", "", "show entry VMs"},
+    {"explain", NULL, COMMAND_EXPLAIN, NULL, "id", "",
+     "explain a request by the nodes' logs, FILE..."},
     {"status", NULL, COMMAND_STATUS, NULL, "", "", "show one daemon"},
     {"report", "burn", COMMAND_BURN, NULL, "", "svg",
      "show service-level burn; svg=FILE writes a plot"},
--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -14,7 +14,8 @@
     COMMAND_INTENT, /* sends an intent */
     COMMAND_STATE,  /* shows records of a kind */
     COMMAND_STATUS, /* shows one daemon */
-    COMMAND_BURN    /* shows the burn report */
+    COMMAND_BURN,   /* shows the burn report */
+    COMMAND_EXPLAIN /* reads logs; asks no server */
 } CommandType;
 
 typedef struct {
--- /dev/null
+++ b/packages/explain/explain_cause.c
@@ -0,0 +1,432 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "explain_internal.h"
+
+/* What the lines of the request say of it. */
+typedef struct {
+    const Line *first;
+    const Line *stored;  /* the answer to the submission */
+    const Line *refused; /* the last answer that was a refusal */
+    const Line *unknown; /* the last one that left the outcome open */
+    const Line *cancelled;
+    const Line *ordered;  /* the first order to a VM */
+    const Line *finished; /* the record of the end is stored */
+    const Line *bad_end;  /* the last run that did not end as done */
+    unsigned refusals;
+    unsigned done;
+    unsigned failed; /* runs by their end */
+    unsigned lost;   /* ended otherwise than done, failed or stopped */
+    const char *pool;
+} Facts;
+
+static void
+add_answer(Facts *facts, const Line *line)
+{
+    gint64 status = line_number(line, "status");
+    const char *method = line_get(line, "method");
+    bool is_submission = strcmp(method, "POST") == 0;
+    if (is_submission && status == 200 && facts->stored == NULL) {
+        facts->stored = line;
+    }
+    else if (is_submission && status == 504) {
+        facts->unknown = line;
+    }
+    else if (is_submission && status >= 400) {
+        facts->refused = line;
+        facts->refusals++;
+    }
+    else if (strcmp(method, "DELETE") == 0 && status < 300) {
+        facts->cancelled = line;
+    }
+}
+
+static void
+add_end(Facts *facts, const Line *line)
+{
+    const char *outcome = line_get(line, "outcome");
+    if (strcmp(outcome, "done") == 0) {
+        facts->done++;
+        return;
+    }
+    facts->bad_end = line;
+    if (strcmp(outcome, "failed") == 0) {
+        facts->failed++;
+    }
+    else if (strcmp(outcome, "stopped") != 0) {
+        facts->lost++;
+    }
+}
+
+/* The pool by its name, or by the fence of its owner. */
+static const char *
+find_pool(const AqExplain *explain, const Facts *facts)
+{
+    if (facts->finished != NULL) {
+        return line_get(facts->finished, "pool");
+    }
+    for (guint i = 0; i < explain->context->len && facts->ordered != NULL;
+         i++) {
+        const Line *line = g_ptr_array_index(explain->context, i);
+        if (line_is(line, "pool_gained") &&
+            strcmp(line_get(line, "fence"),
+                   line_get(facts->ordered, "fence")) == 0) {
+            return line_get(line, "pool");
+        }
+    }
+    return "";
+}
+
+static void
+gather(const AqExplain *explain, Facts *facts)
+{
+    memset(facts, 0, sizeof(*facts));
+    for (guint i = 0; i < explain->life->len; i++) {
+        const Line *line = g_ptr_array_index(explain->life, i);
+        facts->first = i == 0 ? line : facts->first;
+        if (line_is(line, "answered")) {
+            add_answer(facts, line);
+        }
+        else if (line_is(line, "run_ordered")) {
+            facts->ordered = facts->ordered != NULL ? facts->ordered : line;
+        }
+        else if (line_is(line, "run_ended")) {
+            add_end(facts, line);
+        }
+        else if (line_is(line, "job_finished")) {
+            facts->finished = line;
+        }
+        else if (line_is(line, "cancel_seen") && facts->cancelled == NULL) {
+            facts->cancelled = line;
+        }
+    }
+    facts->pool = find_pool(explain, facts);
+}
+
+/* ---- Evidence ----------------------------------------------------------- */
+
+static void
+add_evidence(json_t *report, const Line *line, gint64 begin)
+{
+    GString *text = g_string_new(NULL);
+    g_string_printf(text,
+                    "%+.3f s %s:", (double)(line->time_ms - begin) / 1000,
+                    line_get(line, "process"));
+    for (guint i = 0; i < line->fields->len; i++) {
+        const Field *field = &g_array_index(line->fields, Field, i);
+        if (strcmp(field->key, "time_ms") != 0 &&
+            strcmp(field->key, "level") != 0 &&
+            strcmp(field->key, "process") != 0 &&
+            strcmp(field->key, "request") != 0) {
+            g_string_append_printf(text, " %s=%s", field->key, field->value);
+        }
+    }
+    json_array_append_new(json_object_get(report, "evidence"),
+                          json_string(text->str));
+    g_string_free(text, TRUE);
+}
+
+static void
+set_cause(json_t *report, const char *format, ...)
+{
+    va_list arguments;
+    va_start(arguments, format);
+    char *text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    json_object_set_new(report, "cause", json_string(text));
+    g_free(text);
+}
+
+/* The last such line of a node, or of any, up to a time; or NULL. */
+static const Line *
+find_before(const AqExplain *explain, const char *event, const char *node,
+            gint64 time_ms)
+{
+    const Line *found = NULL;
+    for (guint i = 0; i < explain->context->len; i++) {
+        const Line *line = g_ptr_array_index(explain->context, i);
+        if (line_is(line, event) && line->time_ms <= time_ms &&
+            (node == NULL || strcmp(line_get(line, "process"), node) == 0)) {
+            found = line;
+        }
+    }
+    return found;
+}
+
+/* ---- Causes, each true if it is the one --------------------------------- */
+
+typedef bool (*CauseTest)(const AqExplain *explain, const Facts *facts,
+                          json_t *report);
+
+static bool
+was_refused(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    if (facts->stored != NULL || facts->refused == NULL ||
+        facts->ordered != NULL) {
+        return false;
+    }
+    const char *node = line_get(facts->refused, "process");
+    const char *reason = line_get(facts->refused, "reason");
+    const Line *lost =
+        find_before(explain, "store_lost", node, facts->refused->time_ms);
+    json_object_set_new(report, "outcome", json_string("refused"));
+    add_evidence(report, facts->refused, facts->first->time_ms);
+    if (strcmp(reason, "store_unavailable") == 0) {
+        set_cause(report, "the store did not serve node %s%s", node,
+                  lost != NULL ? "" : "; no earlier line says since when");
+    }
+    else {
+        set_cause(report, "refused by node %s: %s", node, reason);
+    }
+    if (lost != NULL) {
+        add_evidence(report, lost, facts->first->time_ms);
+    }
+    return true;
+}
+
+static bool
+is_unknown(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    (void)explain;
+    if (facts->stored != NULL || facts->unknown == NULL ||
+        facts->ordered != NULL) {
+        return false;
+    }
+    json_object_set_new(report, "outcome", json_string("not known"));
+    set_cause(report, "the store gave node %s no answer to the write (%s)",
+              line_get(facts->unknown, "process"),
+              line_get(facts->unknown, "reason"));
+    add_evidence(report, facts->unknown, facts->first->time_ms);
+    return true;
+}
+
+static bool
+was_cancelled(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    (void)explain;
+    if (facts->cancelled == NULL ||
+        (facts->finished != NULL &&
+         strcmp(line_get(facts->finished, "stage"), "cancelled") != 0)) {
+        return false;
+    }
+    json_object_set_new(report, "outcome", json_string("cancelled"));
+    set_cause(report, "cancelled by a caller at node %s",
+              line_get(facts->cancelled, "process"));
+    add_evidence(report, facts->cancelled, facts->first->time_ms);
+    return true;
+}
+
+static bool
+has_failed(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    (void)explain;
+    if (facts->finished == NULL ||
+        strcmp(line_get(facts->finished, "stage"), "failed") != 0) {
+        return false;
+    }
+    json_object_set_new(report, "outcome", json_string("failed"));
+    set_cause(report,
+              "a task used up its attempts: %u runs failed, %u were lost",
+              facts->failed, facts->lost);
+    if (facts->bad_end != NULL) {
+        add_evidence(report, facts->bad_end, facts->first->time_ms);
+    }
+    return true;
+}
+
+/* The first change of the pool's owner between acceptance and end. */
+static const Line *
+find_takeover(const AqExplain *explain, const Facts *facts)
+{
+    gint64 begin =
+        facts->stored != NULL ? facts->stored->time_ms : facts->first->time_ms;
+    for (guint i = 0; i < explain->context->len; i++) {
+        const Line *line = g_ptr_array_index(explain->context, i);
+        if (line_is(line, "pool_gained") && line->time_ms > begin &&
+            strcmp(line_get(line, "pool"), facts->pool) == 0 &&
+            (facts->finished == NULL ||
+             line->time_ms < facts->finished->time_ms)) {
+            return line;
+        }
+    }
+    return NULL;
+}
+
+static void
+set_end(const Facts *facts, json_t *report)
+{
+    if (facts->finished == NULL) {
+        json_object_set_new(
+            report, "outcome",
+            json_string(facts->stored != NULL
+                            ? "accepted; these logs show no end"
+                            : "these logs show neither acceptance nor end"));
+        return;
+    }
+    gint64 begin =
+        facts->stored != NULL ? facts->stored->time_ms : facts->first->time_ms;
+    char *text =
+        g_strdup_printf("completed %.3f s after its acceptance",
+                        (double)(facts->finished->time_ms - begin) / 1000);
+    json_object_set_new(report, "outcome", json_string(text));
+    g_free(text);
+}
+
+static bool
+had_takeover(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    const Line *gained = find_takeover(explain, facts);
+    if (gained == NULL) {
+        return false;
+    }
+    gint64 begin = facts->first->time_ms;
+    const Line *lost =
+        find_before(explain, "pool_lost", NULL, gained->time_ms);
+    set_end(facts, report);
+    set_cause(report,
+              "pool %s changed its owner: node %s gained it at %+.3f s",
+              facts->pool, line_get(gained, "process"),
+              (double)(gained->time_ms - begin) / 1000);
+    add_evidence(report, gained, begin);
+    if (lost != NULL && strcmp(line_get(lost, "pool"), facts->pool) == 0) {
+        add_evidence(report, lost, begin);
+    }
+    return true;
+}
+
+static bool
+lost_runs(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    (void)explain;
+    if (facts->failed + facts->lost == 0) {
+        return false;
+    }
+    set_end(facts, report);
+    set_cause(report,
+              "runs were repeated: %u failed and %u were lost with their VM "
+              "or lease",
+              facts->failed, facts->lost);
+    add_evidence(report, facts->bad_end, facts->first->time_ms);
+    return true;
+}
+
+/* The pool's load while the request waited, at its worst. */
+static const Line *
+find_load(const AqExplain *explain, const Facts *facts)
+{
+    const Line *worst = NULL;
+    gint64 until =
+        facts->ordered != NULL ? facts->ordered->time_ms : G_MAXINT64;
+    for (guint i = 0; i < explain->context->len; i++) {
+        const Line *line = g_ptr_array_index(explain->context, i);
+        if (line_is(line, "pool_load") && line->time_ms <= until &&
+            line->time_ms >= facts->first->time_ms &&
+            strcmp(line_get(line, "pool"), facts->pool) == 0 &&
+            (worst == NULL || line_number(line, "ready_cpu") >
+                                  line_number(worst, "ready_cpu"))) {
+            worst = line;
+        }
+    }
+    return worst;
+}
+
+static bool
+has_waited(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    enum {
+        SHORT_MS = 300 /* a wait that needs no other cause than the way */
+    };
+    if (facts->stored == NULL || facts->ordered == NULL ||
+        facts->ordered->time_ms - facts->stored->time_ms < SHORT_MS) {
+        return false;
+    }
+    const Line *load = find_load(explain, facts);
+    set_end(facts, report);
+    set_cause(report, "waited %.3f s for room in pool %s",
+              (double)(facts->ordered->time_ms - facts->stored->time_ms) /
+                  1000,
+              facts->pool);
+    add_evidence(report, facts->ordered, facts->first->time_ms);
+    if (load != NULL) {
+        add_evidence(report, load, facts->first->time_ms);
+    }
+    return true;
+}
+
+static bool
+is_open(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    (void)explain;
+    if (facts->finished != NULL) {
+        return false;
+    }
+    set_end(facts, report);
+    set_cause(report, facts->ordered != NULL
+                          ? "runs were ordered; their ends are not shown"
+                          : "no run was ordered, as far as the logs show");
+    return true;
+}
+
+static bool
+went_well(const AqExplain *explain, const Facts *facts, json_t *report)
+{
+    (void)explain;
+    set_end(facts, report);
+    set_cause(report,
+              "nothing went wrong: it ran for as long as its %u runs "
+              "took",
+              facts->done);
+    return true;
+}
+
+/* ---- Missing logs ------------------------------------------------------- */
+
+static void
+name_missing(AqExplain *explain, const Facts *facts)
+{
+    bool has_owner = facts->ordered != NULL || facts->finished != NULL;
+    if (explain->life->len == 0) {
+        AqExplain_AddMissing(explain, "all lines of the request",
+                             "give the logs of all nodes, from before its "
+                             "submission on");
+    }
+    else if (has_owner && facts->stored == NULL) {
+        AqExplain_AddMissing(explain, "the submission",
+                             "the log of the node that accepted it is not "
+                             "among these");
+    }
+    else if (facts->stored != NULL && !has_owner && facts->cancelled == NULL) {
+        AqExplain_AddMissing(explain, "the owner's lines",
+                             "the log of the pool's owner is not among "
+                             "these, or the job never started");
+    }
+    if (facts->ordered != NULL && facts->pool[0] == '\0') {
+        AqExplain_AddMissing(explain, "the pool",
+                             "no log shows who gained it with the fence of "
+                             "the orders");
+    }
+}
+
+void
+cause_find(AqExplain *explain, json_t *report)
+{
+    /* In this order: what decided the outcome first, then what took the
+     * time. */
+    static const CauseTest tests[] = {
+        was_refused, is_unknown, was_cancelled, has_failed, had_takeover,
+        lost_runs,   has_waited, is_open,       went_well,
+    };
+    Facts facts;
+    gather(explain, &facts);
+    json_object_set_new(report, "evidence", json_array());
+    if (facts.first == NULL) {
+        json_object_set_new(report, "outcome", json_string("not known"));
+        set_cause(report, "no line names the request");
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(tests) && facts.first != NULL; i++) {
+        if (tests[i](explain, &facts, report)) {
+            break;
+        }
+    }
+    name_missing(explain, &facts);
+}
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -555,7 +555,7 @@
     for (int i = 0; i < WAVE_VMS; i++) {
         snprintf(machines[i].machine, sizeof(machines[i].machine), "m-%d", i);
         snprintf(machines[i].vm, sizeof(machines[i].vm), "i-%d", i);
-        strcpy(machines[i].pool, pool);
+        snprintf(machines[i].pool, sizeof(machines[i].pool), "%s", pool);
         machines[i].state = AQ_MACHINE_UP;
     }
     done(context, &list);
@@ -741,8 +741,8 @@
     AqAskList list = {.fence = fence, .asks = &ask, .count = 1};
     AqBuffer bytes;
     AqBuffer_Init(&bytes);
-    strcpy(ask.machine, "m-1");
-    strcpy(ask.to_pool, to_pool);
+    snprintf(ask.machine, sizeof(ask.machine), "m-1");
+    snprintf(ask.to_pool, sizeof(ask.to_pool), "%s", to_pool);
     AqAskList_Encode(&list, &bytes);
     store_bytes(fixture, key_of(KEY_ASK, pool), &bytes);
     AqBuffer_Clear(&bytes);
