--- a/packages/explain/explain_internal.h
+++ b/packages/explain/explain_internal.h
@@ -33,7 +33,7 @@
 /* ---- explain_lines.c */
 /* NULL when the line has no time or no event. */
 Line *line_parse(const char *text, size_t size, guint number);
-void line_free(void *line);
+void line_free(void *value);
 /* Borrowed; "" when there is no such field. */
 const char *line_get(const Line *line, const char *key);
 gint64 line_number(const Line *line, const char *key);
