Membership: weak nodes leave pools to strong ones

The last strong node took the duty and three pools; the fourth, with the turn of its queue, went to a node with 0.12 cores, which waited 0.6 s longer only. It was too slow to renew its lease; the pool changed hands at 7.1 s, 11.7 s and 19.1 s, and 750 of 901 jobs failed.

Ruled out: the store (the strong node wrote throughout) and loading (0.1 s on a strong node, 0.8 to 1.9 s on a weak one).

Change: a node waits up to 2 s longer by how much weaker it is than the strongest member, and no longer once that one has gone. The test weak_node_waits fails before.

--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -22,7 +22,9 @@
     START_WAIT_MS = 300,
     OWNED_WAIT_MS = 120,
     SPREAD_WAIT_MS = 100,
-    WEAK_WAIT_MS = 800,
+    /* Of a node without any power while a strong one is there: longer than
+     * the strong one waits with all pools of a site. */
+    WEAK_WAIT_MS = 2000,
     CLAIM_RETRY_MS = 100
 };
 
@@ -569,7 +571,17 @@
 on_member_removed(void *context, const char *key)
 {
     Member *member = context;
+    GHashTableIter iter;
+    gpointer value;
     g_hash_table_remove(member->peers, key + strlen(KEYS_MEMBERS));
+    /* What was left to a stronger node may be this one's now. */
+    g_hash_table_iter_init(&iter, member->shards);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Shard *shard = value;
+        if (shard->state == CLAIM_WAITING) {
+            AqTimer_Start(member->node->loop, &shard->timer, claim_due(shard));
+        }
+    }
 }
 
 static bool
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -457,7 +457,7 @@
 
 /* The fixture may hold what earlier owners have stored. */
 static void
-set_up_owner(OwnerFixture *self, Fixture *fixture)
+set_up_member(OwnerFixture *self, Fixture *fixture)
 {
     static const AqWorkerCallsOps worker_ops = {.hold = hold_silently};
     static AqWorkerCalls workers = {&worker_ops};
@@ -484,13 +484,25 @@
     *self = (OwnerFixture){.fixture = fixture};
     self->member = member_create(&fixture->node, &ops, self);
     member_site_changed(self->member);
+}
+
+static void
+run_member(OwnerFixture *self)
+{
+    AqLoop_RunOnce(self->fixture->node.loop, 10);
+    fake_store_answer_all(self->fixture->fake);
+    if (self->owner != NULL) {
+        pool_owner_round(self->owner);
+    }
+}
+
+static void
+set_up_owner(OwnerFixture *self, Fixture *fixture)
+{
+    set_up_member(self, fixture);
     while (fake_store_value(fixture->fake, key_of(KEY_REPORT, "pool")) ==
            NULL) {
-        AqLoop_RunOnce(fixture->node.loop, 10);
-        fake_store_answer_all(fixture->fake);
-        if (self->owner != NULL) {
-            pool_owner_round(self->owner);
-        }
+        run_member(self);
     }
 }
 
@@ -535,6 +547,36 @@
     tear_down_owner(&self);
 }
 
+/* Guards against a pool that goes to a node which has too little processor
+ * time for it, while a stronger one is there, and against one that stays
+ * without an owner once the stronger one has gone. */
+static void
+test_weak_node_waits(void)
+{
+    enum {
+        LEFT_MS = 1300, /* for the stronger node to claim */
+        PROMPT_MS = 400
+    };
+    Fixture fixture;
+    OwnerFixture self;
+    set_up(&fixture);
+    fake_store_put(fixture.fake, key_of(KEY_MEMBER, "n-9"),
+                   "strong 127.0.0.1:1 1000");
+    set_up_member(&self, &fixture);
+    AqTime begin = AqLoop_Now(fixture.node.loop);
+    while (AqLoop_Now(fixture.node.loop) - begin < LEFT_MS) {
+        run_member(&self);
+    }
+    CU_ASSERT_PTR_NULL(self.owner);
+    fake_store_remove(fixture.fake, key_of(KEY_MEMBER, "n-9"));
+    begin = AqLoop_Now(fixture.node.loop);
+    while (AqLoop_Now(fixture.node.loop) - begin < PROMPT_MS) {
+        run_member(&self);
+    }
+    CU_ASSERT_PTR_NOT_NULL(self.owner);
+    tear_down_owner(&self);
+}
+
 /* ---- VMs that live again ------------------------------------------------ */
 
 enum {
@@ -943,6 +985,7 @@
         {"garbled_vm_is_unlisted", test_garbled_vm_is_unlisted},
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
+        {"weak_node_waits", test_weak_node_waits},
         {"replaced_vm_has_ended", test_replaced_vm_has_ended},
         {"wave_states_in_one_write", test_wave_states_in_one_write},
         {"moved_vm_is_not_taken_down", test_moved_vm_is_not_taken_down},
