Waves: upkeep that an earlier owner has begun is taken over in the spare pool

The next owner saw the VMs as begun, and asked for an upkeep only where a slot was free: none was.

Ruled out: the machine duty (it gave all other orders) and the old owner's asks, which fail by their fence as they should.

Change: a VM that is begun and off is asked for without a free slot; the order does nothing where it was carried out. The test begun_upkeep_is_taken_over fails before.

--- a/packages/pool/pool_upkeep.c
+++ b/packages/pool/pool_upkeep.c
@@ -292,7 +292,10 @@
         return;
     }
     if (plan == NULL) {
-        if (AqWave_HasSlot(entry->wave) && !self->is_writing_wave) {
+        /* One that an earlier owner has begun has its slot already. */
+        bool is_begun = AqWave_State(entry->wave, at) == AQ_WAVE_BEGUN;
+        if (is_begun ||
+            (AqWave_HasSlot(entry->wave) && !self->is_writing_wave)) {
             plan = machines_add_plan(self, listed->machine, "", PLAN_UPKEEP);
             order_upkeep(self, entry, at, plan);
         }
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -740,6 +740,65 @@
     tear_down_owner(&self);
 }
 
+/* Writes the record of the wave as an earlier owner has left it: all slots are
+ * claimed, and nothing was ordered. */
+static void
+store_begun_wave(Fixture *fixture)
+{
+    AqBuffer bytes;
+    AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
+    spec.machines = calloc(WAVE_VMS, sizeof(*spec.machines));
+    spec.machine_count = WAVE_VMS;
+    for (int i = 0; i < WAVE_VMS; i++) {
+        snprintf(spec.machines[i], sizeof(spec.machines[i]), "m-%d", i);
+    }
+    AqWave *wave = AqWave_Create(&spec, 0);
+    for (size_t i = 0; i < WAVE_CAP; i++) {
+        AqWave_Set(wave, i, AQ_WAVE_BEGUN);
+    }
+    AqBuffer_Init(&bytes);
+    AqWave_Encode(wave, &bytes);
+    store_bytes(fixture, key_of(KEY_WAVE, "1"), &bytes);
+    AqBuffer_Clear(&bytes);
+    AqWave_Destroy(wave);
+    AqWaveSpec_Clear(&spec);
+}
+
+/* Guards against a wave that stands still because the owner that had claimed
+ * all its slots handed the pool over before it ordered anything. */
+static void
+test_begun_upkeep_is_taken_over(void)
+{
+    static const AqMachineCallsOps ops = {.list = list_machines};
+    AqMachineCalls machines = {&ops};
+    Fixture fixture;
+    OwnerFixture self;
+    AqAskList list;
+    size_t size = 0;
+    set_up(&fixture);
+    store_begun_wave(&fixture);
+    set_up_owner(&self, &fixture);
+    fixture.node.machines = &machines;
+    WaveBook *book = make_wave_book(&fixture.node);
+    PoolMachines *pool = pool_machines_create(&fixture.node, book, self.owner);
+    const char *bytes = NULL;
+    for (int i = 0; i < 100 && bytes == NULL; i++) {
+        fake_store_answer_all(fixture.fake);
+        AqLoop_RunOnce(fixture.node.loop, 10);
+        pool_machines_round(pool, true);
+        bytes = fake_store_bytes(fixture.fake, key_of(KEY_ASK, "pool"), &size);
+    }
+    CU_ASSERT_PTR_NOT_NULL(bytes);
+    if (bytes != NULL && AqAskList_Decode(bytes, size, &list)) {
+        CU_ASSERT_EQUAL(list.count, WAVE_CAP);
+        AqAskList_Clear(&list);
+    }
+    pool_machines_drop(pool);
+    wave_book_destroy(book);
+    fake_store_answer_all(fixture.fake);
+    tear_down_owner(&self);
+}
+
 /* ---- The machine duty --------------------------------------------------- */
 
 typedef struct {
@@ -988,6 +1047,7 @@
         {"weak_node_waits", test_weak_node_waits},
         {"replaced_vm_has_ended", test_replaced_vm_has_ended},
         {"wave_states_in_one_write", test_wave_states_in_one_write},
+        {"begun_upkeep_is_taken_over", test_begun_upkeep_is_taken_over},
         {"moved_vm_is_not_taken_down", test_moved_vm_is_not_taken_down},
         {"upkeep_leaves_place", test_upkeep_leaves_place},
         {"known_claim_is_not_read", test_known_claim_is_not_read},
