Machine duty: after a move without an answer the VM's place is open

Cause, found in reading: the duty remembers where it moved a VM and refuses orders of other pools. A move without an answer may be carried out after it was given up; the remembered place would be wrong for as long as the duty stays with the node, and nobody could order the VM.

Change: the place is forgotten after such a move. The test unanswered_move_leaves_place_open fails before.

--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -380,6 +380,9 @@
     if (result == DUTY_DONE && entry->target[0] != '\0') {
         g_strlcpy(place->pool, entry->target, sizeof(place->pool));
     }
+    else if (result == DUTY_UNKNOWN) {
+        place->pool[0] = '\0'; /* it may be there or not */
+    }
     if (result == DUTY_DONE || result == DUTY_REFUSED) {
         end_entry(desk, entry, result == DUTY_REFUSED);
     }
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -805,6 +805,7 @@
     AqMachineCalls calls;
     unsigned moves;
     unsigned upkeeps;
+    AqMachineResult move_result;
 } CountedMachines;
 
 static void
@@ -816,8 +817,9 @@
     (void)pool;
     (void)holder;
     (void)fence;
-    ((CountedMachines *)calls)->moves++;
-    done(context, AQ_MACHINE_ORDER_DONE);
+    CountedMachines *machines = (CountedMachines *)calls;
+    machines->moves++;
+    done(context, machines->move_result);
 }
 
 static void
@@ -875,7 +877,7 @@
     static AqPoolConfig pools[] = {{.name = "a"},
                                    {.name = "spare", .is_spare = true}};
     Fixture *fixture = &self->fixture;
-    self->machines = (CountedMachines){{&ops}, 0, 0};
+    self->machines = (CountedMachines){{&ops}, 0, 0, AQ_MACHINE_ORDER_DONE};
     set_up(fixture);
     fixture->node.settings = &settings;
     fixture->node.machines = &self->machines.calls;
@@ -918,6 +920,26 @@
     tear_down_desk(&self);
 }
 
+/* Guards against a VM that nobody may order any more because a move of it had
+ * no answer, was given up, and was carried out all the same. */
+static void
+test_unanswered_move_leaves_place_open(void)
+{
+    DeskFixture self;
+    set_up_desk(&self);
+    store_ask(&self.fixture, "a", self.taker, 1, "a");
+    run_desk(&self.fixture, self.desk);
+    self.machines.move_result = AQ_MACHINE_ORDER_UNKNOWN;
+    store_ask(&self.fixture, "a", self.taker, 2, "spare");
+    run_desk(&self.fixture, self.desk);
+    CU_ASSERT_EQUAL(self.machines.moves, 2);
+    fake_store_remove(self.fixture.fake, key_of(KEY_ASK, "a"));
+    store_ask(&self.fixture, "spare", self.keeper, 1, "");
+    run_desk(&self.fixture, self.desk);
+    CU_ASSERT_EQUAL(self.machines.upkeeps, 1);
+    tear_down_desk(&self);
+}
+
 /* Guards against asks that are refused for ever after an upkeep, which moves
  * the VM nowhere. */
 static void
@@ -1049,6 +1071,8 @@
         {"wave_states_in_one_write", test_wave_states_in_one_write},
         {"begun_upkeep_is_taken_over", test_begun_upkeep_is_taken_over},
         {"moved_vm_is_not_taken_down", test_moved_vm_is_not_taken_down},
+        {"unanswered_move_leaves_place_open",
+         test_unanswered_move_leaves_place_open},
         {"upkeep_leaves_place", test_upkeep_leaves_place},
         {"known_claim_is_not_read", test_known_claim_is_not_read},
         {"due_vm_is_taken_last", test_due_vm_is_taken_last},
