Machines: one place that names the spare pool, and one for a VM that is free

Cause, found in reading: the machine duty looked the spare pool up by a loop of its own beside machines_spare_pool, and giving and taking VMs had the same two conditions written out. The tests built the wave of the list three times.

Change: AqSiteConfig_SparePool and is_free serve both; fill_wave builds the wave. Behaviour and assertions are as they were.

--- a/packages/pool/machine_desk.c
+++ b/packages/pool/machine_desk.c
@@ -112,18 +112,6 @@
     return false;
 }
 
-static bool
-is_spare(const MachineDesk *desk, const char *pool)
-{
-    const AqSiteConfig *site = &desk->node->site;
-    for (size_t i = 0; i < site->pool_count; i++) {
-        if (strcmp(site->pools[i].name, pool) == 0) {
-            return site->pools[i].is_spare;
-        }
-    }
-    return false;
-}
-
 /* Whether the VM has been moved away from where the owner saw it: the list
  * that the owner has read is older than the move, and the order would end
  * tasks of another pool. */
@@ -135,8 +123,10 @@
         strcmp(place->pool, entry->pool) == 0) {
         return false;
     }
+    /* One in the spare pool is there to be taken. */
+    const char *spare = AqSiteConfig_SparePool(&desk->node->site);
     bool is_taken = strcmp(entry->ask.to_pool, entry->pool) == 0;
-    return !is_taken || !is_spare(desk, place->pool);
+    return !is_taken || spare == NULL || strcmp(place->pool, spare) != 0;
 }
 
 /* Why an ask is refused, or NULL. */
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -161,13 +161,7 @@
 const char *
 machines_spare_pool(const PoolMachines *self)
 {
-    const AqSiteConfig *site = &self->node->site;
-    for (size_t i = 0; i < site->pool_count; i++) {
-        if (site->pools[i].is_spare) {
-            return site->pools[i].name;
-        }
-    }
-    return NULL;
+    return AqSiteConfig_SparePool(&self->node->site);
 }
 
 /* ---- The platform's list ------------------------------------------------ */
--- a/packages/pool/pool_sizes.c
+++ b/packages/pool/pool_sizes.c
@@ -11,6 +11,14 @@
     ASK_MS = 6000 /* a VM that has not moved by then is left where it is */
 };
 
+/* Whether nothing else is under way with the VM. */
+static bool
+is_free(const PoolMachines *self, const char *machine)
+{
+    return machines_find_plan(self, machine) == NULL &&
+           !wave_book_has(self->waves, machine, AQ_WAVE_BEGUN);
+}
+
 static void
 give(PoolMachines *self, size_t count)
 {
@@ -21,8 +29,7 @@
             vm->tasks == 0 &&
             machines_now(self) - vm->idle_since < AQ_SIZING_IDLE_MS;
         if (!vm->is_usable || vm->lasting > 0 || is_just_idle ||
-            machines_find_plan(self, vm->machine) != NULL ||
-            wave_book_has(self->waves, vm->machine, AQ_WAVE_BEGUN)) {
+            !is_free(self, vm->machine)) {
             continue;
         }
         machines_cordon(self, vm, PLAN_GIVE, "surplus");
@@ -68,9 +75,7 @@
             const char *spare)
 {
     return strcmp(machine->pool, spare) == 0 &&
-           machine->state == AQ_MACHINE_UP &&
-           machines_find_plan(self, machine->machine) == NULL &&
-           !wave_book_has(self->waves, machine->machine, AQ_WAVE_BEGUN);
+           machine->state == AQ_MACHINE_UP && is_free(self, machine->machine);
 }
 
 /* Takes up to "count" VMs whose upkeep is due, or is not; returns how many
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -691,17 +691,27 @@
 
 /* ---- Upkeep ------------------------------------------------------------- */
 
+/* The wave of all VMs of the list but "left_out"; -1: of all. */
+static void
+fill_wave(AqWaveSpec *spec, int left_out)
+{
+    *spec = (AqWaveSpec){.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
+    spec->machines = calloc(WAVE_VMS, sizeof(*spec->machines));
+    for (int i = 0; i < WAVE_VMS; i++) {
+        if (i != left_out) {
+            snprintf(spec->machines[spec->machine_count++], AQ_VM_ID_SIZE,
+                     "m-%d", i);
+        }
+    }
+}
+
 static WaveBook *
-make_wave_book(NodeContext *node)
+make_wave_book(NodeContext *node, int left_out)
 {
+    AqWaveSpec spec;
     WaveBook *book = wave_book_create(node);
+    fill_wave(&spec, left_out);
     wave_book_follow(book);
-    AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
-    spec.machines = calloc(WAVE_VMS, sizeof(*spec.machines));
-    spec.machine_count = WAVE_VMS;
-    for (int i = 0; i < WAVE_VMS; i++) {
-        snprintf(spec.machines[i], sizeof(spec.machines[i]), "m-%d", i);
-    }
     wave_book_add(book, &spec);
     return book;
 }
@@ -728,7 +738,7 @@
     set_up(&fixture);
     set_up_owner(&self, &fixture);
     fixture.node.machines = &machines;
-    WaveBook *book = make_wave_book(&fixture.node);
+    WaveBook *book = make_wave_book(&fixture.node, -1);
     PoolMachines *pool = pool_machines_create(&fixture.node, book, self.owner);
     while (fake_store_value(fixture.fake, key_of(KEY_WAVE, "1")) == NULL) {
         fake_store_answer_all(fixture.fake);
@@ -750,12 +760,8 @@
 store_begun_wave(Fixture *fixture)
 {
     AqBuffer bytes;
-    AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
-    spec.machines = calloc(WAVE_VMS, sizeof(*spec.machines));
-    spec.machine_count = WAVE_VMS;
-    for (int i = 0; i < WAVE_VMS; i++) {
-        snprintf(spec.machines[i], sizeof(spec.machines[i]), "m-%d", i);
-    }
+    AqWaveSpec spec;
+    fill_wave(&spec, -1);
     AqWave *wave = AqWave_Create(&spec, 0);
     for (size_t i = 0; i < WAVE_CAP; i++) {
         AqWave_Set(wave, i, AQ_WAVE_BEGUN);
@@ -783,7 +789,7 @@
     store_begun_wave(&fixture);
     set_up_owner(&self, &fixture);
     fixture.node.machines = &machines;
-    WaveBook *book = make_wave_book(&fixture.node);
+    WaveBook *book = make_wave_book(&fixture.node, -1);
     PoolMachines *pool = pool_machines_create(&fixture.node, book, self.owner);
     const char *bytes = NULL;
     for (int i = 0; i < 100 && bytes == NULL; i++) {
@@ -1002,17 +1008,7 @@
     fixture.node.machines = &machines;
     fixture.node.site.pools = pools;
     fixture.node.site.pool_count = 2;
-    WaveBook *book = wave_book_create(&fixture.node);
-    AqWaveSpec spec = {.number = 1, .within_ms = 20000, .cap = WAVE_CAP};
-    spec.machines = calloc(WAVE_VMS, sizeof(*spec.machines));
-    for (int i = 0; i < WAVE_VMS; i++) {
-        if (i != NOT_DUE) {
-            snprintf(spec.machines[spec.machine_count++], AQ_VM_ID_SIZE,
-                     "m-%d", i);
-        }
-    }
-    wave_book_add(book, &spec);
-    wave_book_follow(book);
+    WaveBook *book = make_wave_book(&fixture.node, NOT_DUE);
     PoolMachines *pool = pool_machines_create(&fixture.node, book, self.owner);
     while (fake_store_value(fixture.fake, key_of(KEY_ASK, "pool")) == NULL) {
         fake_store_answer_all(fixture.fake);
--- a/packages/scheduler/Include/aq_site_config.h
+++ b/packages/scheduler/Include/aq_site_config.h
@@ -42,6 +42,8 @@
  * prefix is the longest that "path" begins with, or NULL.  Borrowed. */
 const AqQueueConfig *AqSiteConfig_Match(const AqSiteConfig *config,
                                         const char *host, const char *path);
+/* Name of the pool whose VMs are off, or NULL.  Borrowed. */
+const char *AqSiteConfig_SparePool(const AqSiteConfig *config);
 const AqQueueConfig *AqSiteConfig_FindQueue(const AqSiteConfig *config,
                                             const char *name);
 
--- a/packages/scheduler/site_config.c
+++ b/packages/scheduler/site_config.c
@@ -57,3 +57,14 @@
     }
     return NULL;
 }
+
+const char *
+AqSiteConfig_SparePool(const AqSiteConfig *config)
+{
+    for (size_t i = 0; i < config->pool_count; i++) {
+        if (config->pools[i].is_spare) {
+            return config->pools[i].name;
+        }
+    }
+    return NULL;
+}
