Waves: a VM is found by its name without a search

Cause, found in reading: owners look VMs up in the wave for each VM of their pool and of the platform's list, ten times a second, and each look compared all names; taking VMs added two such looks a VM.

Change: AqWave_Find looks in a table. Behaviour is as it was.

--- a/packages/scheduler/waves.c
+++ b/packages/scheduler/waves.c
@@ -1,5 +1,6 @@
 #include "aq_waves.h"
 
+#include <glib.h>
 #include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,6 +28,7 @@
     AqTime deadline;
     Entry *entries;
     size_t count;
+    GHashTable *places; /* machine -> position + 1; keys in the entries */
 };
 
 AqWave *
@@ -37,8 +39,14 @@
     wave->cap = spec->cap;
     wave->deadline = now + spec->within_ms;
     wave->entries = calloc(spec->machine_count + 1, sizeof(*wave->entries));
+    wave->places = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < spec->machine_count; i++) {
-        memcpy(wave->entries[i].machine, spec->machines[i], AQ_VM_ID_SIZE);
+        Entry *entry = &wave->entries[i];
+        memcpy(entry->machine, spec->machines[i], AQ_VM_ID_SIZE);
+        if (!g_hash_table_contains(wave->places, entry->machine)) {
+            g_hash_table_insert(wave->places, entry->machine,
+                                GSIZE_TO_POINTER(i + 1));
+        }
     }
     wave->count = spec->machine_count;
     return wave;
@@ -48,6 +56,7 @@
 AqWave_Destroy(AqWave *wave)
 {
     if (wave != NULL) {
+        g_hash_table_destroy(wave->places);
         free(wave->entries);
         free(wave);
     }
@@ -80,12 +89,8 @@
 int
 AqWave_Find(const AqWave *wave, const char *machine)
 {
-    for (size_t i = 0; i < wave->count; i++) {
-        if (strcmp(wave->entries[i].machine, machine) == 0) {
-            return (int)i;
-        }
-    }
-    return -1;
+    gsize place = GPOINTER_TO_SIZE(g_hash_table_lookup(wave->places, machine));
+    return (int)place - 1;
 }
 
 void
