explain: sorts once, and one rule for the fields that say more

Cause, found in reading: the lines of the request were sorted again for each line of the second pass until the first of the context; which fields stand for time, node and request was written out twice, and the time of acceptance too.

Change: a flag for the sorted life; field_is_detail and accepted_at serve both. Output and assertions are as they were.

--- a/packages/explain/explain.c
+++ b/packages/explain/explain.c
@@ -45,6 +45,15 @@
     return first->number < second->number ? -1 : 1;
 }
 
+static void
+sort_life(AqExplain *explain)
+{
+    if (!explain->is_sorted) {
+        g_ptr_array_sort(explain->life, compare_lines);
+        explain->is_sorted = true;
+    }
+}
+
 static void
 add_own_line(AqExplain *explain, const char *text, size_t size)
 {
@@ -57,6 +66,7 @@
     }
     else if (strcmp(line_get(line, "request"), explain->id) == 0) {
         g_ptr_array_add(explain->life, line);
+        explain->is_sorted = false;
     }
     else {
         line_free(line);
@@ -112,9 +122,7 @@
         add_own_line(explain, line, size);
     }
     else {
-        if (explain->context->len == 0) {
-            g_ptr_array_sort(explain->life, compare_lines);
-        }
+        sort_life(explain);
         add_context_line(explain, line, size);
     }
 }
@@ -139,13 +147,7 @@
     json_t *fields = json_object();
     for (guint i = 0; i < line->fields->len; i++) {
         const Field *field = &g_array_index(line->fields, Field, i);
-        static const char *const known[] = {"time_ms", "level", "process",
-                                            "event", "request"};
-        bool is_known = false;
-        for (size_t j = 0; j < G_N_ELEMENTS(known); j++) {
-            is_known = is_known || strcmp(field->key, known[j]) == 0;
-        }
-        if (!is_known) {
+        if (field_is_detail(field) && strcmp(field->key, "event") != 0) {
             json_object_set_new(fields, field->key, json_string(field->value));
         }
     }
@@ -163,7 +165,7 @@
                                "unreadable", (json_int_t)explain->unreadable);
     json_t *life = json_array();
     json_t *missing = json_array();
-    g_ptr_array_sort(explain->life, compare_lines);
+    sort_life(explain);
     g_ptr_array_sort(explain->context, compare_lines);
     for (guint i = 0; i < explain->life->len; i++) {
         const Line *first = g_ptr_array_index(explain->life, 0);
--- a/packages/explain/explain_cause.c
+++ b/packages/explain/explain_cause.c
@@ -121,6 +121,14 @@
     facts->pool = find_pool(explain, facts);
 }
 
+/* Its acceptance, or its first line when that is not shown. */
+static gint64
+accepted_at(const Facts *facts)
+{
+    return facts->stored != NULL ? facts->stored->time_ms
+                                 : facts->first->time_ms;
+}
+
 /* ---- Evidence ----------------------------------------------------------- */
 
 static void
@@ -132,10 +140,7 @@
                     line_get(line, "process"));
     for (guint i = 0; i < line->fields->len; i++) {
         const Field *field = &g_array_index(line->fields, Field, i);
-        if (strcmp(field->key, "time_ms") != 0 &&
-            strcmp(field->key, "level") != 0 &&
-            strcmp(field->key, "process") != 0 &&
-            strcmp(field->key, "request") != 0) {
+        if (field_is_detail(field)) {
             g_string_append_printf(text, " %s=%s", field->key, field->value);
         }
     }
@@ -256,8 +261,7 @@
 static const Line *
 find_takeover(const AqExplain *explain, const Facts *facts)
 {
-    gint64 begin =
-        facts->stored != NULL ? facts->stored->time_ms : facts->first->time_ms;
+    gint64 begin = accepted_at(facts);
     for (guint i = 0; i < explain->context->len; i++) {
         const Line *line = g_ptr_array_index(explain->context, i);
         if (line_is(line, "pool_gained") && line->time_ms > begin &&
@@ -281,8 +285,7 @@
                             : "these logs show neither acceptance nor end"));
         return;
     }
-    gint64 begin =
-        facts->stored != NULL ? facts->stored->time_ms : facts->first->time_ms;
+    gint64 begin = accepted_at(facts);
     char *text = g_strdup_printf(
         "completed %.3f s after its acceptance, %u submissions refused",
         (double)(facts->finished->time_ms - begin) / 1000, facts->refusals);
--- a/packages/explain/explain_internal.h
+++ b/packages/explain/explain_internal.h
@@ -27,6 +27,7 @@
     GPtrArray *context; /* of Line, around it */
     GPtrArray *missing; /* of text */
     size_t unreadable;
+    bool is_sorted; /* the life; from the second pass on */
     guint lines;
 };
 
@@ -38,6 +39,8 @@
 const char *line_get(const Line *line, const char *key);
 gint64 line_number(const Line *line, const char *key);
 bool line_is(const Line *line, const char *event);
+/* Whether a field says more than when, where and of which request. */
+bool field_is_detail(const Field *field);
 
 /* ---- explain_cause.c */
 /* Sets outcome, cause and evidence in the report and adds what is missing. */
--- a/packages/explain/explain_lines.c
+++ b/packages/explain/explain_lines.c
@@ -99,3 +99,16 @@
 {
     return strcmp(line_get(line, "event"), event) == 0;
 }
+
+bool
+field_is_detail(const Field *field)
+{
+    static const char *const heads[] = {"time_ms", "level", "process",
+                                        "request"};
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        if (strcmp(field->key, heads[i]) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
