io: servers and clients may be destroyed in their callbacks

Cause: AqHttpServer_Destroy left its round callback registered and freed the server under its own handler and under unanswered requests; a "done" callback that destroyed the client left finish_call with a freed pointer.

--- a/packages/io/Include/aq_http_client.h
+++ b/packages/io/Include/aq_http_client.h
@@ -66,6 +66,8 @@
 } AqHttpRequest;
 
 AqHttpClient *AqHttpClient_Create(AqLoop *loop, AqError *error);
+/* Ends all calls without their "done" callbacks.  May be called from a "done"
+ * callback of the client. */
 void AqHttpClient_Destroy(AqHttpClient *client);
 /* Ends all calls at once, including those that their "done" callbacks start,
  * up to 100000 calls: calls "done" with AQ_HTTP_NOT_SENT, or with
--- a/packages/io/Include/aq_http_server.h
+++ b/packages/io/Include/aq_http_server.h
@@ -44,6 +44,10 @@
                                   const AqHttpServerConfig *config,
                                   AqHttpHandler handler, void *context,
                                   AqError *error);
+/* Closes the listener and the connections.  May be called from any callback,
+ * the server's own handler included.  Requests that are not answered yet keep
+ * their exchanges; each still needs its AqExchange_Respond, whose response may
+ * no longer reach the caller. */
 void AqHttpServer_Destroy(AqHttpServer *server);
 
 uint16_t AqHttpServer_Port(const AqHttpServer *server);
--- a/packages/io/Include/aq_loop.h
+++ b/packages/io/Include/aq_loop.h
@@ -66,6 +66,9 @@
  * a function; the ninth one of a loop aborts the process. */
 typedef AqTime (*AqRoundFn)(void *context);
 void AqLoop_OnRound(AqLoop *loop, AqRoundFn fn, void *context);
+/* Ends the registration of "fn" with "context"; may be called from any
+ * callback of the loop. */
+void AqLoop_OffRound(AqLoop *loop, AqRoundFn fn, const void *context);
 
 /* Runs rounds until AqLoop_Stop is called. */
 void AqLoop_Run(AqLoop *loop);
--- a/packages/io/http_client.c
+++ b/packages/io/http_client.c
@@ -31,6 +31,12 @@
     AqTimer timer;
     AqLink calls;
     bool closed;
+    /* Number of this file's functions on the stack that call "done" callbacks
+     * and use the client afterwards. */
+    unsigned users;
+    /* AqHttpClient_Destroy was called; the client is freed once "users" is
+     * 0. */
+    bool is_destroyed;
     uint64_t sent;
     uint64_t received;
 };
@@ -144,18 +150,45 @@
     AqHttpDone done = call->done;
     void *context = call->context;
     /* The call is unlinked first, so that it is not freed twice if "done"
-     * destroys the client. */
+     * destroys the client, which then stays until its users have ended. */
     AqList_Remove(&call->link);
     done(context, &reply);
     free_call(call);
 }
 
+static void
+free_client(AqHttpClient *client)
+{
+    curl_multi_cleanup(client->multi);
+    AqTimer_Stop(&client->timer);
+    HttpSockets_Clear(&client->sockets);
+    free(client);
+}
+
+static void
+begin_use(AqHttpClient *client)
+{
+    client->users++;
+}
+
+/* Frees the client if a callback has destroyed it meanwhile. */
+static void
+end_use(AqHttpClient *client)
+{
+    client->users--;
+    if (client->users == 0 && client->is_destroyed) {
+        free_client(client);
+    }
+}
+
 static void
 collect_finished(AqHttpClient *client)
 {
     CURLMsg *msg;
     int left;
-    while ((msg = curl_multi_info_read(client->multi, &left)) != NULL) {
+    begin_use(client);
+    while (!client->is_destroyed &&
+           (msg = curl_multi_info_read(client->multi, &left)) != NULL) {
         if (msg->msg == CURLMSG_DONE) {
             AqHttpCall *call = NULL;
             CURLcode code = msg->data.result;
@@ -163,6 +196,7 @@
             finish_call(call, code);
         }
     }
+    end_use(client);
 }
 
 /* ---- Event loop integration --------------------------------------------- */
@@ -282,6 +316,7 @@
 AqHttpClient_Close(AqHttpClient *client)
 {
     client->closed = true;
+    begin_use(client);
     /* The limit prevents an endless loop if "done" callbacks always start a
      * new call. */
     for (int i = 0; i < MAX_CLOSE_CALLS; i++) {
@@ -292,6 +327,7 @@
         finish_call(AqList_Entry(link, AqHttpCall, link),
                     CURLE_ABORTED_BY_CALLBACK);
     }
+    end_use(client);
 }
 
 void
@@ -304,10 +340,10 @@
     while ((link = AqList_PopFirst(&client->calls)) != NULL) {
         free_call(AqList_Entry(link, AqHttpCall, link));
     }
-    curl_multi_cleanup(client->multi);
-    AqTimer_Stop(&client->timer);
-    HttpSockets_Clear(&client->sockets);
-    free(client);
+    client->is_destroyed = true;
+    if (client->users == 0) {
+        free_client(client);
+    }
 }
 
 void
--- a/packages/io/http_server.c
+++ b/packages/io/http_server.c
@@ -28,11 +28,17 @@
     void *context;
     size_t max_body;
     size_t pending;
+    /* Requests that were passed to the handler and that AqExchange_Respond has
+     * not answered; their exchanges point to this server. */
+    size_t unanswered;
     const char *error_header_name;
     const char *error_header_value;
     uint16_t port;
     bool close_after_response;
-    bool destroying;
+    bool is_in_library; /* MHD_run is active */
+    /* AqHttpServer_Destroy was called; the server is freed as soon as no
+     * callback of the library is active and no request is unanswered. */
+    bool is_destroyed;
     /* Whether connections were resumed since the last MHD_run. */
     bool has_resumed_connections;
 };
@@ -159,6 +165,7 @@
     AqHttpServer *server = exchange->server;
     exchange->is_passed_to_handler = true;
     server->pending++;
+    server->unanswered++;
     server->handler(server->context, exchange);
     if (exchange->response != NULL) {
         return MHD_queue_response(exchange->connection,
@@ -205,13 +212,43 @@
 
 /* ---- Server ------------------------------------------------------------- */
 
-static void
-run_daemon(void *context, int events)
+/* Frees a destroyed server unless a callback of the library is active or a
+ * request is unanswered.  libmicrohttpd must not be stopped while it has
+ * suspended connections, and those are connections of unanswered requests.
+ * Returns whether the server was freed. */
+static bool
+free_if_unused(AqHttpServer *server)
+{
+    if (!server->is_destroyed || server->is_in_library ||
+        server->unanswered > 0) {
+        return false;
+    }
+    if (server->daemon != NULL) {
+        MHD_stop_daemon(server->daemon);
+    }
+    free(server);
+    return true;
+}
+
+/* Returns false if a handler has destroyed the server, which is then freed or
+ * must not be used any more. */
+static bool
+run_library(AqHttpServer *server)
 {
-    AqHttpServer *server = context;
-    (void)events;
     server->has_resumed_connections = false;
+    server->is_in_library = true;
     MHD_run(server->daemon);
+    server->is_in_library = false;
+    bool is_destroyed = server->is_destroyed;
+    free_if_unused(server);
+    return !is_destroyed;
+}
+
+static void
+on_event(void *context, int events)
+{
+    (void)events;
+    run_library(context);
 }
 
 static AqTime
@@ -219,18 +256,13 @@
 {
     AqHttpServer *server = context;
     MHD_UNSIGNED_LONG_LONG timeout;
-    if (server->daemon == NULL) {
+    if (server->has_resumed_connections && !run_library(server)) {
         return AQ_TIME_NEVER;
     }
-    if (server->has_resumed_connections) {
-        run_daemon(server, 0);
-    }
-    if (MHD_get_timeout(server->daemon, &timeout) != MHD_YES) {
+    if (MHD_get_timeout(server->daemon, &timeout) != MHD_YES ||
+        (timeout == 0 && !run_library(server))) {
         return AQ_TIME_NEVER;
     }
-    if (timeout == 0) {
-        run_daemon(server, 0);
-    }
     return AqLoop_Now(server->loop) + (AqTime)timeout;
 }
 
@@ -315,7 +347,7 @@
     }
     const union MHD_DaemonInfo *info =
         MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-    server->watch = AqLoop_Watch(loop, info->epoll_fd, AQ_READABLE, run_daemon,
+    server->watch = AqLoop_Watch(loop, info->epoll_fd, AQ_READABLE, on_event,
                                  server, error);
     if (server->watch == NULL) {
         goto error;
@@ -334,14 +366,10 @@
     if (server == NULL) {
         return;
     }
-    server->destroying = true;
+    server->is_destroyed = true;
     AqLoop_Unwatch(server->loop, server->watch);
-    /* libmicrohttpd must not be stopped while it has suspended connections. In
-     * that case its resources are released only when the process exits. */
-    if (server->daemon != NULL && server->pending == 0) {
-        MHD_stop_daemon(server->daemon);
-    }
-    free(server);
+    AqLoop_OffRound(server->loop, on_round, server);
+    free_if_unused(server);
 }
 
 uint16_t
@@ -453,9 +481,11 @@
                    size_t size)
 {
     AqHttpServer *server = exchange->server;
+    server->unanswered--;
     if (exchange->is_connection_ended) {
         server->pending--;
         free_exchange(exchange);
+        free_if_unused(server);
         return;
     }
     exchange->status = status;
@@ -473,4 +503,5 @@
         server->has_resumed_connections = true;
         MHD_resume_connection(exchange->connection);
     }
+    free_if_unused(server);
 }
--- a/packages/io/loop.c
+++ b/packages/io/loop.c
@@ -30,7 +30,7 @@
     bool running;
     int round_callback_count;
     struct {
-        AqRoundFn fn;
+        AqRoundFn fn; /* NULL: the entry is free */
         void *context;
     } round_callbacks[MAX_ROUND_CALLBACKS];
 };
@@ -203,12 +203,32 @@
 void
 AqLoop_OnRound(AqLoop *loop, AqRoundFn fn, void *context)
 {
-    if (loop->round_callback_count == MAX_ROUND_CALLBACKS) {
+    int slot = 0;
+    while (slot < loop->round_callback_count &&
+           loop->round_callbacks[slot].fn != NULL) {
+        slot++;
+    }
+    if (slot == MAX_ROUND_CALLBACKS) {
         abort();
     }
-    loop->round_callbacks[loop->round_callback_count].fn = fn;
-    loop->round_callbacks[loop->round_callback_count].context = context;
-    loop->round_callback_count++;
+    loop->round_callbacks[slot].fn = fn;
+    loop->round_callbacks[slot].context = context;
+    if (slot == loop->round_callback_count) {
+        loop->round_callback_count++;
+    }
+}
+
+void
+AqLoop_OffRound(AqLoop *loop, AqRoundFn fn, const void *context)
+{
+    for (int i = 0; i < loop->round_callback_count; i++) {
+        if (loop->round_callbacks[i].fn == fn &&
+            loop->round_callbacks[i].context == context) {
+            /* The entry stays, since this may be called from a callback while
+             * the loop goes through the entries. */
+            loop->round_callbacks[i].fn = NULL;
+        }
+    }
 }
 
 /* Returns the first timer of the loop's list that is due, or NULL if none
@@ -242,6 +262,9 @@
 next_due(AqLoop *loop, AqTime latest)
 {
     for (int i = 0; i < loop->round_callback_count; i++) {
+        if (loop->round_callbacks[i].fn == NULL) {
+            continue;
+        }
         AqTime due =
             loop->round_callbacks[i].fn(loop->round_callbacks[i].context);
         if (due < latest) {
--- a/packages/io/tests/test_io.c
+++ b/packages/io/tests/test_io.c
@@ -263,6 +263,115 @@
     AqLoop_Destroy(loop);
 }
 
+/* ---- Destruction in callbacks --------------------------------------------
+ */
+
+/* Client, server and the state of one request in the tests of destruction. */
+typedef struct {
+    AqLoop *loop;
+    AqHttpClient *client;
+    AqHttpServer *server;
+    AqExchange *held; /* request that the handler has not answered */
+    bool responds;    /* the handler answers before it destroys the server */
+    bool done;
+} Destruction;
+
+static void
+destroy_client(void *context, const AqHttpReply *reply)
+{
+    Destruction *state = context;
+    (void)reply;
+    AqHttpClient_Destroy(state->client);
+    state->client = NULL;
+    state->done = true;
+}
+
+static void
+destroy_server(void *context, AqExchange *exchange)
+{
+    Destruction *state = context;
+    if (state->responds) {
+        AqExchange_Respond(exchange, 200, NULL, 0, "x", 1);
+    }
+    else {
+        state->held = exchange;
+    }
+    AqHttpServer_Destroy(state->server);
+    state->server = NULL;
+}
+
+static void
+start_destruction(Destruction *state, AqHttpDone done, void *context)
+{
+    char url[64];
+    AqError error;
+    AqHttpServerConfig config = {.address = "127.0.0.1",
+                                 .max_body = 200,
+                                 .max_connections = 16,
+                                 .idle_timeout_s = 5};
+    state->loop = AqLoop_Create(&error);
+    state->client = AqHttpClient_Create(state->loop, &error);
+    state->server = AqHttpServer_Create(state->loop, &config, destroy_server,
+                                        state, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(state->server);
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u/x",
+             AqHttpServer_Port(state->server));
+    AqHttpRequest request = {.method = "GET",
+                             .url = url,
+                             .timeout_ms = 2000,
+                             .connect_timeout_ms = 1000,
+                             .max_response_bytes = 100};
+    AqHttpClient_Start(state->client, &request, done, context);
+}
+
+/* Guards against use after free when a callback destroys the client whose call
+ * has ended, and when a handler destroys its server, with and without an
+ * answer to its request. */
+static void
+test_destroyed_in_callbacks(void)
+{
+    for (int responds = 0; responds < 2; responds++) {
+        Destruction state = {.responds = responds == 1};
+        start_destruction(&state, destroy_client, &state);
+        for (int i = 0; i < MAX_ROUNDS && state.server != NULL; i++) {
+            AqLoop_RunOnce(state.loop, ROUND_MS);
+        }
+        CU_ASSERT_PTR_NULL(state.server);
+        if (state.held != NULL) {
+            AqExchange_Respond(state.held, 200, NULL, 0, "x", 1);
+        }
+        run_until(state.loop, &state.done);
+        CU_ASSERT_PTR_NULL(state.client);
+        AqLoop_RunOnce(state.loop, 0);
+        AqLoop_Destroy(state.loop);
+    }
+}
+
+/* Guards against a loop that calls the round callback of a server that was
+ * destroyed, and against servers that use up the callbacks of a loop. */
+static void
+test_destroyed_servers_leave_loop(void)
+{
+    enum {
+        SERVERS = 20
+    };
+    AqError error;
+    AqExchange *held = NULL;
+    AqHttpServerConfig config = {.address = "127.0.0.1",
+                                 .max_body = 200,
+                                 .max_connections = 16,
+                                 .idle_timeout_s = 5};
+    AqLoop *loop = AqLoop_Create(&error);
+    for (int i = 0; i < SERVERS; i++) {
+        AqHttpServer *server =
+            AqHttpServer_Create(loop, &config, on_request, &held, &error);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+        AqHttpServer_Destroy(server);
+        AqLoop_RunOnce(loop, 0);
+    }
+    AqLoop_Destroy(loop);
+}
+
 static void
 record_time(void *context)
 {
@@ -306,6 +415,8 @@
     CU_ADD_TEST(suite, test_close_ends_calls);
     CU_ADD_TEST(suite, test_virtual_clock);
     CU_ADD_TEST(suite, test_server);
+    CU_ADD_TEST(suite, test_destroyed_in_callbacks);
+    CU_ADD_TEST(suite, test_destroyed_servers_leave_loop);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
