Settings: nested brackets and directories get a message

Cause: the parser is recursive, 100,000 brackets overflowed the stack; a directory ended in std::bad_alloc. The message names file, line, key and remedy; the exit status is that of bad settings.

--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -291,7 +291,7 @@
     Loader loader = {.path = path, .settings = settings, .error = error};
     set_defaults(settings);
     if (!toml_read(path, visit_entry, &loader, message, sizeof(message))) {
-        AqError_Set(error, AQ_ERR_INVALID, "%s: %s", path, message);
+        AqError_Set(error, AQ_ERR_INVALID, "%s:%s", path, message);
         goto error;
     }
     if (loader.failed || !check_required(&loader) ||
--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "aq_buffer.h"
 #include "aq_settings.h"
 
 #define REQUIRED                                                              \
@@ -63,6 +64,65 @@
     }
 }
 
+/* Guards against a crash of the parser, which is recursive, on deeply nested
+ * values, and against a refusal of values that only look nested. */
+static void
+test_nested_settings(void)
+{
+    enum {
+        DEPTH = 100000
+    };
+    static const struct {
+        const char *begin; /* text before the brackets */
+        const char *opening;
+        bool closes;
+    } cases[] = {
+        {"[node]\nid = ", "[", false},
+        {"[node]\nid = ", "[", true},
+        {"[node]\nid = ", "{a=", false},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        AqError error;
+        AqBuffer text;
+        AqBuffer_Init(&text);
+        AqBuffer_AppendText(&text, cases[i].begin);
+        for (int j = 0; j < DEPTH; j++) {
+            AqBuffer_AppendText(&text, cases[i].opening);
+        }
+        for (int j = 0; cases[i].closes && j < DEPTH; j++) {
+            AqBuffer_AppendText(&text, "]");
+        }
+        CU_ASSERT_PTR_NULL(load_text(AqBuffer_Text(&text), &error));
+        CU_ASSERT_EQUAL(error.kind, AQ_ERR_INVALID);
+        CU_ASSERT_PTR_NOT_NULL(strstr(error.message, "settings-"));
+        CU_ASSERT_PTR_NOT_NULL(strstr(error.message, ":2: id"));
+        CU_ASSERT_PTR_NOT_NULL(strstr(error.message, "remove brackets"));
+        AqBuffer_Clear(&text);
+    }
+    AqError error;
+    AqSettings *settings =
+        load_text("# [[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[\n"
+                  "[node]\nid = \"e1\"\nzone = \"hal-a\"\n"
+                  "[operators]\n"
+                  "token = \"[[[[[[[[[[[[[[[[[[[[[[[[[[[[\\\"[[[[[[[[[[[[\"\n"
+                  "[peers]\nsecret = '[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[['\n"
+                  "[store]\nurl = \"http://127.0.0.1:1\"\n",
+                  &error);
+    CU_ASSERT_PTR_NOT_NULL(settings);
+    AqSettings_Destroy(settings);
+}
+
+/* Guards against the message of a failed allocation when the path is that of a
+ * directory. */
+static void
+test_directory(void)
+{
+    AqError error;
+    CU_ASSERT_PTR_NULL(AqSettings_Load("/", &error));
+    CU_ASSERT_EQUAL(error.kind, AQ_ERR_INVALID);
+    CU_ASSERT_PTR_NOT_NULL(strstr(error.message, "/: is a directory"));
+}
+
 /* Guards against defaults that differ from the documented ones, and against
  * values that are stored in the wrong field. */
 static void
@@ -92,6 +152,8 @@
     CU_pSuite suite = CU_add_suite("settings", NULL, NULL);
     CU_ADD_TEST(suite, test_bad_settings);
     CU_ADD_TEST(suite, test_good_settings);
+    CU_ADD_TEST(suite, test_nested_settings);
+    CU_ADD_TEST(suite, test_directory);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
--- a/packages/settings/toml_reader.h
+++ b/packages/settings/toml_reader.h
@@ -30,7 +30,8 @@
 
 /* Calls "visit" with "context" for each key of the file until "visit" returns
  * false.  Returns false if the file cannot be read or parsed, and writes the
- * reason to "message", a buffer of "size" bytes. */
+ * reason to "message", a buffer of "size" bytes.  The message continues the
+ * text "PATH:": it begins with a line number or with a space. */
 bool toml_read(const char *path,
                bool (*visit)(void *context, const TomlEntry *entry),
                void *context, char *message, size_t size);
