membership: a new member finds room among unknown peers

Cause: 512 unknown daemons with the secret filled the table of peers, and a new member got no entry for 60 s. An epoch's members now replace the unknown peers that have been silent the longest. Measured: the new test failed before.

--- a/packages/membership/membership.c
+++ b/packages/membership/membership.c
@@ -103,6 +103,12 @@
     member->known_since = old >= 0 ? m->members[old].known_since : now;
 }
 
+static bool
+keep_member(const void *context, const char *id)
+{
+    return AqMembership_IsMember(context, id);
+}
+
 void
 AqMembership_SetEpoch(AqMembership *m, AqTime now, int64_t epoch,
                       const char *const *ids, size_t count)
@@ -119,9 +125,6 @@
     }
     for (size_t i = 0; i < count; i++) {
         fill_member(m, &members[i], ids[i], now);
-        if (strcmp(ids[i], m->self) != 0) {
-            peers_add(&m->peers, members[i].id);
-        }
     }
     qsort(members, count, sizeof(*members), compare_members);
     free(m->members);
@@ -129,6 +132,12 @@
     m->count = count;
     m->epoch = epoch;
     m->has_epoch = true;
+    /* Daemons that are no members may have filled the table of peers. */
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(members[i].id, m->self) != 0) {
+            peers_add_replacing(&m->peers, members[i].id, keep_member, m);
+        }
+    }
 }
 
 int64_t
@@ -259,12 +268,6 @@
     }
 }
 
-static bool
-keep_member(const void *context, const char *id)
-{
-    return AqMembership_IsMember(context, id);
-}
-
 void
 AqMembership_Heartbeat(AqMembership *m, AqTime now, const char *from,
                        const AqMsgHeartbeat *beat)
--- a/packages/membership/peers.c
+++ b/packages/membership/peers.c
@@ -79,6 +79,41 @@
     peer->leaving_count = 0;
 }
 
+/* Removes the peer that has been silent the longest among those for which
+ * "keep" returns false. */
+static void
+remove_most_silent(Peers *peers,
+                   bool (*keep)(const void *context, const char *id),
+                   const void *context)
+{
+    Peer *found = NULL;
+    for (size_t i = 0; i < peers->count; i++) {
+        Peer *peer = &peers->items[i];
+        if (!keep(context, peer->id) &&
+            (found == NULL ||
+             peer->last_heartbeat_at < found->last_heartbeat_at)) {
+            found = peer;
+        }
+    }
+    if (found != NULL) {
+        free_lists(found);
+        peers->count--;
+        size_t behind = peers->count - (size_t)(found - peers->items);
+        memmove(found, found + 1, behind * sizeof(*found));
+    }
+}
+
+Peer *
+peers_add_replacing(Peers *peers, const char *id,
+                    bool (*keep)(const void *context, const char *id),
+                    const void *context)
+{
+    if (peers->count >= PEERS_MAX && peers_find(peers, id) == NULL) {
+        remove_most_silent(peers, keep, context);
+    }
+    return peers_add(peers, id);
+}
+
 void
 peers_prune(Peers *peers, AqTime limit,
             bool (*keep)(const void *context, const char *id),
--- a/packages/membership/peers.h
+++ b/packages/membership/peers.h
@@ -77,6 +77,12 @@
  * has been received; NULL if the table is full.  Adding a peer may move the
  * other peers, which makes pointers to them invalid. */
 Peer *peers_add(Peers *peers, const char *id);
+/* As peers_add(), but if the table is full, the new peer replaces the one that
+ * has been silent the longest among those for which "keep" returns false; NULL
+ * if there is none. */
+Peer *peers_add_replacing(Peers *peers, const char *id,
+                          bool (*keep)(const void *context, const char *id),
+                          const void *context);
 /* Removes the peers whose last heartbeat was received before "limit" and for
  * which "keep" returns false. */
 void peers_prune(Peers *peers, AqTime limit,
--- a/packages/membership/tests/test_membership.c
+++ b/packages/membership/tests/test_membership.c
@@ -307,6 +307,36 @@
     AqMembership_Destroy(f.m);
 }
 
+/* Guards against a new member without an entry in the table of peers, and thus
+ * never live, because unknown daemons with the secret have filled the
+ * table. */
+static void
+test_new_member_beside_strangers(void)
+{
+    static const char *const next_ids[] = {"vm-0", "vm-1", "vm-2",
+                                           "vm-3", "vm-4", "vm-5"};
+    Fixture f = set_up(10000);
+    AqMsgHeartbeat beat = {.seq = 1, .instance = 1, .version = 1};
+    for (int i = 0; i < 5000; i++) {
+        char id[32];
+        snprintf(id, sizeof(id), "stranger-%d", i);
+        AqMembership_Heartbeat(f.m, 10010, id, &beat);
+    }
+    AqMembership_SetEpoch(f.m, 10020, 4, next_ids, 6);
+    AqWireCount peer_ages[] = {{"vm-0", 0}};
+    uint64_t acked = f.seq;
+    AqMsgHeartbeat member_beat = {.seq = 1,
+                                  .instance = 1,
+                                  .epoch = 4,
+                                  .version = 10,
+                                  .peer_ages = peer_ages,
+                                  .peer_age_count = 1,
+                                  .acked_seq = &acked};
+    AqMembership_Heartbeat(f.m, 10030, "vm-5", &member_beat);
+    CU_ASSERT_TRUE(AqMembership_IsLive(f.m, 10040, "vm-5"));
+    AqMembership_Destroy(f.m);
+}
+
 static int
 no_use(void *context, const char *endpoint)
 {
@@ -357,6 +387,7 @@
     CU_ADD_TEST(suite, test_removal);
     CU_ADD_TEST(suite, test_one_way_fault_and_owner);
     CU_ADD_TEST(suite, test_epoch_and_nonmember_peers);
+    CU_ADD_TEST(suite, test_new_member_beside_strangers);
     CU_ADD_TEST(suite, test_single_member);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
