jobs: forget ended tasks; listings have a deadline

Cause: the table of tasks kept an entry for each task that ever ran; the deadline of a listing was set and never checked. Measured: 2000 ended jobs left 2000 entries, now under 200 (test). The deadline of listings has no test of its own: it needs a store call without an end, and each call of the store client ends by itself.

--- a/packages/daemon/jobs_runner.c
+++ b/packages/daemon/jobs_runner.c
@@ -17,8 +17,9 @@
     /* Period of the reads of all job documents from the store while this
      * daemon is the planner. */
     LIST_PERIOD_MS = 1000,
-    /* Longest time to store an operator's intent (requested change); the
-     * operator gets an error response after that. */
+    /* Longest time to store an operator's intent (requested change) or to read
+     * the jobs for a listing; the operator gets an error response after
+     * that. */
     INTENT_TIMEOUT_MS = 5000
 };
 
@@ -99,9 +100,9 @@
 }
 
 static void
-expire(JobsRunner *runner, AqTime now)
+expire(AqLink *waiting, AqTime now)
 {
-    AqList_ForEachSafe(at, after, &runner->intents)
+    AqList_ForEachSafe(at, after, waiting)
     {
         PendingExchange *pending = AqList_Entry(at, PendingExchange, link);
         if (pending->deadline <= now) {
@@ -317,10 +318,13 @@
     JobsRunner *runner = context;
     AqTime now = AqLoop_Now(runner->daemon->loop);
     AqTimer_Start(runner->daemon->loop, &runner->timer, now + STEP_PERIOD_MS);
+    /* A listing has no effect, so it ends at its deadline also while a store
+     * call is in progress. */
+    expire(&runner->listings, now);
     if (runner->is_calling_store) {
         return;
     }
-    expire(runner, now);
+    expire(&runner->intents, now);
     if (PlannerRunner_IsActive(runner->daemon->planner) &&
         now - runner->listed_at < 2 * LIST_PERIOD_MS) {
         plan(runner);
--- a/packages/jobs/Include/aq_jobs.h
+++ b/packages/jobs/Include/aq_jobs.h
@@ -153,6 +153,10 @@
  * kept result of an ended job, for display to operators. */
 json_t *AqJobs_Describe(const AqJobs *jobs);
 
+/* Returns for how many tasks the planner remembers the times of its orders and
+ * the resources that they used: those of unfinished jobs, and of some jobs
+ * that have ended. */
+size_t AqJobs_RememberedTasks(const AqJobs *jobs);
 /* Whether each job's record in memory is valid and each team whose document
  * has unstored changes is marked as dirty, that is, found by
  * AqJobs_NextDirty().  Returns false and sets "error" otherwise.  Used by
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -275,6 +275,12 @@
     return health;
 }
 
+size_t
+AqJobs_RememberedTasks(const AqJobs *jobs)
+{
+    return g_hash_table_size(jobs->tasks);
+}
+
 /* ---- Inspection ---------------------------------------------------------
  */
 
--- a/packages/jobs/jobs_internal.h
+++ b/packages/jobs/jobs_internal.h
@@ -27,6 +27,9 @@
     /* Most tries of a job.  If the task of the last try fails or that task's
      * lease expires, the job ends in state failed. */
     JOBS_MAX_TRIES = 3,
+    /* Fewest TaskRuntime entries of ended tasks that are removed at once; with
+     * fewer, each removal would visit all entries for little memory. */
+    JOBS_PRUNE_TASKS = 64,
     JOBS_MIN_ESTIMATE_CORES_MILLI = 1000,
     JOBS_MIN_ESTIMATE_MEMORY_MB = 64,
     /* Fewest samples needed to estimate the size to reserve for a team's jobs
@@ -98,6 +101,9 @@
     GHashTable *teams;   /* team name -> Team, owned */
     GHashTable *tasks;   /* task name -> TaskRuntime, owned */
     GHashTable *workers; /* worker id -> WorkerHealth, owned */
+    /* Size of "tasks" at which the entries of tasks that have ended are
+     * removed next. */
+    guint prune_tasks_at;
     uint32_t disabled; /* AQ_JOBS_DISABLE_* bits of the disabled mechanisms */
 };
 
--- a/packages/jobs/steps.c
+++ b/packages/jobs/steps.c
@@ -492,6 +492,31 @@
     }
 }
 
+static gboolean
+is_ended_task(gpointer key, gpointer value, gpointer context)
+{
+    Team *team = NULL;
+    char *id;
+    (void)value;
+    bool is_ended = find_job(context, key, &team, &id) == NULL;
+    g_free(id);
+    return is_ended;
+}
+
+/* Removes what is remembered of tasks that are no job's current try, whenever
+ * the table has doubled since the last removal: each entry is then visited a
+ * constant number of times on average. */
+static void
+prune_tasks(AqJobs *jobs)
+{
+    if (g_hash_table_size(jobs->tasks) < jobs->prune_tasks_at) {
+        return;
+    }
+    g_hash_table_foreach_remove(jobs->tasks, is_ended_task, jobs);
+    jobs->prune_tasks_at =
+        2 * g_hash_table_size(jobs->tasks) + JOBS_PRUNE_TASKS;
+}
+
 void
 AqJobs_Step(AqJobs *jobs, const AqFleet *fleet, int64_t wall_ms,
             void (*order)(void *context, const AqTaskOrder *order),
@@ -512,4 +537,5 @@
         checkpoint_draining(&step, value);
         send_orders(&step, value);
     }
+    prune_tasks(jobs);
 }
--- a/packages/jobs/tests/test_jobs.c
+++ b/packages/jobs/tests/test_jobs.c
@@ -253,6 +253,33 @@
     return ok;
 }
 
+/* Guards against a table of tasks that grows with every job that has ended, in
+ * a planner that runs for months. */
+static void
+test_ended_tasks_are_forgotten(void)
+{
+    enum {
+        JOBS = 2000,
+        MOST_REMEMBERED = 200
+    };
+    Fake fake;
+    char id[16];
+    AqJobs *jobs = create_jobs(&fake, 0);
+    fake_add_worker(&fake, "w", "{}", 64);
+    fake.run_ms = 400;
+    for (int i = 0; i < JOBS; i++) {
+        snprintf(id, sizeof(id), "j%d", i);
+        evaluate_intent(&fake, jobs, "job.submit", id);
+    }
+    fake_store(&fake, jobs);
+    run_rounds(&fake, jobs, 400);
+    CU_ASSERT_EQUAL(fake_count(jobs, "queued"), 0);
+    CU_ASSERT_EQUAL(fake_count(jobs, "running"), 0);
+    CU_ASSERT_TRUE(AqJobs_RememberedTasks(jobs) < MOST_REMEMBERED);
+    AqJobs_Destroy(jobs);
+    fake_clear(&fake);
+}
+
 static void
 count_starts(void *context, const AqTaskOrder *order)
 {
@@ -433,6 +460,7 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("jobs", NULL, NULL);
     CU_ADD_TEST(suite, test_submit_cases);
+    CU_ADD_TEST(suite, test_ended_tasks_are_forgotten);
     CU_ADD_TEST(suite, test_mechanisms);
     CU_ADD_TEST(suite, test_drain_moves_tasks);
     CU_ADD_TEST(suite, test_random_interleavings);
