--- a/packages/testkit/tests/test_caller.c
+++ b/packages/testkit/tests/test_caller.c
@@ -132,10 +132,10 @@
 on_caller_end(AqLoopSource *source)
 {
     FakeDaemon *daemon = AqList_Entry(source, FakeDaemon, caller_end);
-    int status;
     AqError error;
-    daemon->ended = daemon->ended ||
-                    AqProcess_WaitExit(daemon->caller, 0, &status, &error);
+    daemon->ended =
+        daemon->ended ||
+        AqProcess_WaitExit(daemon->caller, 0, &daemon->status, &error);
 }
 
 /* Runs aq-caller for a number of seconds against the simulated daemon and,
@@ -158,6 +158,7 @@
              AqTestServer_Port(daemon->server));
     const char *second = daemon->sends_copies ? address : second_daemon;
     daemon->not_run = json_object();
+    daemon->status = -1;
     daemon->caller = start_program(
         caller_program, "--port=0", "--daemon", address, "--rate=300",
         "--service=s", daemon->sends_copies ? "--repeat=100" : "--repeat=0",
