pool: removed pools, unreadable owners, callers' deadlines

Cause: a pool that was removed from the configuration was claimed until the process ended, and by no process that started later; an owner key that cannot be read left the name of the previous owner beside the new revision, so that the pool could count as vacant; the deadline header had no upper bound. A removed pool is claimed as long as its last owner has not released it, and released once its jobs are finished and stored. Measured: the three new tests failed before.

--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -14,6 +14,9 @@
     /* Time from the arrival of a request without the deadline header to its
      * deadline. */
     DEFAULT_DEADLINE_MS = 2500,
+    /* Most of that time that a request with the deadline header may ask for:
+     * it keeps a connection and is repeated at a failing store meanwhile. */
+    MAX_DEADLINE_MS = 60000,
     /* Time kept before a request's deadline for the response to reach the
      * caller. */
     RESPONSE_RESERVE_MS = 150,
@@ -544,19 +547,26 @@
            strspn(text, "0123456789abcdefABCDEF") == length;
 }
 
+AqTime
+job_api_wait_ms(const char *text)
+{
+    long long deadline = text != NULL ? strtoll(text, NULL, 10) : 0;
+    if (deadline <= 0) {
+        return DEFAULT_DEADLINE_MS;
+    }
+    return deadline < MAX_DEADLINE_MS ? deadline : MAX_DEADLINE_MS;
+}
+
 static Request *
 new_request(JobApi *job_api, AqExchange *exchange, const AqQueueConfig *queue,
             const char *id)
 {
     Request *request = calloc(1, sizeof(*request));
     const char *text = AqExchange_Header(exchange, AqPlatform_DeadlineHeader);
-    long long deadline = text != NULL ? strtoll(text, NULL, 10) : 0;
     request->job_api = job_api;
     request->exchange = exchange;
     request->arrived_at = now_of(job_api);
-    request->deadline =
-        request->arrived_at +
-        (deadline > 0 ? deadline : (long long)DEFAULT_DEADLINE_MS);
+    request->deadline = request->arrived_at + job_api_wait_ms(text);
     g_strlcpy(request->pool, queue->pool, sizeof(request->pool));
     g_strlcpy(request->queue, queue->name, sizeof(request->queue));
     g_strlcpy(request->id, id, sizeof(request->id));
--- a/packages/pool/job_api.h
+++ b/packages/pool/job_api.h
@@ -24,6 +24,11 @@
 JobApi *job_api_create(NodeContext *node, const JobApiOps *ops, void *context);
 void job_api_destroy(JobApi *job_api);
 
+/* Returns how long, in ms, a caller waits for a response according to the
+ * text of its deadline header: 2500 without a readable number above 0 (NULL:
+ * no header), at most 60000. */
+AqTime job_api_wait_ms(const char *text);
+
 /* Handler for AqHttpServer; "context" is the JobApi. */
 void job_api_handle(void *context, AqExchange *exchange);
 
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -54,6 +54,10 @@
     /* The pool is listed in the site's configuration; for the role of the
      * machine coordinator: a machine service is configured. */
     bool is_configured;
+    /* The pool has or had an owner since this process started.  A pool that
+     * is no longer configured is claimed as long as its last owner has not
+     * released it, since jobs that it accepted may be unfinished. */
+    bool has_had_owner;
     ClaimState state;
     AqTimer timer;
     AqTime vacant_since;
@@ -329,6 +333,7 @@
         .previous_owner_may_be_active = claim->previous_owner_may_be_active,
     };
     claim->state = CLAIM_OWNED;
+    claim->has_had_owner = true;
     claim->fence = fence;
     claim->owner_index = fence;
     g_strlcpy(claim->owner_node, member->node->settings->node_id,
@@ -437,6 +442,11 @@
         return;
     }
     read_term(claim, reply);
+    if (!claim->is_configured && claim->was_released) {
+        claim->has_had_owner = false;
+        claim->state = CLAIM_NONE;
+        return;
+    }
     claim->previous_owner_may_be_active =
         !claim->was_released &&
         !is_replaced(member, claim->term_node, claim->term_incarnation);
@@ -498,6 +508,12 @@
     return since + wait;
 }
 
+static bool
+may_claim(const PoolClaim *claim)
+{
+    return claim->is_configured || claim->has_had_owner;
+}
+
 static void
 on_claim_due(void *context)
 {
@@ -507,7 +523,7 @@
     if (claim->state != CLAIM_WAITING) {
         return;
     }
-    if (!is_vacant(claim) || !claim->is_configured || node->is_stopping ||
+    if (!is_vacant(claim) || !may_claim(claim) || node->is_stopping ||
         member->lease == 0 || member->joined_at == AQ_TIME_NEVER) {
         claim->state = CLAIM_NONE;
         return;
@@ -524,13 +540,13 @@
                           on_term_read, claim);
 }
 
-/* Starts this node's claim of the pool if the pool is configured and has no
- * owner. */
+/* Starts this node's claim of the pool if the pool has no owner and is
+ * configured or may have unfinished jobs. */
 static void
 claim_if_vacant(PoolClaim *claim)
 {
     Member *member = claim->member;
-    if (claim->state != CLAIM_NONE || !claim->is_configured ||
+    if (claim->state != CLAIM_NONE || !may_claim(claim) ||
         member->joined_at == AQ_TIME_NEVER || member->node->is_stopping ||
         !prefix_view_is_listed(member->nodes) || !is_vacant(claim)) {
         return;
@@ -573,8 +589,12 @@
         }
     }
     claim->owner_index = item->index;
+    claim->has_had_owner = true;
     if (sscanf(text, "%63s %39s", claim->owner_node,
                claim->owner_incarnation) != 2) {
+        /* The key keeps its pool from being claimed, but names no node. */
+        claim->owner_node[0] = '\0';
+        claim->owner_incarnation[0] = '\0';
         AqLog_Event(AQ_LOG_WARNING, "owner_unreadable", "pool=%s index=%llu",
                     claim->pool, (unsigned long long)item->index);
     }
@@ -673,6 +693,12 @@
 member_site_changed(Member *member)
 {
     const AqSiteConfig *site = &member->node->site;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, member->claims);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((PoolClaim *)value)->is_configured = false;
+    }
     find_or_add_claim(member, MEMBER_MACHINE_COORDINATOR)->is_configured =
         member->node->machines != NULL;
     for (size_t i = 0; i < site->pool_count; i++) {
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -408,12 +408,22 @@
     AqNode *node = handover->node;
     member_release(node->member, handover->pool);
     on_lost(node, handover->pool, "released");
-    if (--node->unfinished_handover_count == 0) {
+    if (--node->unfinished_handover_count == 0 && node->context.is_stopping) {
         member_leave(node->member);
     }
     free(handover);
 }
 
+static void
+start_handover(AqNode *node, PoolOwner *owner)
+{
+    Handover *handover = calloc(1, sizeof(*handover));
+    handover->node = node;
+    g_strlcpy(handover->pool, pool_owner_pool(owner), sizeof(handover->pool));
+    node->unfinished_handover_count++;
+    pool_owner_finish(owner, on_pool_finished, handover);
+}
+
 static void
 hand_over_pools(AqNode *node)
 {
@@ -425,13 +435,10 @@
     }
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Handover *handover = calloc(1, sizeof(*handover));
-        handover->node = node;
         PoolOwner *owner = ((const OwnedPool *)value)->owner;
-        g_strlcpy(handover->pool, pool_owner_pool(owner),
-                  sizeof(handover->pool));
-        node->unfinished_handover_count++;
-        pool_owner_finish(owner, on_pool_finished, handover);
+        if (!pool_owner_is_finishing(owner)) {
+            start_handover(node, owner);
+        }
     }
     if (node->unfinished_handover_count == 0) {
         member_leave(node->member);
@@ -456,10 +463,32 @@
 
 /* ---- Lifecycle ---------------------------------------------------------- */
 
+/* Hands over the pools that the configuration no longer lists and that have no
+ * unfinished jobs.  No node claims such a pool. */
+static void
+release_removed_pools(AqNode *node)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->owners);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        PoolOwner *owner = ((const OwnedPool *)value)->owner;
+        if (!pool_owner_is_finishing(owner) && pool_owner_is_done(owner) &&
+            AqSiteConfig_FindPool(&node->context.site, key) == NULL) {
+            AqLog_Event(AQ_LOG_INFO, "pool_removed", "pool=%s config=%lld",
+                        (const char *)key,
+                        (long long)node->context.site.version);
+            start_handover(node, owner);
+        }
+    }
+}
+
 static AqTime
 on_round(void *context)
 {
     AqNode *node = context;
+    release_removed_pools(node);
     AqTime due = AqLoop_Now(node->context.loop) + ROUND_INTERVAL_MS;
     GList *pools = g_hash_table_get_keys(node->owners);
     for (GList *at = pools; at != NULL; at = at->next) {
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -774,6 +774,20 @@
     AqScheduler_VmUnlisted(owner->scheduler, vm, now_of(owner));
 }
 
+bool
+pool_owner_is_done(const PoolOwner *owner)
+{
+    return owner->load_state == LOADED &&
+           !AqScheduler_HasUnfinishedJobs(owner->scheduler) &&
+           !AqScheduler_HasUnsaved(owner->scheduler);
+}
+
+bool
+pool_owner_is_finishing(const PoolOwner *owner)
+{
+    return owner->is_finishing;
+}
+
 void
 pool_owner_finish(PoolOwner *owner, void (*done)(void *context), void *context)
 {
--- a/packages/pool/pool_owner.h
+++ b/packages/pool/pool_owner.h
@@ -42,6 +42,11 @@
 void pool_owner_set_vm(PoolOwner *owner, const AqVmReport *report);
 void pool_owner_vm_unlisted(PoolOwner *owner, const char *vm);
 
+/* Returns whether all jobs of the pool are known to be finished and stored, so
+ * that a pool that is no longer configured can be released. */
+bool pool_owner_is_done(const PoolOwner *owner);
+/* Returns whether pool_owner_finish() was called. */
+bool pool_owner_is_finishing(const PoolOwner *owner);
 /* Stops sending orders and stores the unsaved progress of the pool's jobs, for
  * a graceful handover.  "done" is called from a later pool_owner_round(), when
  * all progress is stored or after 600 ms at the latest. */
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -169,6 +169,33 @@
     }
 }
 
+/* Guards against a caller's deadline that overflows the clock or keeps a
+ * request, and its connection, for hours. */
+static void
+test_deadline_header(void)
+{
+    static const struct {
+        const char *text; /* NULL: the request has no such header */
+        AqTime wait_ms;
+    } cases[] = {
+        {NULL, 2500},
+        {"", 2500},
+        {"0", 2500},
+        {"-1", 2500},
+        {"soon", 2500},
+        {"1", 1},
+        {"3000", 3000},
+        {"60000", 60000},
+        {"60001", 60000},
+        {"9223372036854775807", 60000},
+        {"99999999999999999999999", 60000},
+        {"-99999999999999999999999", 2500},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        CU_ASSERT_EQUAL(job_api_wait_ms(cases[i].text), cases[i].wait_ms);
+    }
+}
+
 /* Guards against a request that waits until the caller's deadline because only
  * this node gets no reply to its write from the store, although a peer could
  * serve the request. */
@@ -354,6 +381,7 @@
         const char *name;
         void (*run)(void);
     } tests[] = {
+        {"deadline_header", test_deadline_header},
         {"silent_store_hands_on", test_silent_store_hands_on},
         {"refusing_store_hands_on", test_refusing_store_hands_on},
         {"refusal_after_silence", test_refusal_after_silence},
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -607,6 +607,85 @@
     tear_down_owner(&self);
 }
 
+/* Ends the ownership as a crash does: the lease ends, and the node that gets a
+ * new one finds the pool without an owner. */
+static void
+run_after_lost_lease(OwnerFixture *self, AqTime run_ms)
+{
+    fake_store_end_lease(self->fixture->fake);
+    AqTime begin = AqLoop_Now(self->fixture->node.loop);
+    while (AqLoop_Now(self->fixture->node.loop) - begin < run_ms) {
+        run_member(self);
+    }
+}
+
+/* Guards against a pool that is claimed on and on after it was removed from
+ * the configuration and released, and against one that nobody claims although
+ * its owner was lost before it released the pool: its jobs would never end. */
+static void
+test_removed_pool_is_given_up(void)
+{
+    enum {
+        CLAIM_MS = 4000
+    };
+    for (int is_released = 0; is_released < 2; is_released++) {
+        Fixture fixture;
+        OwnerFixture self;
+        set_up(&fixture);
+        set_up_owner(&self, &fixture);
+        fixture.node.site.pool_count = 0;
+        member_site_changed(self.member);
+        if (is_released) {
+            member_release(self.member, "pool");
+            pool_owner_drop(self.owner);
+            self.owner = NULL;
+            fake_store_reply_all(fixture.fake);
+        }
+        run_after_lost_lease(&self, CLAIM_MS);
+        CU_ASSERT_EQUAL(self.owner == NULL, is_released);
+        fixture.node.site.pool_count = 1;
+        member_site_changed(self.member);
+        run_after_lost_lease(&self, CLAIM_MS);
+        CU_ASSERT_PTR_NOT_NULL(self.owner);
+        tear_down_owner(&self);
+    }
+}
+
+/* Guards against an unreadable owner key that counts as that of the owner
+ * before: when that node starts again, the pool would count as vacant while
+ * the unknown owner runs. */
+static void
+test_unreadable_owner_is_unknown(void)
+{
+    enum {
+        CLAIM_MS = 4000
+    };
+    Fixture fixture;
+    OwnerFixture self;
+    set_up(&fixture);
+    fake_store_put(fixture.fake, key_of(KEY_MEMBER, "n-9"),
+                   "first 127.0.0.1:1 100");
+    fake_store_put(fixture.fake, key_of(KEY_OWNER, "pool"), "n-9 first");
+    set_up_member(&self, &fixture);
+    run_member(&self);
+    fake_store_put(fixture.fake, key_of(KEY_OWNER, "pool"), "n-9");
+    run_member(&self);
+    fake_store_put(fixture.fake, key_of(KEY_MEMBER, "n-9"),
+                   "second 127.0.0.1:1 100");
+    AqTime begin = AqLoop_Now(fixture.node.loop);
+    while (AqLoop_Now(fixture.node.loop) - begin < CLAIM_MS) {
+        run_member(&self);
+    }
+    CU_ASSERT_PTR_NULL(self.owner);
+    fake_store_remove(fixture.fake, key_of(KEY_OWNER, "pool"));
+    begin = AqLoop_Now(fixture.node.loop);
+    while (AqLoop_Now(fixture.node.loop) - begin < CLAIM_MS) {
+        run_member(&self);
+    }
+    CU_ASSERT_PTR_NOT_NULL(self.owner);
+    tear_down_owner(&self);
+}
+
 /* ---- New incarnations of VMs -------------------------------------------- */
 
 enum {
@@ -1117,6 +1196,8 @@
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
         {"weak_node_defers_claim", test_weak_node_defers_claim},
+        {"removed_pool_is_given_up", test_removed_pool_is_given_up},
+        {"unreadable_owner_is_unknown", test_unreadable_owner_is_unknown},
         {"replaced_vm_has_ended", test_replaced_vm_has_ended},
         {"wave_states_in_one_write", test_wave_states_in_one_write},
         {"begun_maintenance_is_requested_again",
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -230,6 +230,8 @@
                              size_t most);
 void AqScheduler_EndSave(AqScheduler *scheduler, AqJobSave *saves,
                          size_t count, bool is_stored, AqTime now);
+/* Returns whether a job that the scheduler knows is unfinished. */
+bool AqScheduler_HasUnfinishedJobs(const AqScheduler *s);
 /* Whether a change of any job is not stored yet. */
 bool AqScheduler_HasUnsaved(const AqScheduler *scheduler);
 
--- a/packages/scheduler/Include/aq_site_config.h
+++ b/packages/scheduler/Include/aq_site_config.h
@@ -62,6 +62,9 @@
 /* Returns the name of the spare pool, or NULL when the site has none.
  * Borrowed. */
 const char *AqSiteConfig_SparePool(const AqSiteConfig *config);
+/* Returns the pool named "name", or NULL when the site has none.  Borrowed. */
+const AqPoolConfig *AqSiteConfig_FindPool(const AqSiteConfig *config,
+                                          const char *name);
 /* Returns the queue named "name", or NULL when the site has none.
  * Borrowed. */
 const AqQueueConfig *AqSiteConfig_FindQueue(const AqSiteConfig *config,
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -384,6 +384,12 @@
     return true;
 }
 
+bool
+AqScheduler_HasUnfinishedJobs(const AqScheduler *s)
+{
+    return !AqList_IsEmpty(&s->active);
+}
+
 size_t
 AqScheduler_CountWaiting(const AqScheduler *s, const char *queue)
 {
--- a/packages/scheduler/site_config.c
+++ b/packages/scheduler/site_config.c
@@ -58,6 +58,17 @@
     return NULL;
 }
 
+const AqPoolConfig *
+AqSiteConfig_FindPool(const AqSiteConfig *config, const char *name)
+{
+    for (size_t i = 0; i < config->pool_count; i++) {
+        if (strcmp(config->pools[i].name, name) == 0) {
+            return &config->pools[i];
+        }
+    }
+    return NULL;
+}
+
 const char *
 AqSiteConfig_SparePool(const AqSiteConfig *config)
 {
