Callers while the store is away: other peers, and when to come back

With the store away for all, Retry-After was always 1 s, so that callers spent their retries within the outage. Change: a peer that fails is left out for 2 s and the request goes to the next one, up to three; after failures in a row without any service only a probe is forwarded each 500 ms. Retry-After follows from how long the store has been away, earlier outages, the number of refused callers and a spread.

--- a/packages/pool/caller_responses.c
+++ b/packages/pool/caller_responses.c
@@ -1,6 +1,9 @@
 #include "caller_responses.h"
 
 #include <stdbool.h>
+#include <stdio.h>
+
+#include "aq_hash.h"
 
 const char response_unavailable[] =
     "{\"error\":\"the store can't be reached; come back later\"}";
@@ -8,11 +11,20 @@
     "{\"error\":\"the outcome is not known; ask again with the same id\"}";
 
 void
-respond_json(AqExchange *exchange, int status, const char *body, size_t size)
+respond_json(NodeContext *node, AqExchange *exchange, int status,
+             const char *body, size_t size)
 {
+    char seconds[16];
     AqHttpHeader headers[] = {{"Content-Type", "application/json"},
-                              {"Retry-After", "1"}};
+                              {"Retry-After", seconds}};
     bool may_retry = status == 429 || status == 503;
+    if (may_retry) {
+        AqTime now = AqLoop_Now(node->loop);
+        /* The path names the job, which a retry has in common. */
+        uint64_t caller = AqHash_String(AqExchange_Path(exchange));
+        snprintf(seconds, sizeof(seconds), "%d",
+                 store_health_retry_after_s(&node->store_health, now, caller));
+    }
     AqExchange_Respond(exchange, status, headers, may_retry ? 2 : 1, body,
                        size);
 }
--- a/packages/pool/caller_responses.h
+++ b/packages/pool/caller_responses.h
@@ -4,6 +4,7 @@
 #include <stddef.h>
 
 #include "aq_http_server.h"
+#include "node.h"
 
 /* HTTP responses to callers, from this node or passed on from another. */
 
@@ -13,9 +14,9 @@
 extern const char response_unavailable[];
 extern const char response_unknown[];
 
-/* Sends a JSON response; statuses 429 and 503 get a Retry-After header of
- * one second. */
-void respond_json(AqExchange *exchange, int status, const char *body,
-                  size_t size);
+/* Sends a JSON response; statuses 429 and 503 get a Retry-After header, whose
+ * time depends on how long the store has not served this node. */
+void respond_json(NodeContext *node, AqExchange *exchange, int status,
+                  const char *body, size_t size);
 
 #endif
--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -6,6 +6,7 @@
 
 #include "caller_responses.h"
 #include "aq_log.h"
+#include "peer_choice.h"
 
 enum {
     /* A request is not forwarded with less than this left until its deadline,
@@ -15,9 +16,9 @@
      * caller. */
     RESPONSE_RESERVE_MS = 150,
     CONNECT_TIMEOUT_MS = 250,
-    /* For this long after a peer failed to serve a request, no request is
-     * forwarded. */
-    PEER_FAILURE_PAUSE_MS = 500,
+    /* Most peers that one request is sent to, so that an outage of the whole
+     * store does not multiply the requests. */
+    MAX_PEER_TRIES = 3,
     MAX_RESPONSE_BYTES = 65536
 };
 
@@ -29,28 +30,33 @@
     NodeContext *node;
     ForwarderOps ops;
     void *context;
-    AqTime pause_until;
+    PeerChoice *choice;
 };
 
 typedef struct {
     Forwarder *forwarder;
     ForwardOrder order;
     char peer[32];
-    AqTime sent_at;
-    bool is_read; /* the request is a GET, which is safe to repeat */
+    AqTime sent_at; /* when the request was sent to the first peer */
+    unsigned tries; /* number of peers that the request was sent to */
+    bool is_read;   /* the request is a GET, which is safe to repeat */
+    /* A write for the request, of this node or of an earlier peer, got no
+     * reply. */
+    bool may_have_effect;
 } Forward;
 
 static void
 respond(const Forward *forward, int status, const char *body, size_t size)
 {
     AqLog_Event(status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "forwarded",
-                "path=%s method=%s peer=%s status=%d took_ms=%lld",
+                "path=%s method=%s peer=%s tries=%u status=%d took_ms=%lld",
                 AqLog_Quote(AqExchange_Path(forward->order.exchange)),
                 AqExchange_Method(forward->order.exchange), forward->peer,
-                status,
+                forward->tries, status,
                 (long long)(AqLoop_Now(forward->forwarder->node->loop) -
                             forward->sent_at));
-    respond_json(forward->order.exchange, status, body, size);
+    respond_json(forward->forwarder->node, forward->order.exchange, status,
+                 body, size);
 }
 
 int
@@ -66,28 +72,24 @@
     return 503;
 }
 
+/* Ends a forwarded request with the HTTP status of the last peer, 0 if that
+ * peer did not respond. */
 static void
-on_peer_reply(void *context, const AqHttpReply *reply)
+finish(Forward *forward, int peer_status, bool was_sent,
+       const AqHttpReply *reply)
 {
-    Forward *forward = context;
-    Forwarder *forwarder = forward->forwarder;
-    bool is_complete = reply->result == AQ_HTTP_DONE;
-    if (!is_complete || reply->status == 503) {
-        forwarder->pause_until =
-            AqLoop_Now(forwarder->node->loop) + PEER_FAILURE_PAUSE_MS;
-    }
-    int status = forwarder_status(
-        is_complete ? reply->status : 0, reply->result != AQ_HTTP_NOT_SENT,
-        forward->is_read, forward->order.may_have_effect);
+    int status = forwarder_status(peer_status, was_sent, forward->is_read,
+                                  forward->may_have_effect);
     bool has_responded = status != 504 || !forward->order.may_have_effect ||
                          forward->order.done == NULL;
     if (!has_responded) {
         AqLog_Event(AQ_LOG_WARNING, "forward_failed",
-                    "path=%s peer=%s result=%d status=%d",
+                    "path=%s peer=%s result=%d status=%d tries=%u",
                     AqLog_Quote(AqExchange_Path(forward->order.exchange)),
-                    forward->peer, (int)reply->result, reply->status);
+                    forward->peer, (int)reply->result, reply->status,
+                    forward->tries);
     }
-    else if (is_complete && status == reply->status) {
+    else if (status == peer_status) {
         respond(forward, status, reply->body, reply->size);
     }
     else {
@@ -101,31 +103,62 @@
     free(forward);
 }
 
-static bool
-may_forward(const Forwarder *forwarder, const AqExchange *exchange,
-            AqTime deadline)
+static bool send_to_peer(Forward *forward);
+
+static void
+on_peer_reply(void *context, const AqHttpReply *reply)
 {
+    Forward *forward = context;
+    Forwarder *forwarder = forward->forwarder;
     AqTime now = AqLoop_Now(forwarder->node->loop);
-    return AqExchange_Header(exchange, forwarded_header) == NULL &&
-           forwarder->pause_until <= now && deadline - now > MIN_REMAINING_MS;
+    bool was_sent = reply->result != AQ_HTTP_NOT_SENT;
+    int status = reply->result == AQ_HTTP_DONE ? reply->status : 0;
+    if (status != 0 && status != 503) {
+        peer_choice_served(forwarder->choice, forward->peer, now);
+        finish(forward, status, was_sent, reply);
+        return;
+    }
+    peer_choice_failed(forwarder->choice, forward->peer, now);
+    /* Submissions and cancellings are idempotent, so that another peer may get
+     * the request also after a peer without a response. */
+    bool had_effect = forward->may_have_effect;
+    forward->may_have_effect |= status == 0 && was_sent && !forward->is_read;
+    if (forward->tries < MAX_PEER_TRIES && send_to_peer(forward)) {
+        return;
+    }
+    forward->may_have_effect = had_effect;
+    finish(forward, status, was_sent, reply);
 }
 
-bool
-forwarder_send(Forwarder *forwarder, const ForwardOrder *order)
+static bool
+may_use_peer(const void *context, const char *address)
+{
+    const Forwarder *forwarder = context;
+    return peer_choice_may_use(forwarder->choice, address,
+                               AqLoop_Now(forwarder->node->loop));
+}
+
+/* Chooses a peer and sends the request; returns false if there is no peer or
+ * too little time. */
+static bool
+send_to_peer(Forward *forward)
 {
-    const AqExchange *exchange = order->exchange;
-    const char *peer = forwarder->ops.peer(forwarder->context);
+    Forwarder *forwarder = forward->forwarder;
+    const AqExchange *exchange = forward->order.exchange;
+    AqTime now = AqLoop_Now(forwarder->node->loop);
+    AqTime left = forward->order.deadline - now;
+    if (left <= MIN_REMAINING_MS ||
+        !peer_choice_may_forward(forwarder->choice, now)) {
+        return false;
+    }
+    const char *peer =
+        forwarder->ops.peer(forwarder->context, may_use_peer, forwarder);
     const char *host = AqExchange_Header(exchange, "Host");
     size_t size;
-    if (peer == NULL || host == NULL ||
-        !may_forward(forwarder, exchange, order->deadline)) {
+    if (peer == NULL || host == NULL) {
         return false;
     }
-    Forward *forward = calloc(1, sizeof(*forward));
-    forward->forwarder = forwarder;
-    forward->order = *order;
-    forward->sent_at = AqLoop_Now(forwarder->node->loop);
-    forward->is_read = strcmp(AqExchange_Method(exchange), "GET") == 0;
+    forward->tries++;
     g_strlcpy(forward->peer, peer, sizeof(forward->peer));
     char *url =
         g_strdup_printf("http://%s%s", peer, AqExchange_Path(exchange));
@@ -141,7 +174,7 @@
         .body = body,
         .size = size,
         .has_body = size > 0,
-        .timeout_ms = order->deadline - forward->sent_at - RESPONSE_RESERVE_MS,
+        .timeout_ms = left - RESPONSE_RESERVE_MS,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .max_response_bytes = MAX_RESPONSE_BYTES,
     };
@@ -153,6 +186,25 @@
     return true;
 }
 
+bool
+forwarder_send(Forwarder *forwarder, const ForwardOrder *order)
+{
+    if (AqExchange_Header(order->exchange, forwarded_header) != NULL) {
+        return false;
+    }
+    Forward *forward = calloc(1, sizeof(*forward));
+    forward->forwarder = forwarder;
+    forward->order = *order;
+    forward->may_have_effect = order->may_have_effect;
+    forward->sent_at = AqLoop_Now(forwarder->node->loop);
+    forward->is_read = strcmp(AqExchange_Method(order->exchange), "GET") == 0;
+    if (!send_to_peer(forward)) {
+        free(forward);
+        return false;
+    }
+    return true;
+}
+
 Forwarder *
 forwarder_create(NodeContext *node, const ForwarderOps *ops, void *context)
 {
@@ -160,11 +212,15 @@
     forwarder->node = node;
     forwarder->ops = *ops;
     forwarder->context = context;
+    forwarder->choice = peer_choice_create();
     return forwarder;
 }
 
 void
 forwarder_destroy(Forwarder *forwarder)
 {
-    free(forwarder);
+    if (forwarder != NULL) {
+        peer_choice_destroy(forwarder->choice);
+        free(forwarder);
+    }
 }
--- a/packages/pool/forwarder.h
+++ b/packages/pool/forwarder.h
@@ -5,15 +5,19 @@
 #include "node.h"
 
 /* Forwards callers' requests to another node, the peer, when the store fails
- * this node's calls but may serve those of the peer.  The peer does not
- * forward the requests again. */
+ * this node's calls but may serve those of the peer.  A peer that fails to
+ * serve a request is followed by another one, while time is left.  The peers
+ * do not forward the requests again. */
 
 typedef struct Forwarder Forwarder;
 
 typedef struct {
-    /* Returns the "IP:port" on which another node serves callers, borrowed;
-     * NULL if there is no other node. */
-    const char *(*peer)(void *context);
+    /* Returns the "IP:port" on which another node serves callers, borrowed,
+     * among those that may_use accepts; NULL if there is none. */
+    const char *(*peer)(void *context,
+                        bool (*may_use)(const void *choice,
+                                        const char *address),
+                        const void *choice);
 } ForwarderOps;
 
 Forwarder *forwarder_create(NodeContext *node, const ForwarderOps *ops,
@@ -37,9 +41,9 @@
 
 /* Sends the request to another node, the peer, and responds to the exchange
  * with the peer's response.  Returns false and does nothing if there is no
- * peer, another node has forwarded the request to this one, too little time is
- * left until the deadline, or a peer failed to serve a request within the last
- * 500 ms. */
+ * peer that has served requests lately (peer_choice.h), another node has
+ * forwarded the request to this one, or too little time is left until the
+ * deadline. */
 bool forwarder_send(Forwarder *forwarder, const ForwardOrder *order);
 
 /* Returns the HTTP status for the caller of a forwarded request when the peer
--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -71,11 +71,12 @@
 /* ---- Responses ---------------------------------------------------------- */
 
 static void
-respond_error(AqExchange *exchange, int status, const char *message)
+respond_error(const JobApi *job_api, AqExchange *exchange, int status,
+              const char *message)
 {
     char body[AQ_ERROR_MESSAGE_SIZE + 32];
     snprintf(body, sizeof(body), "{\"error\":%s}", AqLog_Quote(message));
-    respond_json(exchange, status, body, strlen(body));
+    respond_json(job_api->node, exchange, status, body, strlen(body));
 }
 
 static void
@@ -121,7 +122,8 @@
                 (long long)(now_of(request->job_api) - request->arrived_at),
                 (long long)request->job_api->node->site.version);
     count_response(request, status);
-    respond_json(request->exchange, status, body, strlen(body));
+    respond_json(request->job_api->node, request->exchange, status, body,
+                 strlen(body));
     free_request(request);
 }
 
@@ -163,7 +165,8 @@
 static void
 record_store_status(const Request *request, const AqStoreReply *reply)
 {
-    store_health_note(&request->job_api->node->store_health, reply->status);
+    store_health_note(&request->job_api->node->store_health, reply->status,
+                      now_of(request->job_api));
 }
 
 /* Starts the first attempt of a request that writes; forwards the request
@@ -615,7 +618,7 @@
         AqLog_Event(AQ_LOG_WARNING, "refused", "path=%s reason=no_config",
                     AqLog_Quote(path));
         respond_error(
-            exchange, 503,
+            job_api, exchange, 503,
             "the node has no current configuration; come back later");
         return;
     }
@@ -627,7 +630,7 @@
                     "path=%s host=%s reason=no_queue config=%lld",
                     AqLog_Quote(path), AqLog_Quote(host != NULL ? host : ""),
                     (long long)job_api->node->site.version);
-        respond_error(exchange, 404,
+        respond_error(job_api, exchange, 404,
                       "there is no such queue; check the host "
                       "and the path");
         return;
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -162,7 +162,8 @@
 on_registered(void *context, const AqStoreReply *reply)
 {
     Member *member = context;
-    store_health_note(&member->node->store_health, reply->status);
+    store_health_note(&member->node->store_health, reply->status,
+                      AqLoop_Now(member->node->loop));
     if (reply->status != AQ_STORE_OK) {
         member->lease = 0;
         schedule_renewal(member, LEASE_RETRY_MS);
@@ -189,7 +190,8 @@
 {
     Member *member = context;
     NodeContext *node = member->node;
-    store_health_note(&node->store_health, reply->status);
+    store_health_note(&node->store_health, reply->status,
+                      AqLoop_Now(node->loop));
     if (reply->status != AQ_STORE_OK || reply->lease == 0) {
         schedule_renewal(member, LEASE_RETRY_MS);
         return;
@@ -213,7 +215,8 @@
 on_renewed(void *context, const AqStoreReply *reply)
 {
     Member *member = context;
-    store_health_note(&member->node->store_health, reply->status);
+    store_health_note(&member->node->store_health, reply->status,
+                      AqLoop_Now(member->node->loop));
     if (reply->status == AQ_STORE_OK) {
         record_lease_reply(member, member->renewal_sent_at);
         schedule_renewal(member, RENEWAL_INTERVAL_MS);
@@ -708,22 +711,21 @@
 }
 
 const char *
-member_peer(Member *member)
+member_peer(Member *member,
+            bool (*may_use)(const void *context, const char *address),
+            const void *context)
 {
     const char *found = NULL;
     const char *own = member->node->settings->node_id;
     GList *nodes = g_hash_table_get_keys(member->peers);
     guint count = g_list_length(nodes);
     for (guint i = 0; i < count && found == NULL; i++) {
-        const char *node =
-            g_list_nth_data(nodes, (member->next_peer + i) % count);
-        if (strcmp(node, own) != 0) {
-            found =
-                ((const MemberEntry *)g_hash_table_lookup(member->peers, node))
-                    ->address;
+        const char *node = g_list_nth_data(nodes, member->next_peer++ % count);
+        const MemberEntry *entry = g_hash_table_lookup(member->peers, node);
+        if (strcmp(node, own) != 0 && may_use(context, entry->address)) {
+            found = entry->address;
         }
     }
-    member->next_peer++;
     g_list_free(nodes);
     return found;
 }
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -56,9 +56,12 @@
  * last 1500 ms. */
 bool member_is_connected(const Member *member);
 /* Returns the "IP:port" on which another member serves callers, a different
- * member with each call; NULL if this node is the only member.  The result is
- * valid until the members change. */
-const char *member_peer(Member *member);
+ * member with each call, among those that may_use accepts; NULL if there is
+ * none.  The result is valid until the members change. */
+const char *member_peer(Member *member,
+                        bool (*may_use)(const void *context,
+                                        const char *address),
+                        const void *context);
 /* Ends this node's ownership of a pool after another owner was seen in the
  * store or a write of this node as the pool's owner conflicted; "reason" is
  * logged. */
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -157,9 +157,11 @@
 }
 
 static const char *
-pick_peer(void *context)
+pick_peer(void *context,
+          bool (*may_use)(const void *choice, const char *address),
+          const void *choice)
 {
-    return member_peer(((AqNode *)context)->member);
+    return member_peer(((AqNode *)context)->member, may_use, choice);
 }
 
 static bool
@@ -736,6 +738,7 @@
     }
     AqMetrics_Destroy(context->metrics.all);
     AqSiteConfig_Clear(&context->site);
+    store_health_clear(&context->store_health);
     g_hash_table_destroy(node->owners);
     AqLoop_Destroy(context->loop);
     free(node);
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -288,14 +288,14 @@
         Fixture fixture;
         set_up(&fixture);
         StoreHealth *health = &fixture.node.store_health;
-        store_health_note(health, AQ_STORE_UNKNOWN);
+        store_health_note(health, AQ_STORE_UNKNOWN, 0);
         CU_ASSERT_FALSE(store_health_is_lost(health));
-        store_health_note(health, AQ_STORE_UNKNOWN);
+        store_health_note(health, AQ_STORE_UNKNOWN, 0);
         send_request(&fixture, methods[i]);
         run(&fixture);
         CU_ASSERT_EQUAL(fake_store_pending_count(fixture.fake), 0);
         CU_ASSERT_EQUAL(fixture.status, 503);
-        store_health_note(health, AQ_STORE_ABSENT);
+        store_health_note(health, AQ_STORE_ABSENT, 0);
         send_request(&fixture, methods[i]);
         run(&fixture);
         CU_ASSERT_EQUAL(fake_store_pending_count(fixture.fake), 1);
