--- a/packages/pool/tests/test_forwarder.c
+++ b/packages/pool/tests/test_forwarder.c
@@ -5,6 +5,7 @@
 
 #include "aq_log.h"
 #include "forwarder.h"
+#include "raw_server.h"
 
 /* Tests of the forwarding of callers' requests to other nodes, on loopback. */
 
@@ -24,7 +25,8 @@
 
 typedef struct {
     PeerKind kind;
-    AqHttpServer *server;
+    AqHttpServer *server; /* NULL: "raw" */
+    RawServer raw;
     unsigned requests;
     char address[32];
 } Peer;
@@ -49,13 +51,6 @@
 {
     Peer *peer = context;
     peer->requests++;
-    if (peer->kind == PEER_CLOSES) {
-        AqHttpServer *server = peer->server;
-        peer->server = NULL;
-        AqExchange_Respond(exchange, 200, NULL, 0, "{}", 2);
-        AqHttpServer_Destroy(server);
-        return;
-    }
     AqExchange_Respond(exchange, peer->kind == PEER_SERVES ? 200 : 503, NULL,
                        0, "{}", 2);
 }
@@ -135,10 +130,18 @@
     fixture->forwarder = forwarder_create(&fixture->node, &ops, fixture);
     for (int i = 0; i < PEERS; i++) {
         Peer *peer = &fixture->peers[i];
+        unsigned port;
         peer->kind = kinds[i];
-        peer->server = open_server(fixture, handle_at_peer, peer);
-        snprintf(peer->address, sizeof(peer->address), "127.0.0.1:%u",
-                 AqHttpServer_Port(peer->server));
+        if (peer->kind == PEER_CLOSES) {
+            peer->raw.stage = STAGE_BEFORE_RESPONSE;
+            raw_server_start(&peer->raw, fixture->node.loop);
+            port = peer->raw.port;
+        }
+        else {
+            peer->server = open_server(fixture, handle_at_peer, peer);
+            port = AqHttpServer_Port(peer->server);
+        }
+        snprintf(peer->address, sizeof(peer->address), "127.0.0.1:%u", port);
     }
 }
 
@@ -174,6 +177,9 @@
     AqHttpServer_Destroy(fixture->front);
     for (int i = 0; i < PEERS; i++) {
         AqHttpServer_Destroy(fixture->peers[i].server);
+        if (fixture->peers[i].kind == PEER_CLOSES) {
+            raw_server_stop(&fixture->peers[i].raw);
+        }
     }
     AqHttpClient_Destroy(fixture->caller);
     AqHttpClient_Destroy(fixture->node.http);
@@ -209,7 +215,8 @@
         set_up(&fixture, cases[i].kinds);
         send_request(&fixture, cases[i].method);
         for (int j = 0; j < PEERS; j++) {
-            requests += fixture.peers[j].requests;
+            requests += fixture.peers[j].requests +
+                        (unsigned)fixture.peers[j].raw.requests;
         }
         if (fixture.status != cases[i].status) {
             printf("case %zu: status %d\n", i, fixture.status);
