--- a/packages/pool/caller_responses.c
+++ b/packages/pool/caller_responses.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 
 #include "aq_hash.h"
+#include "aq_log.h"
 
 const char response_unavailable[] =
     "{\"error\":\"the store can't be reached; come back later\"}";
@@ -24,6 +25,10 @@
         uint64_t caller = AqHash_String(AqExchange_Path(exchange));
         snprintf(seconds, sizeof(seconds), "%d",
                  store_health_retry_after_s(&node->store_health, now, caller));
+        AqLog_Event(AQ_LOG_INFO, "caller_refused",
+                    "path=%s status=%d retry_after_s=%s store_failures=%u",
+                    AqLog_Quote(AqExchange_Path(exchange)), status, seconds,
+                    node->store_health.failures);
     }
     AqExchange_Respond(exchange, status, headers, may_retry ? 2 : 1, body,
                        size);
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -277,7 +277,12 @@
 static void
 start_watch(PrefixView *view)
 {
-    AqTime wait = view->ops.is_prompt ? PROMPT_WAIT_MS : WATCH_WAIT_MS;
+    /* After a failure the store is to reply at once: the reply to a watch
+     * without a change would show only after its whole wait that the store
+     * serves this node again. */
+    AqTime wait = !view->is_reachable   ? 0
+                  : view->ops.is_prompt ? PROMPT_WAIT_MS
+                                        : WATCH_WAIT_MS;
     WatchCall *call = malloc(sizeof(*call));
     call->view = view;
     call->number = ++view->last_watch;
--- a/packages/pool/retry_after.c
+++ b/packages/pool/retry_after.c
@@ -2,9 +2,9 @@
 
 enum {
     MIN_WAIT_MS = 1000, /* the header counts whole seconds */
-    /* An outage that is expected to end within this time is waited for in steps
-     * of the shortest wait: with longer ones a caller misses the short time
-     * between the outages of a store that flaps. */
+    /* An outage that is expected to end within this time is waited for in
+     * steps of the shortest wait: with longer ones a caller misses the short
+     * time between the outages of a store that flaps. */
     SOON_MS = 2000,
     /* A caller that waits longer has mostly given up. */
     MAX_WAIT_MS = 8000,
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -50,6 +50,7 @@
      * with AQ_STORE_COMPACTED. */
     uint64_t compacted_index;
     int64_t max_wait_ms;
+    int64_t last_wait_ms; /* that the last watch requested */
     unsigned get_count;
     /* Id of the last lease granted; 0: none, or it has ended. */
     uint64_t lease;
@@ -166,6 +167,7 @@
 {
     FakeStore *fake = (FakeStore *)store;
     add_call(store, CALL_CHANGES, prefix, done, context)->index = index;
+    fake->last_wait_ms = wait_ms;
     if (wait_ms > fake->max_wait_ms) {
         fake->max_wait_ms = wait_ms;
     }
@@ -438,6 +440,12 @@
     return fake->get_count;
 }
 
+int64_t
+fake_store_last_wait_ms(const FakeStore *fake)
+{
+    return fake->last_wait_ms;
+}
+
 int64_t
 fake_store_max_wait_ms(const FakeStore *fake)
 {
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -50,6 +50,8 @@
                              size_t *size);
 /* Returns the number of get calls that the store has received so far. */
 unsigned fake_store_get_count(const FakeStore *fake);
+/* Returns the wait that the last watch has requested, ms. */
+int64_t fake_store_last_wait_ms(const FakeStore *fake);
 /* Returns the longest wait that a watch has requested, ms. */
 int64_t fake_store_max_wait_ms(const FakeStore *fake);
 
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -333,6 +333,31 @@
     tear_down(&fixture);
 }
 
+/* Guards against a node that refuses callers for seconds after the store has
+ * returned: the reply to a watch without a change comes only after its whole
+ * wait, and until then the node's configuration counts as out of date. */
+static void
+test_first_watch_after_outage(void)
+{
+    Fixture fixture;
+    ViewCounts counts = {0};
+    set_up(&fixture);
+    PrefixView *view = prefix_view_create(
+        fixture.node.loop, fixture.node.store, "p/", &view_ops, &counts);
+    fake_store_reply(fixture.fake);
+    CU_ASSERT_EQUAL(fake_store_last_wait_ms(fixture.fake), 2000);
+    for (int i = 0; i < 3; i++) {
+        fake_store_refuse_call(fixture.fake);
+        run_until_call(&fixture);
+        CU_ASSERT_EQUAL(fake_store_last_wait_ms(fixture.fake), 0);
+    }
+    fake_store_reply(fixture.fake);
+    CU_ASSERT_EQUAL(fake_store_last_wait_ms(fixture.fake), 2000);
+    prefix_view_destroy(view);
+    fake_store_reply_all(fixture.fake);
+    tear_down(&fixture);
+}
+
 /* Guards against changes of keys that are received seconds late because the
  * store has lost a watch without an error, and against changes that are
  * reported twice when the store replies to that watch after all. */
@@ -1191,6 +1216,7 @@
         {"view_survives_compaction", test_view_survives_compaction},
         {"view_coalesces_changes", test_view_coalesces_changes},
         {"view_limits_watch_wait", test_view_limits_watch_wait},
+        {"first_watch_after_outage", test_first_watch_after_outage},
         {"silent_watch_is_replaced", test_silent_watch_is_replaced},
         {"unreadable_vm_is_unlisted", test_unreadable_vm_is_unlisted},
         {"report_ends_with_lease", test_report_ends_with_lease},
