--- /dev/null
+++ b/packages/carrier/carrier_wire.h
@@ -0,0 +1,80 @@
+#ifndef CARRIER_WIRE_H
+#define CARRIER_WIRE_H
+
+#include "aq_buffer.h"
+#include "aq_error.h"
+#include "aq_worker_client.h"
+
+/* Messages between an owner and its carriers.  A frame is a length of four
+ * bytes, big-endian, and a msgpack array of that length. */
+
+enum {
+    CARRIER_VERSION = 1,
+    /* A renewal reply lists at most 500 ends and the runs of one VM. */
+    CARRIER_MAX_FRAME = 256 * 1024,
+    CARRIER_MAX_TASKS = 4096
+};
+
+typedef enum {
+    CARRIER_HELLO,
+    CARRIER_START,
+    CARRIER_STOP,
+    CARRIER_RENEW,
+    CARRIER_PACE,
+    CARRIER_REPLY
+} CarrierKind;
+
+/* First message of an owner. */
+typedef struct {
+    int64_t version;
+    const char *node;
+    const char *incarnation;
+} CarrierHello;
+
+/* An order; which fields hold depends on the kind. */
+typedef struct {
+    int64_t id; /* that the reply repeats */
+    const char *address;
+    const char *vm;
+    AqStartOrder start; /* CARRIER_START; stop and pace use task, run, fence */
+    AqRenewalOrder renewal;
+    int percent; /* CARRIER_PACE */
+} CarrierOrder;
+
+typedef struct {
+    int64_t id;
+    AqOrderReply reply;
+} CarrierReply;
+
+/* A decoded message.  Its strings and lists belong to it until
+ * carrier_message_clear(). */
+typedef struct {
+    CarrierKind kind;
+    union {
+        CarrierHello hello;
+        CarrierOrder order;
+        CarrierReply reply;
+    } as;
+    void *strings; /* GStringChunk */
+    AqRunningTask *running;
+    AqEndedTask *ended;
+} CarrierMessage;
+
+/* Append a frame to "out". */
+void carrier_encode_hello(const CarrierHello *hello, AqBuffer *out);
+void carrier_encode_order(CarrierKind kind, const CarrierOrder *order,
+                          AqBuffer *out);
+void carrier_encode_reply(const CarrierReply *reply, AqBuffer *out);
+
+typedef enum {
+    CARRIER_COMPLETE,
+    CARRIER_INCOMPLETE, /* more bytes are needed */
+    CARRIER_MALFORMED   /* the error is set; the connection must be closed */
+} CarrierDecode;
+
+/* Decodes the first frame of "bytes" and sets *used to its size. */
+CarrierDecode carrier_decode(const char *bytes, size_t size, size_t *used,
+                             CarrierMessage *message, AqError *error);
+void carrier_message_clear(CarrierMessage *message);
+
+#endif
--- a/packages/daemon/peers.c
+++ b/packages/daemon/peers.c
@@ -9,7 +9,7 @@
 
 #include "aq_buffer.h"
 #include "aq_log.h"
-#include "peer_socket.h"
+#include "aq_peer_socket.h"
 
 enum {
     DIAL_RETRY_MS = 500,
@@ -107,7 +107,7 @@
 {
     Outgoing *out = context;
     if (!out->connected) {
-        if (!peer_socket_is_connected(out->fd)) {
+        if (!AqPeerSocket_IsConnected(out->fd)) {
             peers_schedule_redial(out, "connect failed");
             return;
         }
@@ -136,10 +136,10 @@
     uint16_t port;
     AqLoop *loop = out->peers->daemon->loop;
     out->retry_at = now + DIAL_RETRY_MS;
-    if (!peer_socket_parse(out->address, ip, &port)) {
+    if (!AqPeerSocket_Parse(out->address, ip, &port)) {
         return;
     }
-    out->fd = peer_socket_connect(ip, port);
+    out->fd = AqPeerSocket_Connect(ip, port);
     if (out->fd < 0) {
         return;
     }
@@ -281,8 +281,8 @@
     AqList_Init(&peers->incoming);
     AqTimer_Init(&peers->heartbeat, on_heartbeat, peers);
     peers->port = (uint16_t)daemon->settings->peers_port;
-    peers->listener = peer_socket_listen(daemon->settings->peers_address,
-                                         &peers->port, error);
+    peers->listener = AqPeerSocket_Listen(daemon->settings->peers_address,
+                                          &peers->port, error);
     if (peers->listener < 0) {
         goto error;
     }
--- a/packages/daemon/peers_in.c
+++ b/packages/daemon/peers_in.c
@@ -7,7 +7,7 @@
 #include <unistd.h>
 
 #include "aq_log.h"
-#include "peer_socket.h"
+#include "aq_peer_socket.h"
 
 enum {
     /* If a peer reports that it has received no heartbeat of this daemon for
@@ -188,7 +188,7 @@
     Peers *peers = context;
     (void)events;
     drop_unidentified(peers, AqLoop_Now(peers->daemon->loop));
-    int fd = peer_socket_accept(peers->listener);
+    int fd = AqPeerSocket_Accept(peers->listener);
     if (fd < 0) {
         return;
     }
--- a/packages/daemon/peer_socket.c
+++ b/packages/io/peer_socket.c
@@ -1,4 +1,4 @@
-#include "peer_socket.h"
+#include "aq_peer_socket.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -18,7 +18,7 @@
 };
 
 bool
-peer_socket_parse(const char *text, char ip[16], uint16_t *port)
+AqPeerSocket_Parse(const char *text, char ip[16], uint16_t *port)
 {
     struct in_addr address;
     const char *colon = strrchr(text, ':');
@@ -50,7 +50,7 @@
 }
 
 int
-peer_socket_listen(const char *ip, uint16_t *port, AqError *error)
+AqPeerSocket_Listen(const char *ip, uint16_t *port, AqError *error)
 {
     struct sockaddr_in address;
     socklen_t size = sizeof(address);
@@ -89,7 +89,7 @@
 }
 
 int
-peer_socket_connect(const char *ip, uint16_t port)
+AqPeerSocket_Connect(const char *ip, uint16_t port)
 {
     struct sockaddr_in address;
     int fd = open_socket(ip, port, &address);
@@ -106,7 +106,7 @@
 }
 
 int
-peer_socket_accept(int listener)
+AqPeerSocket_Accept(int listener)
 {
     int fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
     if (fd >= 0) {
@@ -116,7 +116,7 @@
 }
 
 bool
-peer_socket_is_connected(int fd)
+AqPeerSocket_IsConnected(int fd)
 {
     int code = 0;
     socklen_t size = sizeof(code);
--- /dev/null
+++ b/packages/pool/bench/bench_owner.c
@@ -0,0 +1,399 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "aq_http_server.h"
+#include "aq_json.h"
+#include "aq_log.h"
+#include "aq_platform.h"
+#include "fake_store.h"
+#include "pool_owner.h"
+#include "store_keys.h"
+
+/* Measures what a run costs the owner of a pool, in processor time and bytes:
+ * a real PoolOwner, HTTP client and encoders, a store in memory, and simulated
+ * VMs in a second process.  Arguments: number of VMs, jobs a second, seconds.
+ * The figures depend on the machine and on what else it does. */
+
+enum {
+    MAX_VMS = 250, /* VM i listens on 127.0.0.(i + 2) */
+    STEPS = 2,
+    TASKS = 8,
+    TASK_MS = 500,
+    VM_CPU = 64000,
+    TASK_CPU = 4000,
+    MAX_RUNS = 64, /* of one VM */
+    MAX_ENDS = 500
+};
+
+/* ---- Simulated VMs ------------------------------------------------------ */
+
+typedef struct {
+    char task[64];
+    long long run;
+    AqTime ends_at;
+} Run;
+
+typedef struct {
+    Run runs[MAX_RUNS];
+    size_t run_count;
+    Run ends[MAX_ENDS];
+    long long end_numbers[MAX_ENDS];
+    size_t end_count;
+    long long last_end;
+    AqExchange *held; /* renewal that waits for an end */
+    AqTime held_until;
+} SimVm;
+
+typedef struct {
+    AqLoop *loop;
+    SimVm vms[MAX_VMS];
+} SimVms;
+
+static void
+respond(AqExchange *exchange, int status, const AqBuffer *body)
+{
+    AqExchange_Respond(exchange, status, NULL, 0, AqBuffer_Text(body),
+                       body->size);
+}
+
+static void
+respond_renewal(SimVm *vm, AqExchange *exchange, AqTime now)
+{
+    AqBuffer body;
+    AqBuffer_Init(&body);
+    AqBuffer_Printf(&body, "{\"clock_ms\":%lld,\"running\":[", (long long)now);
+    for (size_t i = 0; i < vm->run_count; i++) {
+        AqBuffer_Printf(
+            &body, "%s[\"%s\",%lld,\"\",%lld,4000]", i > 0 ? "," : "",
+            vm->runs[i].task, vm->runs[i].run,
+            (long long)(100 - (vm->runs[i].ends_at - now) * 100 / TASK_MS));
+    }
+    AqBuffer_AppendText(&body, "],\"ended\":[");
+    for (size_t i = 0; i < vm->end_count; i++) {
+        AqBuffer_Printf(&body, "%s[%lld,\"%s\",%lld,\"done\",\"\"]",
+                        i > 0 ? "," : "", vm->end_numbers[i], vm->ends[i].task,
+                        vm->ends[i].run);
+    }
+    AqBuffer_AppendText(&body, "]}");
+    respond(exchange, 200, &body);
+    AqBuffer_Clear(&body);
+}
+
+static void
+forget_ends(SimVm *vm, long long last_seen)
+{
+    size_t forgotten = 0;
+    while (forgotten < vm->end_count &&
+           vm->end_numbers[forgotten] <= last_seen) {
+        forgotten++;
+    }
+    vm->end_count -= forgotten;
+    memmove(vm->ends, vm->ends + forgotten, vm->end_count * sizeof(Run));
+    memmove(vm->end_numbers, vm->end_numbers + forgotten,
+            vm->end_count * sizeof(long long));
+}
+
+static void
+handle_vm_request(void *context, AqExchange *exchange)
+{
+    SimVms *self = context;
+    size_t size;
+    AqTime now = AqLoop_Now(self->loop);
+    const char *text = AqExchange_Body(exchange, &size);
+    const char *id = AqExchange_Header(exchange, "X-Expect-Instance");
+    json_t *body = json_loadb(text, size, 0, NULL);
+    SimVm *vm = &self->vms[atoi(id + 2)];
+    if (strcmp(AqExchange_Path(exchange), "/v1/run-start") == 0) {
+        AqBuffer reply;
+        Run *run = &vm->runs[vm->run_count++];
+        snprintf(run->task, sizeof(run->task), "%s",
+                 json_string_value(json_object_get(body, "task")));
+        run->run = json_integer_value(json_object_get(body, "run"));
+        run->ends_at = now + TASK_MS;
+        AqBuffer_Init(&reply);
+        AqBuffer_Printf(&reply, "{\"clock_ms\":%lld}", (long long)now);
+        respond(exchange, 200, &reply);
+        AqBuffer_Clear(&reply);
+    }
+    else {
+        forget_ends(vm,
+                    json_integer_value(json_object_get(body, "last_seen")));
+        AqTime wait = json_integer_value(json_object_get(body, "wait_ms"));
+        if (wait == 0 || vm->end_count > 0 || vm->held != NULL) {
+            respond_renewal(vm, exchange, now);
+        }
+        else {
+            vm->held = exchange;
+            vm->held_until = now + wait;
+        }
+    }
+    json_decref(body);
+}
+
+static void
+end_runs(SimVm *vm, AqTime now)
+{
+    for (size_t i = 0; i < vm->run_count;) {
+        if (vm->runs[i].ends_at <= now && vm->end_count < MAX_ENDS) {
+            vm->ends[vm->end_count] = vm->runs[i];
+            vm->end_numbers[vm->end_count++] = ++vm->last_end;
+            vm->runs[i] = vm->runs[--vm->run_count];
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+static AqTime
+advance_vms(void *context)
+{
+    SimVms *self = context;
+    AqTime now = AqLoop_Now(self->loop);
+    for (int i = 0; i < MAX_VMS; i++) {
+        SimVm *vm = &self->vms[i];
+        end_runs(vm, now);
+        if (vm->held != NULL && (vm->end_count > 0 || vm->held_until <= now)) {
+            AqExchange *exchange = vm->held;
+            vm->held = NULL;
+            respond_renewal(vm, exchange, now);
+        }
+    }
+    return now + 1;
+}
+
+static void
+serve_vms(int ready_fd)
+{
+    static SimVms self;
+    AqError error;
+    AqHttpServerConfig config = {.address = "0.0.0.0",
+                                 .max_body = 65536,
+                                 .max_connections = 16000,
+                                 .idle_timeout_s = 60};
+    self.loop = AqLoop_Create(&error);
+    AqHttpServer *server = AqHttpServer_Create(
+        self.loop, &config, handle_vm_request, &self, &error);
+    if (server == NULL) {
+        fprintf(stderr, "bench_owner: %s\n", error.message);
+        exit(EXIT_FAILURE);
+    }
+    uint16_t port = AqHttpServer_Port(server);
+    if (write(ready_fd, &port, sizeof(port)) != sizeof(port)) {
+        exit(EXIT_FAILURE);
+    }
+    AqLoop_OnRound(self.loop, advance_vms, &self);
+    AqLoop_Run(self.loop);
+}
+
+/* ---- Owner -------------------------------------------------------------- */
+
+typedef struct {
+    FakeStore *store;
+    NodeContext node;
+    Member *member;
+    PoolOwner *owner;
+} Bench;
+
+static void
+on_superseded(void *context, const char *pool, const char *reason)
+{
+    (void)context;
+    fprintf(stderr, "bench_owner: pool %s lost: %s\n", pool, reason);
+    exit(EXIT_FAILURE);
+}
+
+static void
+on_gained(void *context, const Ownership *ownership)
+{
+    static const PoolOwnerOps ops = {on_superseded};
+    Bench *self = context;
+    self->owner =
+        pool_owner_create(&self->node, self->member, ownership, &ops, self);
+}
+
+static void
+on_lost(void *context, const char *pool, const char *reason)
+{
+    on_superseded(context, pool, reason);
+}
+
+static void
+create_bench(Bench *self)
+{
+    static const MemberOps ops = {on_gained, on_lost};
+    static AqSettings settings = {.node_id = "n-1",
+                                  .node_cpu_share = "0.5",
+                                  .callers_listen = "127.0.0.1:1",
+                                  .limits_longest_lease_ms = 5000};
+    static AqQueueConfig queue = {.name = "q",
+                                  .host = "h",
+                                  .prefix = "/q/",
+                                  .pool = "pool",
+                                  .stretch = 1.6,
+                                  .target_ms = 600,
+                                  .max_attempts = 4};
+    static AqPoolConfig pool = {.name = "pool"};
+    AqError error;
+    NodeMetrics *metrics = &self->node.metrics;
+    self->store = fake_store_create();
+    self->node.store = fake_store_interface(self->store);
+    self->node.settings = &settings;
+    self->node.loop = AqLoop_Create(&error);
+    self->node.http = AqHttpClient_Create(self->node.loop, &error);
+    self->node.workers = AqPlatformWorkers_Create(self->node.http, 600);
+    strcpy(self->node.incarnation, "bench");
+    metrics->all = AqMetrics_Create();
+    metrics->save_ms = AqMetrics_Histogram(metrics->all, "save", "");
+    metrics->start_ms = AqMetrics_Histogram(metrics->all, "start", "");
+    metrics->takeover_ms = AqMetrics_Histogram(metrics->all, "takeover", "");
+    metrics->orders_failed = AqMetrics_Counter(metrics->all, "failed", "");
+    self->node.site = (AqSiteConfig){.version = 1,
+                                     .queues = &queue,
+                                     .queue_count = 1,
+                                     .pools = &pool,
+                                     .pool_count = 1};
+    self->member = member_create(&self->node, &ops, self);
+    member_site_changed(self->member);
+}
+
+static void
+list_vms(Bench *self, int count, uint16_t port)
+{
+    for (int i = 0; i < count; i++) {
+        AqVmReport report = {
+            .cpu_millis = VM_CPU, .memory_mb = 128000, .leaves_ms = -1};
+        snprintf(report.id, sizeof(report.id), "i-%d", i);
+        snprintf(report.machine, sizeof(report.machine), "m-%d", i);
+        snprintf(report.rack, sizeof(report.rack), "r-%d", i / 8);
+        snprintf(report.address, sizeof(report.address), "127.0.0.%d:%u",
+                 i + 2, port);
+        snprintf(report.pool, sizeof(report.pool), "pool");
+        pool_owner_set_vm(self->owner, &report);
+    }
+}
+
+static void
+on_stored(void *context, const AqStoreReply *reply)
+{
+    (void)context;
+    if (reply->status != AQ_STORE_OK) {
+        fprintf(stderr, "bench_owner: a job was not stored\n");
+    }
+}
+
+static void
+submit_job(Bench *self, unsigned number)
+{
+    AqJobSpec spec;
+    AqBuffer encoded;
+    char text[400];
+    snprintf(text, sizeof(text),
+             "{\"spec\":\"s\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+             "\"mem_mb\":256,\"estimate_ms\":%d},{\"count\":%d,\"cpu\":%d,"
+             "\"mem_mb\":256,\"estimate_ms\":%d,\"after\":[0]}]}",
+             TASKS, TASK_CPU, TASK_MS, TASKS, TASK_CPU, TASK_MS);
+    if (!AqPlatform_DecodeJob(text, strlen(text), &spec, NULL)) {
+        exit(EXIT_FAILURE);
+    }
+    snprintf(spec.id, sizeof(spec.id), "%016x", number);
+    spec.queue = strdup("q");
+    spec.submitted_ms = AqClock_ReadWall();
+    AqBuffer_Init(&encoded);
+    AqJobSpec_Encode(&spec, &encoded);
+    AqJobSpec_Clear(&spec);
+    char *key = g_strdup_printf("%s%016x", key_of(KEY_JOBS, "pool"), number);
+    AqStorePut put = {key, AqBuffer_Text(&encoded), encoded.size, 0};
+    AqStoreCommit commit = {.puts = &put, .put_count = 1};
+    self->node.store->ops->commit(self->node.store, &commit, on_stored, NULL);
+    g_free(key);
+    AqBuffer_Clear(&encoded);
+}
+
+static void
+run_once(Bench *self)
+{
+    AqTime now = AqLoop_Now(self->node.loop);
+    AqTime due = self->owner != NULL ? pool_owner_round(self->owner) : now + 5;
+    AqTime wait = due - now;
+    AqLoop_RunOnce(self->node.loop, wait < 0 ? 0 : wait < 5 ? wait : 5);
+    fake_store_reply_all(self->store);
+}
+
+static double
+processor_ms(void)
+{
+    struct timespec time;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return (double)time.tv_sec * 1000.0 + (double)time.tv_nsec / 1e6;
+}
+
+static void
+run_load(Bench *self, int jobs_per_s, int seconds)
+{
+    uint64_t sent[2];
+    uint64_t received[2];
+    AqTime begin = AqLoop_Now(self->node.loop);
+    unsigned submitted = 0;
+    const AqSchedulerCounters *counters =
+        AqScheduler_Counters(pool_owner_scheduler(self->owner));
+    AqHttpClient_GetTraffic(self->node.http, &sent[0], &received[0]);
+    double before = processor_ms();
+    AqTime passed = 0;
+    while (passed < (AqTime)seconds * 1000) {
+        while (submitted < passed * jobs_per_s / 1000) {
+            submit_job(self, submitted++);
+        }
+        run_once(self);
+        passed = AqLoop_Now(self->node.loop) - begin;
+    }
+    double used = processor_ms() - before;
+    AqHttpClient_GetTraffic(self->node.http, &sent[1], &received[1]);
+    double done = counters->done > 0 ? (double)counters->done : 1;
+    fprintf(stderr,
+            "%u jobs, %.0f runs done in %d s; processor %.0f ms, %.3f of a "
+            "core, %.3f ms a run; bytes a run: %.0f sent, %.0f received\n",
+            submitted, done, seconds, used, used / (1000.0 * seconds),
+            used / done, (double)(sent[1] - sent[0]) / done,
+            (double)(received[1] - received[0]) / done);
+}
+
+int
+main(int argc, char **argv)
+{
+    int vms = argc > 1 ? atoi(argv[1]) : 100;
+    int jobs_per_s = argc > 2 ? atoi(argv[2]) : 40;
+    int seconds = argc > 3 ? atoi(argv[3]) : 10;
+    int ready[2];
+    uint16_t port;
+    if (vms < 1 || vms > MAX_VMS || jobs_per_s < 0 || seconds < 1 ||
+        pipe(ready) != 0) {
+        fprintf(stderr, "usage: bench_owner [VMS [JOBS_PER_S [SECONDS]]]\n");
+        return EXIT_FAILURE;
+    }
+    pid_t child = fork();
+    if (child == 0) {
+        serve_vms(ready[1]);
+    }
+    if (read(ready[0], &port, sizeof(port)) != sizeof(port)) {
+        return EXIT_FAILURE;
+    }
+    Bench self = {0};
+    AqLog_UseStandardOutput();
+    AqLog_Start("bench", AQ_LOG_INFO);
+    create_bench(&self);
+    while (self.owner == NULL || pool_owner_scheduler(self.owner) == NULL) {
+        run_once(&self);
+    }
+    list_vms(&self, vms, port);
+    run_load(&self, 0, 3);
+    run_load(&self, jobs_per_s, seconds);
+    kill(child, SIGKILL);
+    waitpid(child, NULL, 0);
+    return EXIT_SUCCESS;
+}
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -35,7 +35,8 @@
      * in between.  This exceeds the wait of a node with a greater share that
      * owns all pools of a site. */
     CLAIM_LOW_CPU_WAIT_MS = 2000,
-    CLAIM_RETRY_MS = 100
+    CLAIM_RETRY_MS = 100,
+    MEMBER_VALUE_SIZE = 240 /* of a membership entry, with its NUL */
 };
 
 typedef enum {
@@ -88,6 +89,10 @@
     char address[32]; /* "IP:port" on which the member serves callers */
     /* CPU share allotted to the member, in thousandths of a core. */
     int cpu_millis;
+    /* "IP:port" on which the member takes orders to pass on, and its zone; "":
+     * none, as in the entries of versions without carriers. */
+    char carrier_address[32];
+    char zone[64];
 } MemberEntry;
 
 struct Member {
@@ -197,10 +202,14 @@
         return;
     }
     member->lease = reply->lease;
-    char value[100];
-    snprintf(value, sizeof(value), "%s %s %lld", node->incarnation,
-             node->settings->callers_listen,
-             (long long)own_cpu_millis(member));
+    char value[MEMBER_VALUE_SIZE];
+    const AqSettings *settings = node->settings;
+    bool is_carrier = settings->carriers_listen != NULL &&
+                      settings->carriers_listen[0] != '\0';
+    snprintf(value, sizeof(value), "%s %s %lld %s %s", node->incarnation,
+             settings->callers_listen, (long long)own_cpu_millis(member),
+             is_carrier ? settings->carriers_listen : "-",
+             settings->node_zone != NULL ? settings->node_zone : "-");
     AqStorePut put = {
         .key = key_of(KEY_MEMBER, node->settings->node_id),
         .value = value,
@@ -621,11 +630,16 @@
 {
     Member *member = context;
     const char *node = item->key + strlen(KEYS_MEMBERS);
-    char text[100];
-    MemberEntry entry;
+    char text[MEMBER_VALUE_SIZE];
+    MemberEntry entry = {0};
     key_text(item, text, sizeof(text));
-    if (sscanf(text, "%39s %31s %d", entry.incarnation, entry.address,
-               &entry.cpu_millis) != 3) {
+    int fields = sscanf(text, "%39s %31s %d %31s %63s", entry.incarnation,
+                        entry.address, &entry.cpu_millis,
+                        entry.carrier_address, entry.zone);
+    if (fields < 5 || strcmp(entry.carrier_address, "-") == 0) {
+        entry.carrier_address[0] = '\0';
+    }
+    if (fields < 3) {
         AqLog_Event(AQ_LOG_WARNING, "member_unreadable", "node=%s", node);
         return;
     }
@@ -730,6 +744,48 @@
     return found;
 }
 
+bool
+member_is_registered(const Member *member, const char *node,
+                     const char *incarnation)
+{
+    const MemberEntry *entry = g_hash_table_lookup(member->peers, node);
+    return entry != NULL && strcmp(entry->incarnation, incarnation) == 0;
+}
+
+static bool
+owns_any(const Member *member, const char *node)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, member->claims);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const PoolClaim *claim = value;
+        if (claim->owner_index != 0 && strcmp(claim->owner_node, node) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+member_each(const Member *member,
+            void (*visit)(void *context, const MemberView *view),
+            void *context)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, member->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const MemberEntry *entry = value;
+        MemberView view = {.node = key,
+                           .zone = entry->zone,
+                           .carrier_address = entry->carrier_address,
+                           .is_owner = owns_any(member, key)};
+        visit(context, &view);
+    }
+}
+
 void
 member_superseded(Member *member, const char *pool, const char *reason)
 {
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -62,6 +62,22 @@
                         bool (*may_use)(const void *context,
                                         const char *address),
                         const void *context);
+/* Returns whether a process with this incarnation is a member now. */
+bool member_is_registered(const Member *member, const char *node,
+                          const char *incarnation);
+
+typedef struct {
+    const char *node;
+    const char *zone;            /* "": not known */
+    const char *carrier_address; /* "IP:port"; "": takes no orders */
+    bool is_owner;               /* owns a pool or another role */
+} MemberView;
+
+/* Calls "visit" for each member, this node included; the strings are borrowed
+ * for the call and until the members change. */
+void member_each(const Member *member,
+                 void (*visit)(void *context, const MemberView *view),
+                 void *context);
 /* Ends this node's ownership of a pool after another owner was seen in the
  * store or a write of this node as the pool's owner conflicted; "reason" is
  * logged. */
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -8,6 +8,7 @@
 #include "aq_log.h"
 #include "aq_platform.h"
 #include "aq_random.h"
+#include "carrier_duty.h"
 #include "forwarder.h"
 #include "job_api.h"
 #include "machine_coordinator.h"
@@ -54,7 +55,9 @@
     Forwarder *forwarder;
     Member *member;
     PrefixView *operator_view;
-    VmDirectory *vms; /* NULL until this node owns a pool */
+    VmDirectory *vms;               /* NULL until this node owns a pool */
+    AqWorkerClient *direct_workers; /* calls VMs without a carrier */
+    CarrierDuty *carriers;
     WaveTable *waves;
     /* NULL unless this node is the machine coordinator. */
     MachineCoordinator *coordinator;
@@ -358,6 +361,8 @@
     AqBuffer_Printf(&out, "aq_config_version %lld\n",
                     (long long)node->context.site.version);
     AqBuffer_Printf(&out, "aq_ready %d\n", is_ready(node));
+    AqBuffer_Printf(&out, "aq_carriers_connected %zu\n",
+                    carrier_duty_connected(node->carriers));
     AqBuffer_Printf(
         &out, "aq_store_calls_total %llu\n",
         (unsigned long long)AqPlatformStore_Calls(node->context.store));
@@ -486,11 +491,18 @@
     }
 }
 
+static bool
+owns_pool(void *context, const char *pool)
+{
+    return g_hash_table_contains(((const AqNode *)context)->owners, pool);
+}
+
 static AqTime
 on_round(void *context)
 {
     AqNode *node = context;
     release_removed_pools(node);
+    carrier_duty_round(node->carriers, node->vms, owns_pool, node);
     AqTime due = AqLoop_Now(node->context.loop) + ROUND_INTERVAL_MS;
     GList *pools = g_hash_table_get_keys(node->owners);
     for (GList *at = pools; at != NULL; at = at->next) {
@@ -602,14 +614,20 @@
     return node->readiness != NULL && open_metrics_server(node, error);
 }
 
-static void
-create_clients(NodeContext *context)
+static bool
+create_clients(AqNode *node, AqError *error)
 {
+    NodeContext *context = &node->context;
     const AqSettings *settings = context->settings;
     context->store = AqPlatformStore_Create(
         context->http, settings->platform_store, STORE_TIMEOUT_MS);
-    context->workers =
+    node->direct_workers =
         AqPlatformWorkers_Create(context->http, ORDER_TIMEOUT_MS);
+    node->carriers = carrier_duty_create(context, node->direct_workers, error);
+    if (node->carriers == NULL) {
+        return false;
+    }
+    context->workers = carrier_duty_workers(node->carriers);
     if (settings->platform_machines[0] != '\0') {
         context->machines = AqPlatformMachines_Create(
             context->http, settings->platform_machines, MACHINE_TIMEOUT_MS);
@@ -618,6 +636,7 @@
         context->advice = AqPlatformAdvice_Create(
             context->http, settings->platform_advice, ADVICE_TIMEOUT_MS);
     }
+    return true;
 }
 
 static void
@@ -656,7 +675,9 @@
     if (context->http == NULL) {
         goto error;
     }
-    create_clients(context);
+    if (!create_clients(node, error)) {
+        goto error;
+    }
     node->job_api = job_api_create(context, &job_api_ops, node);
     node->forwarder = forwarder_create(context, &forwarder_ops, node);
     node->waves = wave_table_create(context);
@@ -667,6 +688,7 @@
         prefix_view_create(context->loop, context->store,
                            AqPlatform_OperatorPrefix, &operator_ops, node);
     node->member = member_create(context, &member_ops, node);
+    carrier_duty_set_member(node->carriers, node->member);
     AqLoop_OnRound(context->loop, on_round, node);
     return node;
 
@@ -714,6 +736,7 @@
          * still exist. */
         AqHttpClient_Close(context->http);
     }
+    carrier_duty_destroy(node->carriers);
     member_destroy(node->member);
     prefix_view_destroy(node->operator_view);
     vm_directory_destroy(node->vms);
@@ -728,7 +751,9 @@
     AqHttpClient_Destroy(context->http);
     if (context->store != NULL) {
         context->store->ops->destroy(context->store);
-        context->workers->ops->destroy(context->workers);
+    }
+    if (node->direct_workers != NULL) {
+        node->direct_workers->ops->destroy(node->direct_workers);
     }
     if (context->machines != NULL) {
         context->machines->ops->destroy(context->machines);
--- a/packages/settings/Include/aq_settings.h
+++ b/packages/settings/Include/aq_settings.h
@@ -58,6 +58,9 @@
     char *readiness_listen;
     /* On the platform: "IP:port" of the listener for metrics; "": none. */
     char *metrics_listen;
+    /* On the platform: "IP:port" on which this entry VM takes orders to VMs
+     * from the owners of large pools; "": it takes none. */
+    char *carriers_listen;
     int64_t limits_longest_lease_ms;
     int64_t limits_machine_pause_ms;
     int64_t stop_grace_s;
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -108,6 +108,9 @@
          "on the platform: \"IP:port\" for the balancer's readiness check"),
     TEXT("metrics", "listen", metrics_listen, "", NULL, 0, 21,
          "on the platform: \"IP:port\" for metrics; empty: no listener"),
+    TEXT("carriers", "listen", carriers_listen, "", NULL, 0, 21,
+         "on the platform: \"IP:port\" for orders that other entry VMs send "
+         "through this one; empty: it passes on none"),
     NUMBER("limits", "longest_lease_ms", limits_longest_lease_ms, 6000, 1000,
            HOUR_MS, "longest lease of a task on a VM, ms"),
     NUMBER("limits", "machine_pause_ms", limits_machine_pause_ms, 3000, 0,
--- a/packages/wire/Include/aq_wire.h
+++ b/packages/wire/Include/aq_wire.h
@@ -212,4 +212,11 @@
 /* Frees the memory that the message owns and zeroes the message. */
 void AqMsg_Clear(AqMsg *msg);
 
+/* Checks, without allocating memory, that "bytes" is exactly one msgpack
+ * value, made of arrays, strings, binaries, booleans and integers, that no
+ * element count or length exceeds the remaining bytes, and that arrays are
+ * nested at most three levels deep.  Otherwise returns false and fills
+ * *error (AQ_ERR_PROTOCOL). */
+bool AqWire_CheckShape(const char *bytes, size_t size, AqError *error);
+
 #endif
--- a/packages/wire/decode.c
+++ b/packages/wire/decode.c
@@ -431,7 +431,7 @@
 static bool
 unpack(const char *bytes, size_t size, AqMsg *msg, AqError *error)
 {
-    if (!wire_check_shape(bytes, size, error)) {
+    if (!AqWire_CheckShape(bytes, size, error)) {
         return false;
     }
     msgpack_unpacked unpacked;
--- a/packages/wire/shape.c
+++ b/packages/wire/shape.c
@@ -126,7 +126,7 @@
 }
 
 bool
-wire_check_shape(const char *bytes, size_t size, AqError *error)
+AqWire_CheckShape(const char *bytes, size_t size, AqError *error)
 {
     ShapeCursor cursor = {(const unsigned char *)bytes,
                           (const unsigned char *)bytes + size, error};
--- a/packages/wire/wire_internal.h
+++ b/packages/wire/wire_internal.h
@@ -21,11 +21,4 @@
  * string has static storage. */
 const char *wire_type_name(int type);
 
-/* Checks, without allocating memory, that "bytes" is exactly one msgpack
- * value, made of arrays, strings, binaries, booleans and integers, that no
- * element count or length exceeds the remaining bytes, and that arrays are
- * nested at most WIRE_MAX_DEPTH deep.  Otherwise returns false and fills
- * *error (AQ_ERR_PROTOCOL). */
-bool wire_check_shape(const char *bytes, size_t size, AqError *error);
-
 #endif
