--- a/packages/carrier/Include/aq_carrier.h
+++ b/packages/carrier/Include/aq_carrier.h
@@ -41,10 +41,11 @@
 } AqCarrierCandidate;
 
 typedef struct {
-    const char *owner; /* id of the owner's entry VM; borrowed */
-    const char *zone;  /* of the owner's entry VM; borrowed */
-    size_t vms;        /* VMs of the pools that it owns */
-    size_t pools;      /* pools of the site, each of which may need carriers */
+    const char *owner;  /* id of the owner's entry VM; borrowed */
+    const char *zone;   /* of the owner's entry VM; borrowed */
+    int64_t cpu_millis; /* of the owner's entry VM, thousandths of a core */
+    size_t vms;         /* VMs of the pools that it owns */
+    size_t pools; /* pools of the site, each of which may need carriers */
 } AqCarrierNeed;
 
 /* Writes the indexes of the candidates that become carriers to "chosen", which
--- a/packages/carrier/carrier_choice.c
+++ b/packages/carrier/carrier_choice.c
@@ -5,9 +5,11 @@
 #include "aq_hash.h"
 
 enum {
-    /* An owner of fewer VMs calls them itself: half a core carries the burst
-     * of about 100 VMs. */
-    MIN_VMS = 60,
+    /* An owner calls so many VMs itself for each core that its entry VM has,
+     * at half of its processor time: the burst of a pool brings 10 starts and
+     * renewals a second to each VM, of 0.15 ms each (bench_owner), and the
+     * platform charges up to twice that. */
+    VMS_PER_CORE = 120,
     /* VMs for each carrier.  A carrier of 0.12 cores then uses less than half
      * of them at the height of a burst. */
     VMS_PER_CARRIER = 16
@@ -56,7 +58,8 @@
     size_t share = need->pools > 0 ? free_count / need->pools : 0;
     wanted = wanted < share ? wanted : share;
     wanted = wanted < AQ_CARRIER_MAX ? wanted : AQ_CARRIER_MAX;
-    if (need->vms < MIN_VMS || wanted < 2) {
+    size_t own_vms = (size_t)need->cpu_millis * VMS_PER_CORE / 1000;
+    if (need->vms <= own_vms || wanted < 2) {
         wanted = 0;
     }
     for (size_t i = 0; i < wanted; i++) {
--- a/packages/carrier/tests/test_carrier.c
+++ b/packages/carrier/tests/test_carrier.c
@@ -46,14 +46,19 @@
         size_t nodes;
         size_t pools;
         size_t vms;
+        int64_t cpu_millis;
         size_t carriers;
     } cases[] = {
-        {8, 6, 12, 0},  /* today's small sites */
-        {9, 6, 300, 0}, /* many VMs, but no idle entry VM */
-        {34, 6, 59, 0}, /* few VMs */
-        {34, 6, 90, 4}, /* a share of the 28 idle ones */
-        {147, 5, 195, 13},  {147, 5, 400, 25},
-        {147, 5, 1100, 28}, {147, 0, 195, 0}, /* no configuration yet */
+        {8, 6, 12, 250, 0},  /* today's small sites */
+        {9, 6, 300, 250, 0}, /* many VMs, but no idle entry VM */
+        {34, 6, 59, 500, 0}, /* few VMs */
+        {34, 6, 59, 120, 4}, /* few VMs, but a weak owner */
+        {34, 6, 90, 500, 4}, /* a share of the 28 idle ones */
+        {23, 5, 25, 120, 2}, /* all entry VMs are weak */
+        {147, 5, 195, 500, 13},
+        {147, 5, 400, 500, 25},
+        {147, 5, 1100, 500, 28},
+        {147, 0, 195, 500, 0}, /* no configuration yet */
     };
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         Site site;
@@ -61,6 +66,7 @@
         make_site(&site, cases[i].nodes, cases[i].pools);
         AqCarrierNeed need = {.owner = "n-0",
                               .zone = "z-0",
+                              .cpu_millis = cases[i].cpu_millis,
                               .vms = cases[i].vms,
                               .pools = cases[i].pools};
         size_t count =
@@ -89,8 +95,11 @@
 static void
 test_choice_is_stable(void)
 {
-    AqCarrierNeed need = {
-        .owner = "n-0", .zone = "z-0", .vms = 195, .pools = 5};
+    AqCarrierNeed need = {.owner = "n-0",
+                          .zone = "z-0",
+                          .cpu_millis = 500,
+                          .vms = 195,
+                          .pools = 5};
     Site before;
     size_t first[AQ_CARRIER_MAX];
     make_site(&before, 147, 5);
--- a/packages/pool/carrier_duty.c
+++ b/packages/pool/carrier_duty.c
@@ -108,6 +108,7 @@
     AqCarrierName names[AQ_CARRIER_MAX];
     AqCarrierNeed need = {.owner = settings->node_id,
                           .zone = settings->node_zone,
+                          .cpu_millis = member_own_cpu_millis(duty->member),
                           .vms = vms,
                           .pools = duty->node->site.pool_count};
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(AqCarrierCandidate));
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -182,9 +182,8 @@
     claim_all_vacant(member);
 }
 
-/* Returns the CPU share allotted to this node, in thousandths of a core. */
-static int64_t
-own_cpu_millis(const Member *member)
+int64_t
+member_own_cpu_millis(const Member *member)
 {
     double share = strtod(member->node->settings->node_cpu_share, NULL);
     return (int64_t)(share * 1000);
@@ -207,7 +206,8 @@
     bool is_carrier = settings->carriers_listen != NULL &&
                       settings->carriers_listen[0] != '\0';
     snprintf(value, sizeof(value), "%s %s %lld %s %s", node->incarnation,
-             settings->callers_listen, (long long)own_cpu_millis(member),
+             settings->callers_listen,
+             (long long)member_own_cpu_millis(member),
              is_carrier ? settings->carriers_listen : "-",
              settings->node_zone != NULL ? settings->node_zone : "-");
     AqStorePut put = {
@@ -489,7 +489,7 @@
 {
     GHashTableIter iter;
     gpointer value;
-    int64_t own = own_cpu_millis(member);
+    int64_t own = member_own_cpu_millis(member);
     int64_t max_cpu_millis = own;
     g_hash_table_iter_init(&iter, member->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -62,6 +62,8 @@
                         bool (*may_use)(const void *context,
                                         const char *address),
                         const void *context);
+/* Returns the CPU share allotted to this node, in thousandths of a core. */
+int64_t member_own_cpu_millis(const Member *member);
 /* Returns whether a process with this incarnation is a member now. */
 bool member_is_registered(const Member *member, const char *node,
                           const char *incarnation);
