Carriers keep the texts of jobs

Cause: each start carries the text of its job, about 800 bytes of 1,100; an owner sends it to each carrier once instead of with each of 8 to 16 starts.

--- a/packages/carrier/carrier_client.c
+++ b/packages/carrier/carrier_client.c
@@ -27,6 +27,8 @@
     CarrierLink *connection; /* NULL: none; tried again from retry_at on */
     AqTime retry_at;
     GHashTable *pending; /* order id -> Pending; owns them */
+    /* Ids of the jobs whose text was sent on the connection. */
+    GHashTable *texts;
     /* The carrier is no longer chosen: it ends with its last order. */
     bool is_leaving;
 } Carrier;
@@ -80,6 +82,7 @@
                 AqLog_Quote(reason));
     carrier_link_destroy(carrier->connection);
     carrier->connection = NULL;
+    g_hash_table_remove_all(carrier->texts);
     carrier->retry_at = now_of(carrier->client) + FAILURE_PAUSE_MS;
     /* A callback may send further orders. */
     carrier->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -96,6 +99,7 @@
     AqList_Remove(&carrier->link);
     carrier_link_destroy(carrier->connection);
     g_hash_table_destroy(carrier->pending);
+    g_hash_table_destroy(carrier->texts);
     free(carrier);
 }
 
@@ -243,6 +247,22 @@
                          carrier_link_output(carrier->connection));
 }
 
+/* Sends the text of the job unless it was sent on this connection. */
+static void
+send_text(Carrier *carrier, const char *job, const char *text)
+{
+    CarrierText message = {.job = job, .text = text};
+    if (g_hash_table_contains(carrier->texts, job)) {
+        return;
+    }
+    if (g_hash_table_size(carrier->texts) == CARRIER_MAX_TEXTS) {
+        g_hash_table_remove_all(carrier->texts);
+        message.is_first = true;
+    }
+    g_hash_table_add(carrier->texts, g_strdup(job));
+    carrier_encode_text(&message, carrier_link_output(carrier->connection));
+}
+
 static void
 start(AqWorkerClient *base, const AqOrderTarget *target,
       const AqStartOrder *order, AqOrderDone done, void *context)
@@ -254,6 +274,7 @@
                                    context);
         return;
     }
+    send_text(carrier, order->task.job, order->text);
     CarrierOrder message = {
         .address = target->address, .vm = target->vm, .start = *order};
     send_order(client, carrier, CARRIER_START, &message, 0, done, context);
@@ -334,6 +355,8 @@
     g_strlcpy(carrier->address, name->address, sizeof(carrier->address));
     carrier->hash = AqHash_String(carrier->id);
     carrier->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
+    carrier->texts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     AqList_Append(&client->carriers, &carrier->link);
     dial(carrier);
 }
--- a/packages/carrier/carrier_server.c
+++ b/packages/carrier/carrier_server.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -34,6 +35,7 @@
     bool is_known; /* its hello was accepted */
     unsigned orders;
     unsigned long carried;
+    GHashTable *texts; /* job id -> text */
 } Owner;
 
 typedef struct {
@@ -45,6 +47,7 @@
 free_if_unused(Owner *owner)
 {
     if (owner->server == NULL && owner->orders == 0) {
+        g_hash_table_destroy(owner->texts);
         free(owner);
     }
 }
@@ -84,7 +87,13 @@
 {
     AqWorkerClient *workers = owner->server->workers;
     AqOrderTarget target = {.address = message->address, .vm = message->vm};
-    const AqStartOrder *start = &message->start;
+    AqStartOrder start = message->start;
+    const char *text = g_hash_table_lookup(owner->texts, start.task.job);
+    if (kind == CARRIER_START && text == NULL) {
+        drop_owner(owner, "start without its text");
+        return;
+    }
+    start.text = text;
     Order *order = malloc(sizeof(*order));
     order->owner = owner;
     order->id = message->id;
@@ -92,23 +101,35 @@
     owner->carried++;
     switch (kind) {
     case CARRIER_START:
-        workers->ops->start(workers, &target, start, on_reply, order);
+        workers->ops->start(workers, &target, &start, on_reply, order);
         break;
     case CARRIER_STOP:
-        workers->ops->stop(workers, &target, &start->task, start->run,
-                           start->fence, on_reply, order);
+        workers->ops->stop(workers, &target, &start.task, start.run,
+                           start.fence, on_reply, order);
         break;
     case CARRIER_RENEW:
         workers->ops->renew(workers, &target, &message->renewal, on_reply,
                             order);
         break;
     default:
-        workers->ops->pace(workers, &target, &start->task, start->run,
-                           message->percent, start->fence, on_reply, order);
+        workers->ops->pace(workers, &target, &start.task, start.run,
+                           message->percent, start.fence, on_reply, order);
         break;
     }
 }
 
+/* Returns false if the owner sends more texts than agreed. */
+static bool
+keep_text(Owner *owner, const CarrierText *text)
+{
+    if (text->is_first) {
+        g_hash_table_remove_all(owner->texts);
+    }
+    g_hash_table_replace(owner->texts, g_strdup(text->job),
+                         g_strdup(text->text));
+    return g_hash_table_size(owner->texts) <= CARRIER_MAX_TEXTS;
+}
+
 static bool
 accept_hello(Owner *owner, const CarrierHello *hello)
 {
@@ -134,6 +155,11 @@
             drop_owner(owner, "not a member");
         }
     }
+    else if (owner->is_known && message->kind == CARRIER_TEXT) {
+        if (!keep_text(owner, &message->as.text)) {
+            drop_owner(owner, "too many texts");
+        }
+    }
     else if (!owner->is_known || message->kind == CARRIER_REPLY) {
         drop_owner(owner, "unexpected message");
     }
@@ -159,6 +185,8 @@
     (void)events;
     while ((fd = AqPeerSocket_Accept(server->fd)) >= 0) {
         Owner *owner = calloc(1, sizeof(*owner));
+        owner->texts =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         if (server->owner_count >= MAX_LINKS) {
             drop_owner(AqList_Entry(server->owners.next, Owner, link),
                        "too many connections");
@@ -167,7 +195,7 @@
         owner->connection =
             carrier_link_create(server->loop, fd, true, &ops, owner);
         if (owner->connection == NULL) {
-            free(owner);
+            free_if_unused(owner);
             continue;
         }
         owner->server = server;
--- a/packages/carrier/carrier_wire.c
+++ b/packages/carrier/carrier_wire.c
@@ -77,7 +77,7 @@
 }
 
 static const uint32_t order_fields[] = {
-    [CARRIER_START] = 4 + TASK_FIELDS + 6,
+    [CARRIER_START] = 4 + TASK_FIELDS + 5,
     [CARRIER_STOP] = 4 + TASK_FIELDS + 2,
     [CARRIER_RENEW] = 4 + 4,
     [CARRIER_PACE] = 4 + TASK_FIELDS + 3,
@@ -111,13 +111,26 @@
     }
     else if (kind == CARRIER_START) {
         msgpack_pack_int64(&pk, order->start.deadline_ms);
-        pack_text(&pk, order->start.text);
         pack_text(&pk, order->start.checkpoint);
         pack_text(&pk, order->start.ticket);
     }
     end_frame(out, at);
 }
 
+void
+carrier_encode_text(const CarrierText *text, AqBuffer *out)
+{
+    msgpack_packer pk;
+    size_t at = begin_frame(out);
+    msgpack_packer_init(&pk, out, append);
+    msgpack_pack_array(&pk, 4);
+    msgpack_pack_int(&pk, CARRIER_TEXT);
+    pack_text(&pk, text->job);
+    pack_text(&pk, text->text);
+    msgpack_pack_int(&pk, text->is_first);
+    end_frame(out, at);
+}
+
 enum {
     REPLY_FIELDS = 6,
     RUNNING_FIELDS = TASK_FIELDS + 4,
@@ -246,6 +259,14 @@
     hello->incarnation = read_text(reader, 40);
 }
 
+static void
+read_job_text(Reader *reader, CarrierText *text)
+{
+    text->job = read_text(reader, AQ_JOB_ID_SIZE);
+    text->text = read_text(reader, 0);
+    text->is_first = read_int(reader, 0, 1) == 1;
+}
+
 static void
 read_order(Reader *reader, CarrierKind kind, CarrierOrder *order)
 {
@@ -267,7 +288,6 @@
     }
     else if (kind == CARRIER_START) {
         order->start.deadline_ms = read_int(reader, INT64_MIN, INT64_MAX);
-        order->start.text = read_text(reader, 0);
         order->start.checkpoint = read_text(reader, AQ_CHECKPOINT_SIZE);
         order->start.ticket = read_text(reader, 0);
     }
@@ -358,6 +378,9 @@
     case CARRIER_HELLO:
         read_hello(&reader, &message->as.hello);
         break;
+    case CARRIER_TEXT:
+        read_job_text(&reader, &message->as.text);
+        break;
     case CARRIER_REPLY:
         read_reply(&reader, message);
         break;
--- a/packages/carrier/carrier_wire.h
+++ b/packages/carrier/carrier_wire.h
@@ -12,7 +12,10 @@
     CARRIER_VERSION = 1,
     /* A renewal reply lists at most 500 ends and the runs of one VM. */
     CARRIER_MAX_FRAME = 256 * 1024,
-    CARRIER_MAX_TASKS = 4096
+    CARRIER_MAX_TASKS = 4096,
+    /* Most texts of jobs that are used on a connection.  A text has up to
+     * 4,000 bytes. */
+    CARRIER_MAX_TEXTS = 1024
 };
 
 typedef enum {
@@ -21,6 +24,7 @@
     CARRIER_STOP,
     CARRIER_RENEW,
     CARRIER_PACE,
+    CARRIER_TEXT,
     CARRIER_REPLY
 } CarrierKind;
 
@@ -31,7 +35,16 @@
     const char *incarnation;
 } CarrierHello;
 
-/* An order; which fields hold depends on the kind. */
+/* The text of a job, which the job's starts on the same connection use: each
+ * start of a job carries the same text, and it is most of a start's bytes. */
+typedef struct {
+    const char *job;
+    const char *text;
+    bool is_first; /* the texts sent before are no longer used */
+} CarrierText;
+
+/* An order; which fields hold depends on the kind.  The text of a start is
+ * sent before it, as a CARRIER_TEXT. */
 typedef struct {
     int64_t id; /* that the reply repeats */
     const char *address;
@@ -53,6 +66,7 @@
     union {
         CarrierHello hello;
         CarrierOrder order;
+        CarrierText text;
         CarrierReply reply;
     } as;
     void *strings; /* GStringChunk */
@@ -64,6 +78,7 @@
 void carrier_encode_hello(const CarrierHello *hello, AqBuffer *out);
 void carrier_encode_order(CarrierKind kind, const CarrierOrder *order,
                           AqBuffer *out);
+void carrier_encode_text(const CarrierText *text, AqBuffer *out);
 void carrier_encode_reply(const CarrierReply *reply, AqBuffer *out);
 
 typedef enum {
--- a/packages/carrier/tests/test_carrier.c
+++ b/packages/carrier/tests/test_carrier.c
@@ -142,7 +142,6 @@
                           .vm = "i-1",
                           .start = {.task = {"ab12", 0, 1, 2},
                                     .run = 100001,
-                                    .text = "the job's text",
                                     .checkpoint = "c0ffee",
                                     .ticket = "t-1",
                                     .deadline_ms = 486000,
@@ -152,6 +151,7 @@
                                       .acked_end = 57,
                                       .wait_ms = 400},
                           .percent = 50};
+    CarrierText text = {"ab12", "the job's text", true};
     CarrierReply reply = {.id = 8,
                           .reply = {.result = AQ_ORDER_DONE,
                                     .clock_ms = 482113,
@@ -164,6 +164,7 @@
     carrier_encode_order(CARRIER_STOP, &order, out);
     carrier_encode_order(CARRIER_RENEW, &order, out);
     carrier_encode_order(CARRIER_PACE, &order, out);
+    carrier_encode_text(&text, out);
     carrier_encode_reply(&reply, out);
 }
 
@@ -186,7 +187,6 @@
     CU_ASSERT_EQUAL(order->start.run, 100001);
     CU_ASSERT_EQUAL(order->start.fence, 18446744073709551615U);
     if (message->kind == CARRIER_START) {
-        CU_ASSERT_STRING_EQUAL(order->start.text, "the job's text");
         CU_ASSERT_STRING_EQUAL(order->start.checkpoint, "c0ffee");
         CU_ASSERT_STRING_EQUAL(order->start.ticket, "t-1");
         CU_ASSERT_EQUAL(order->start.deadline_ms, 486000);
@@ -245,6 +245,11 @@
             CU_ASSERT_STRING_EQUAL(message.as.hello.incarnation,
                                    "0011223344556677");
         }
+        else if (kind == CARRIER_TEXT) {
+            CU_ASSERT_STRING_EQUAL(message.as.text.job, "ab12");
+            CU_ASSERT_STRING_EQUAL(message.as.text.text, "the job's text");
+            CU_ASSERT_TRUE(message.as.text.is_first);
+        }
         else if (kind == CARRIER_REPLY) {
             check_reply(&message.as.reply);
         }
@@ -310,7 +315,8 @@
 typedef struct {
     AqWorkerClient base;
     unsigned orders;
-    bool replies; /* at once */
+    unsigned wrong_texts; /* starts with another text than their job's */
+    bool replies;         /* at once */
     struct {
         AqOrderDone done;
         void *context;
@@ -331,13 +337,22 @@
     vms->held[vms->held_count++].context = context;
 }
 
+static void
+text_of(const char *job, char text[32])
+{
+    snprintf(text, 32, "text of %s", job);
+}
+
 static void
 fake_start(AqWorkerClient *base, const AqOrderTarget *target,
            const AqStartOrder *order, AqOrderDone done, void *context)
 {
+    FakeVms *vms = (FakeVms *)base;
+    char text[32];
     (void)target;
-    (void)order;
-    take((FakeVms *)base, done, context);
+    text_of(order->task.job, text);
+    vms->wrong_texts += strcmp(order->text, text) != 0;
+    take(vms, done, context);
 }
 
 static void
@@ -450,23 +465,31 @@
 }
 
 static void
-order_starts(Fixture *fixture)
+order_start(Fixture *fixture, const char *vm, unsigned job)
 {
     AqWorkerClient *workers = AqCarrierClient_Workers(fixture->client);
+    char text[32];
+    AqOrderTarget target = {.address = "10.0.0.1:80", .vm = vm};
+    AqStartOrder order = {.run = 1,
+                          .text = text,
+                          .checkpoint = "",
+                          .ticket = "",
+                          .deadline_ms = 5000,
+                          .fence = 1};
+    snprintf(order.task.job, sizeof(order.task.job), "%x", job);
+    text_of(order.task.job, text);
+    workers->ops->start(workers, &target, &order, on_done, fixture);
+}
+
+static void
+order_starts(Fixture *fixture)
+{
     fixture->done = 0;
     fixture->unknown = 0;
-    for (int i = 0; i < VMS; i++) {
+    for (unsigned i = 0; i < VMS; i++) {
         char vm[16];
-        snprintf(vm, sizeof(vm), "i-%d", i);
-        AqOrderTarget target = {.address = "10.0.0.1:80", .vm = vm};
-        AqStartOrder order = {.task = {"ab12", 0, 0, (uint32_t)i},
-                              .run = 1,
-                              .text = "text",
-                              .checkpoint = "",
-                              .ticket = "",
-                              .deadline_ms = 5000,
-                              .fence = 1};
-        workers->ops->start(workers, &target, &order, on_done, fixture);
+        snprintf(vm, sizeof(vm), "i-%u", i);
+        order_start(fixture, vm, i / 4);
     }
 }
 
@@ -511,12 +534,40 @@
     unsigned carried = 0;
     for (int i = 0; i < CARRIERS; i++) {
         CU_ASSERT_TRUE(fixture.behind[i].orders > 0);
+        CU_ASSERT_EQUAL(fixture.behind[i].wrong_texts, 0);
         carried += fixture.behind[i].orders;
     }
     CU_ASSERT_EQUAL(carried, VMS);
     tear_down(&fixture);
 }
 
+/* Guards against starts with the text of another job, or without one, when
+ * more jobs run than a carrier keeps texts of. */
+static void
+test_texts_of_many_jobs(void)
+{
+    enum {
+        JOBS = 2 * CARRIER_MAX_TEXTS + 100,
+        BATCH = 100
+    };
+    Fixture fixture;
+    set_up(&fixture);
+    set_carriers(&fixture, 1);
+    run_until_connected(&fixture, 1);
+    for (unsigned job = 0; job < JOBS; job += BATCH) {
+        fixture.done = 0;
+        for (unsigned i = 0; i < BATCH; i++) {
+            order_start(&fixture, "i-1", job + i);
+            order_start(&fixture, "i-1", (job + i) / 2);
+        }
+        run_until_ended(&fixture, 2 * BATCH);
+    }
+    CU_ASSERT_EQUAL(fixture.unknown, 0);
+    CU_ASSERT_EQUAL(fixture.behind[0].wrong_texts, 0);
+    CU_ASSERT_EQUAL(fixture.direct.orders, 0);
+    tear_down(&fixture);
+}
+
 /* Guards against orders that never end when their carrier is lost, and against
  * VMs that stay without orders afterwards. */
 static void
@@ -632,6 +683,7 @@
     CU_ADD_TEST(suite, test_messages);
     CU_ADD_TEST(suite, test_damaged_messages);
     CU_ADD_TEST(suite, test_orders_are_carried);
+    CU_ADD_TEST(suite, test_texts_of_many_jobs);
     CU_ADD_TEST(suite, test_lost_carrier);
     CU_ADD_TEST(suite, test_silent_carrier);
     CU_ADD_TEST(suite, test_stranger_is_refused);
