Carriers by capacity, each for one owner

Change: an entry VM's capacity in VMs follows from its processor share and its link, which the settings now name; each candidate carries for one owner, if possible of its zone; the carriers have room for twice the VMs.

--- a/packages/carrier/Include/aq_carrier.h
+++ b/packages/carrier/Include/aq_carrier.h
@@ -32,27 +32,33 @@
     AQ_CARRIER_MAX = 32
 };
 
-/* An entry VM that may become a carrier. */
+/* Returns for how many VMs an entry VM can make the calls of a burst with half
+ * of its processor share (thousandths of a core) and link (Mbit/s; 0: not
+ * known). */
+size_t AqCarrier_Capacity(int64_t cpu_millis, int64_t link_mbps);
+
+/* An entry VM that owns pools or may become a carrier. */
 typedef struct {
     const char *id;      /* borrowed */
     const char *zone;    /* borrowed */
     const char *address; /* on which it takes orders; "": none; borrowed */
-    bool is_owner;       /* it owns a pool */
+    size_t capacity;     /* AqCarrier_Capacity */
+    bool owns_pool;
+    bool is_busy; /* it has another duty and becomes no carrier */
 } AqCarrierCandidate;
 
 typedef struct {
-    const char *owner;  /* id of the owner's entry VM; borrowed */
-    const char *zone;   /* of the owner's entry VM; borrowed */
-    int64_t cpu_millis; /* of the owner's entry VM, thousandths of a core */
-    size_t vms;         /* VMs of the pools that it owns */
-    size_t pools; /* pools of the site, each of which may need carriers */
+    const char *owner; /* id of the owner's entry VM; borrowed */
+    size_t capacity;   /* of the owner's entry VM */
+    size_t vms;        /* VMs of the pools that it owns */
 } AqCarrierNeed;
 
-/* Writes the indexes of the candidates that become carriers to "chosen", which
- * has AQ_CARRIER_MAX elements, and returns their number; 0 if the owner needs
- * none or the site has too few entry VMs.  Carriers of the owner's zone come
- * first.  A candidate that joins or leaves changes the choice by at most one
- * carrier. */
+/* Writes the indexes of the candidates that become carriers of the owner to
+ * "chosen", which has AQ_CARRIER_MAX elements, and returns their number; 0 if
+ * the owner needs none or too few are free.  Each candidate is a carrier of
+ * one owner only, if possible of one in its zone, and all entry VMs that see
+ * the same candidates agree on it.  A candidate that joins or leaves changes
+ * the carriers of an owner by at most one. */
 size_t AqCarrier_Choose(const AqCarrierNeed *need,
                         const AqCarrierCandidate *candidates, size_t count,
                         size_t *chosen);
--- a/packages/carrier/carrier_choice.c
+++ b/packages/carrier/carrier_choice.c
@@ -5,66 +5,112 @@
 #include "aq_hash.h"
 
 enum {
-    /* An owner calls so many VMs itself for each core that its entry VM has,
-     * at half of its processor time: the burst of a pool brings 10 starts and
-     * renewals a second to each VM, of 0.15 ms each (bench_owner), and the
-     * platform charges up to twice that. */
+    /* VMs whose calls a core makes with half of its time: the burst of a pool
+     * brings 10 starts and renewals a second to each VM, of 0.15 ms each
+     * (bench_owner), and the platform charges up to twice that. */
     VMS_PER_CORE = 120,
-    /* VMs for each carrier.  A carrier of 0.12 cores then uses less than half
-     * of them at the height of a burst. */
-    VMS_PER_CARRIER = 16
+    /* VMs whose calls take half of 1 Mbit/s: these 10 starts and renewals have
+     * 20,000 bytes. */
+    VMS_PER_MBPS = 3,
+    /* The carriers of an owner have room for so many times its VMs: the other
+     * work of their entry VMs comes first. */
+    SPARE_FACTOR = 2
 };
 
+size_t
+AqCarrier_Capacity(int64_t cpu_millis, int64_t link_mbps)
+{
+    int64_t by_cpu = cpu_millis * VMS_PER_CORE / 1000;
+    int64_t by_link = link_mbps * VMS_PER_MBPS;
+    int64_t vms = link_mbps > 0 && by_link < by_cpu ? by_link : by_cpu;
+    return vms > 0 ? (size_t)vms : 0;
+}
+
+/* Returns the owner, an index of the candidates, that the candidate may carry
+ * for: the one with the highest weight among those of its zone or, if its zone
+ * has none, among all; "count" if there is no owner. */
+static size_t
+find_owner(const AqCarrierCandidate *candidates, size_t count, size_t index)
+{
+    const AqCarrierCandidate *self = &candidates[index];
+    uint64_t key = AqHash_String(self->id);
+    uint64_t best_weight = 0;
+    size_t best = count;
+    bool is_best_near = false;
+    for (size_t i = 0; i < count; i++) {
+        if (!candidates[i].owns_pool) {
+            continue;
+        }
+        bool is_near = strcmp(candidates[i].zone, self->zone) == 0;
+        uint64_t weight =
+            AqHash_Rendezvous(key, AqHash_String(candidates[i].id));
+        if (best == count || (is_near && !is_best_near) ||
+            (is_near == is_best_near && weight > best_weight)) {
+            best = i;
+            best_weight = weight;
+            is_best_near = is_near;
+        }
+    }
+    return best;
+}
+
 typedef struct {
     size_t index;
-    bool is_near;
     uint64_t weight;
 } Ranked;
 
 static int
 compare(const void *a, const void *b)
 {
-    const Ranked *x = a;
-    const Ranked *y = b;
-    if (x->is_near != y->is_near) {
-        return x->is_near ? -1 : 1;
-    }
-    return (x->weight < y->weight) - (x->weight > y->weight);
+    uint64_t x = ((const Ranked *)a)->weight;
+    uint64_t y = ((const Ranked *)b)->weight;
+    return (x < y) - (x > y);
 }
 
-size_t
-AqCarrier_Choose(const AqCarrierNeed *need,
-                 const AqCarrierCandidate *candidates, size_t count,
-                 size_t *chosen)
+/* Returns the candidates that may carry for the owner in the order in which
+ * they are chosen. */
+static Ranked *
+rank_free(const char *owner, const AqCarrierCandidate *candidates,
+          size_t count, size_t *free_count)
 {
-    size_t wanted = (need->vms + VMS_PER_CARRIER - 1) / VMS_PER_CARRIER;
-    size_t free_count = 0;
     Ranked *ranked = calloc(count + 1, sizeof(*ranked));
-    uint64_t key = AqHash_String(need->owner);
+    uint64_t key = AqHash_String(owner);
+    *free_count = 0;
     for (size_t i = 0; i < count; i++) {
         const AqCarrierCandidate *candidate = &candidates[i];
-        if (candidate->is_owner || candidate->address[0] == '\0' ||
-            strcmp(candidate->id, need->owner) == 0) {
+        if (candidate->owns_pool || candidate->is_busy ||
+            candidate->address[0] == '\0' || candidate->capacity == 0) {
             continue;
         }
-        ranked[free_count++] = (Ranked){
-            .index = i,
-            .is_near = strcmp(candidate->zone, need->zone) == 0,
-            .weight = AqHash_Rendezvous(key, AqHash_String(candidate->id))};
+        size_t found = find_owner(candidates, count, i);
+        if (found < count && strcmp(candidates[found].id, owner) == 0) {
+            ranked[(*free_count)++] = (Ranked){
+                i, AqHash_Rendezvous(key, AqHash_String(candidate->id))};
+        }
     }
-    qsort(ranked, free_count, sizeof(*ranked), compare);
-    /* Each pool gets a share, so that the owners do not load the same entry
-     * VMs; with less than two carriers an owner gains nothing. */
-    size_t share = need->pools > 0 ? free_count / need->pools : 0;
-    wanted = wanted < share ? wanted : share;
-    wanted = wanted < AQ_CARRIER_MAX ? wanted : AQ_CARRIER_MAX;
-    size_t own_vms = (size_t)need->cpu_millis * VMS_PER_CORE / 1000;
-    if (need->vms <= own_vms || wanted < 2) {
-        wanted = 0;
+    qsort(ranked, *free_count, sizeof(*ranked), compare);
+    return ranked;
+}
+
+size_t
+AqCarrier_Choose(const AqCarrierNeed *need,
+                 const AqCarrierCandidate *candidates, size_t count,
+                 size_t *chosen)
+{
+    size_t free_count;
+    size_t chosen_count = 0;
+    size_t capacity = 0;
+    if (need->vms <= need->capacity) {
+        return 0;
     }
-    for (size_t i = 0; i < wanted; i++) {
-        chosen[i] = ranked[i].index;
+    Ranked *ranked = rank_free(need->owner, candidates, count, &free_count);
+    for (size_t i = 0; i < free_count && chosen_count < AQ_CARRIER_MAX &&
+                       capacity < SPARE_FACTOR * need->vms;
+         i++) {
+        chosen[chosen_count++] = ranked[i].index;
+        capacity += candidates[ranked[i].index].capacity;
     }
     free(ranked);
-    return wanted;
+    /* Carriers that can do less than the owner itself would slow it down. */
+    return capacity > need->capacity ? chosen_count : 0;
 }
--- a/packages/pool/carrier_duty.c
+++ b/packages/pool/carrier_duty.c
@@ -96,7 +96,9 @@
     AqCarrierCandidate candidate = {.id = view->node,
                                     .zone = view->zone,
                                     .address = view->carrier_address,
-                                    .is_owner = view->is_owner};
+                                    .capacity = view->capacity,
+                                    .owns_pool = view->owns_pool,
+                                    .is_busy = view->is_coordinator};
     g_array_append_val(candidates, candidate);
 }
 
@@ -107,10 +109,8 @@
     size_t chosen[AQ_CARRIER_MAX];
     AqCarrierName names[AQ_CARRIER_MAX];
     AqCarrierNeed need = {.owner = settings->node_id,
-                          .zone = settings->node_zone,
-                          .cpu_millis = member_own_cpu_millis(duty->member),
-                          .vms = vms,
-                          .pools = duty->node->site.pool_count};
+                          .capacity = member_own_capacity(duty->member),
+                          .vms = vms};
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(AqCarrierCandidate));
     member_each(duty->member, add_candidate, candidates);
     const AqCarrierCandidate *items =
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "aq_carrier.h"
 #include "aq_hash.h"
 #include "aq_log.h"
 #include "store_keys.h"
@@ -93,6 +94,7 @@
      * none, as in the entries of versions without carriers. */
     char carrier_address[32];
     char zone[64];
+    int link_mbps; /* 0: not known */
 } MemberEntry;
 
 struct Member {
@@ -182,13 +184,28 @@
     claim_all_vacant(member);
 }
 
-int64_t
-member_own_cpu_millis(const Member *member)
+/* Returns the CPU share allotted to this node, in thousandths of a core. */
+static int64_t
+own_cpu_millis(const Member *member)
 {
     double share = strtod(member->node->settings->node_cpu_share, NULL);
     return (int64_t)(share * 1000);
 }
 
+/* Returns the bandwidth of this node's link in Mbit/s; 0: not known. */
+static int64_t
+own_link_mbps(const Member *member)
+{
+    const char *text = member->node->settings->node_link_mbps;
+    return text != NULL ? (int64_t)strtod(text, NULL) : 0;
+}
+
+size_t
+member_own_capacity(const Member *member)
+{
+    return AqCarrier_Capacity(own_cpu_millis(member), own_link_mbps(member));
+}
+
 static void
 on_granted(void *context, const AqStoreReply *reply)
 {
@@ -205,11 +222,11 @@
     const AqSettings *settings = node->settings;
     bool is_carrier = settings->carriers_listen != NULL &&
                       settings->carriers_listen[0] != '\0';
-    snprintf(value, sizeof(value), "%s %s %lld %s %s", node->incarnation,
-             settings->callers_listen,
-             (long long)member_own_cpu_millis(member),
+    snprintf(value, sizeof(value), "%s %s %lld %s %s %lld", node->incarnation,
+             settings->callers_listen, (long long)own_cpu_millis(member),
              is_carrier ? settings->carriers_listen : "-",
-             settings->node_zone != NULL ? settings->node_zone : "-");
+             settings->node_zone != NULL ? settings->node_zone : "-",
+             (long long)own_link_mbps(member));
     AqStorePut put = {
         .key = key_of(KEY_MEMBER, node->settings->node_id),
         .value = value,
@@ -489,7 +506,7 @@
 {
     GHashTableIter iter;
     gpointer value;
-    int64_t own = member_own_cpu_millis(member);
+    int64_t own = own_cpu_millis(member);
     int64_t max_cpu_millis = own;
     g_hash_table_iter_init(&iter, member->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -633,9 +650,9 @@
     char text[MEMBER_VALUE_SIZE];
     MemberEntry entry = {0};
     key_text(item, text, sizeof(text));
-    int fields = sscanf(text, "%39s %31s %d %31s %63s", entry.incarnation,
+    int fields = sscanf(text, "%39s %31s %d %31s %63s %d", entry.incarnation,
                         entry.address, &entry.cpu_millis,
-                        entry.carrier_address, entry.zone);
+                        entry.carrier_address, entry.zone, &entry.link_mbps);
     if (fields < 5 || strcmp(entry.carrier_address, "-") == 0) {
         entry.carrier_address[0] = '\0';
     }
@@ -752,19 +769,22 @@
     return entry != NULL && strcmp(entry->incarnation, incarnation) == 0;
 }
 
-static bool
-owns_any(const Member *member, const char *node)
+/* Sets which roles the node has. */
+static void
+add_roles(const Member *member, MemberView *view)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, member->claims);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const PoolClaim *claim = value;
-        if (claim->owner_index != 0 && strcmp(claim->owner_node, node) == 0) {
-            return true;
-        }
+        bool is_own = claim->owner_index != 0 &&
+                      strcmp(claim->owner_node, view->node) == 0;
+        bool is_machines =
+            strcmp(claim->pool, MEMBER_MACHINE_COORDINATOR) == 0;
+        view->owns_pool |= is_own && !is_machines;
+        view->is_coordinator |= is_own && is_machines;
     }
-    return false;
 }
 
 void
@@ -781,7 +801,9 @@
         MemberView view = {.node = key,
                            .zone = entry->zone,
                            .carrier_address = entry->carrier_address,
-                           .is_owner = owns_any(member, key)};
+                           .capacity = AqCarrier_Capacity(entry->cpu_millis,
+                                                          entry->link_mbps)};
+        add_roles(member, &view);
         visit(context, &view);
     }
 }
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -62,8 +62,9 @@
                         bool (*may_use)(const void *context,
                                         const char *address),
                         const void *context);
-/* Returns the CPU share allotted to this node, in thousandths of a core. */
-int64_t member_own_cpu_millis(const Member *member);
+/* Returns for how many VMs this node can make the calls
+ * (AqCarrier_Capacity). */
+size_t member_own_capacity(const Member *member);
 /* Returns whether a process with this incarnation is a member now. */
 bool member_is_registered(const Member *member, const char *node,
                           const char *incarnation);
@@ -72,7 +73,9 @@
     const char *node;
     const char *zone;            /* "": not known */
     const char *carrier_address; /* "IP:port"; "": takes no orders */
-    bool is_owner;               /* owns a pool or another role */
+    size_t capacity;             /* AqCarrier_Capacity */
+    bool owns_pool;
+    bool is_coordinator; /* machine coordinator */
 } MemberView;
 
 /* Calls "visit" for each member, this node included; the strings are borrowed
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -47,6 +47,8 @@
          "data centre of this entry VM"),
     TEXT("node", "cpu_share", node_cpu_share, "1", NULL, 1, 16,
          "this VM's share of a CPU core, such as 0.25"),
+    TEXT("node", "link_mbps", node_link_mbps, "0", NULL, 1, 16,
+         "bandwidth of this VM's link in Mbit/s, such as 200; 0: not known"),
     TEXT("node", "log_level", node_log_level, "info",
          "error warning info debug", 1, 16, "least severe level logged"),
     TEXT("callers", "address", callers_address, "127.0.0.1", NULL, 7, 15,
