Scheduler: a window for start orders in flight

Cause: a burst sends all its starts at once. Change: the window grows with quick replies and shrinks with slow ones.

--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -168,6 +168,8 @@
     scheduler_name_task(task, &order.task);
     vms_target(task->vm, &target);
     task->is_order_pending = true;
+    task->start_sent_at = s->now;
+    start_window_sent(&s->start_window);
     AqLog_Event(AQ_LOG_INFO, "run_ordered",
                 "request=%s occurrence=%u step=%u task=%u run=%lld vm=%s "
                 "fence=%llu waited_ms=%lld",
@@ -262,6 +264,9 @@
         if (!is_startable(s, task)) {
             continue;
         }
+        if (!start_window_is_open(&s->start_window)) {
+            break;
+        }
         Vm *vm = choose_vm(s, task, NULL);
         if (vm == NULL) {
             /* no VM has room for the step's other tasks either, since each of
@@ -400,7 +405,8 @@
         }
     }
     qsort(jobs, count, sizeof(Job *), ranking_compare);
-    for (size_t i = 0; i < count; i++) {
+    for (size_t i = 0; i < count && start_window_is_open(&s->start_window);
+         i++) {
         place_job(s, jobs[i]);
     }
     free(jobs);
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -190,16 +190,31 @@
     task->not_before = s->now + pause;
 }
 
+/* Counts a start order as ended; "task" is NULL if its run is no longer known.
+ * More tasks may be placed then. */
+static void
+end_start_order(AqScheduler *s, const Task *task, const AqOrderReply *reply)
+{
+    bool was_open = start_window_is_open(&s->start_window);
+    bool has_latency = task != NULL && reply->result != AQ_ORDER_UNKNOWN &&
+                       reply->result != AQ_ORDER_NOT_SENT;
+    start_window_ended(&s->start_window,
+                       has_latency ? s->now - task->start_sent_at : -1,
+                       s->now);
+    s->placement_due |= !was_open;
+}
+
 void
 AqScheduler_OnStart(AqScheduler *s, const char *id, const AqTaskName *name,
                     int64_t run, const AqOrderReply *reply, AqTime now)
 {
     s->now = now;
     Vm *vm = vms_find(s, id);
+    Task *task = vm != NULL ? finish_order(s, vm, name, run) : NULL;
+    end_start_order(s, task, reply);
     if (vm == NULL) {
         return;
     }
-    Task *task = finish_order(s, vm, name, run);
     if (task != NULL && reply->result != AQ_ORDER_DONE) {
         log_task(AQ_LOG_WARNING, "start_refused", task, vm, s,
                  AqOrderResult_Name(reply->result));
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -659,6 +659,7 @@
     s->context = context;
     s->created_at = now;
     s->now = now;
+    start_window_init(&s->start_window);
     s->mean_declared_ms = 1000.0;
     s->mean_actual_ms = 1000.0;
     s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -5,6 +5,7 @@
 
 #include "aq_list.h"
 #include "aq_scheduler.h"
+#include "start_window.h"
 
 /* Types and functions shared by the sources of the scheduler:
  * scheduler.c   jobs, steps, the tick and the reported load
@@ -12,6 +13,7 @@
  * used_vms.c    stored list of the VMs that a later owner must wait for
  * replies.c     effects of the replies to orders on tasks
  * ranking.c     order in which jobs are placed
+ * start_window.c  limit of start orders in flight
  * placement.c   choice of a VM for each task
  * perpetual.c   moves of perpetual tasks off a VM, speed limits of fillers
  * progress.c    stored progress record of a job
@@ -58,6 +60,8 @@
     AqLink link; /* links the task into vm->tasks */
     /* a start or stop order for the task has had no reply yet */
     bool is_order_pending;
+    /* when the last start order for the run was sent */
+    AqTime start_sent_at;
     /* a start order for the run ended without a reply; the VM may still
      * execute that order */
     bool may_start_late;
@@ -366,6 +370,7 @@
      * duration of a task. */
     double mean_declared_ms;
     double mean_actual_ms;
+    StartWindow start_window;
     AqSchedulerCounters counters;
 };
 
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -10,6 +10,9 @@
     REPLY_DELAY_MS = 2,
     /* an order without a reply ends with AQ_ORDER_UNKNOWN after this time */
     REPLY_TIMEOUT_MS = 600,
+    /* Bytes of an order on the wire: a start carries the text of its job. */
+    START_BYTES = 1150,
+    ORDER_BYTES = 350,
     SAVE_DURATION_MS = 8,
     /* a VM that drops all orders for longer than this loses its entry in the
      * store */
@@ -202,6 +205,10 @@
 } StoredJob;
 
 struct Sim {
+    /* Bandwidth of the link that the orders of all owners share; 0: orders
+     * take no time there. */
+    unsigned link_bytes_per_s;
+    double link_free_at; /* when the last order has left the link */
     AqRandom random;
     /* virtual clock, ms, which is also the pool owners' clock */
     AqTime now;
@@ -925,17 +932,36 @@
     return event;
 }
 
-/* Sends the order, or delays it as a fault, in which case the pool owner gets
- * AQ_ORDER_UNKNOWN as the reply.  Takes over the event. */
+/* Returns how long the order waits for the owners' link, on which the orders
+ * follow one another. */
+static AqTime
+link_wait(Sim *sim, const Event *event)
+{
+    if (sim->link_bytes_per_s == 0) {
+        return 0;
+    }
+    double bytes = event->kind == ORDER_START ? START_BYTES : ORDER_BYTES;
+    double now = (double)sim->now;
+    double begin = sim->link_free_at > now ? sim->link_free_at : now;
+    sim->link_free_at = begin + bytes * 1000.0 / sim->link_bytes_per_s;
+    return (AqTime)(sim->link_free_at - now);
+}
+
+/* Sends the order, or delays it as a fault or because of a full link.  An
+ * order that comes too late for its reply ends with AQ_ORDER_UNKNOWN.  Takes
+ * over the event. */
 static void
 send_order(SimOwner *owner, Event *event)
 {
     Sim *sim = owner->sim;
+    AqTime delay = link_wait(sim, event);
     if (draw_fault(sim, sim->faults.delayed_orders_permille)) {
+        delay = 1000 + (AqTime)AqRandom_Below(&sim->random, 5000);
+    }
+    event->deliver_at += delay;
+    if (delay >= REPLY_TIMEOUT_MS) {
         Event *late = copy_event(event);
         late->owner = NULL;
-        late->deliver_at =
-            sim->now + 1000 + (AqTime)AqRandom_Below(&sim->random, 5000);
         queue_event(sim, late);
         queue_reply(sim, event, NULL, AQ_ORDER_UNKNOWN,
                     sim->now + REPLY_TIMEOUT_MS);
@@ -945,6 +971,12 @@
     queue_event(sim, event);
 }
 
+void
+sim_set_link(Sim *sim, unsigned bytes_per_s)
+{
+    sim->link_bytes_per_s = bytes_per_s;
+}
+
 static void
 on_start(void *context, const AqOrderTarget *target, const AqStartOrder *order)
 {
@@ -1370,6 +1402,25 @@
     sim_add_job(sim, &spec);
 }
 
+void
+sim_add_perpetual(Sim *sim, const char *id, unsigned tasks, unsigned may_miss)
+{
+    AqJobSpec spec = {.step_count = 1};
+    g_strlcpy(spec.id, id, sizeof(spec.id));
+    spec.steps = calloc(1, sizeof(*spec.steps));
+    spec.steps[0] = (AqStepSpec){
+        .task_count = tasks,
+        .cpu_millis = 1000,
+        .memory_mb = 100,
+        .is_perpetual = true,
+        .max_per_vm = 1,
+        .may_miss = may_miss,
+        .limits_missing = true,
+        .latency_target_ms = 100,
+    };
+    sim_add_job(sim, &spec);
+}
+
 void
 sim_set_actual_duration(Sim *sim, const char *id, int percent)
 {
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -50,6 +50,9 @@
 void sim_destroy(Sim *sim);
 void sim_set_faults(Sim *sim, const SimFaults *faults);
 
+/* Limits the link over which the orders of all owners go; 0: no limit. */
+void sim_set_link(Sim *sim, unsigned bytes_per_s);
+
 AqTime sim_now(const Sim *sim);
 /* Advances the simulation by "ms" of the virtual clock, or to the first
  * violation of an invariant. */
@@ -117,6 +120,10 @@
  * step before it.  "duration_ms" is the declared duration of a task. */
 void sim_add_chain(Sim *sim, const char *id, unsigned steps, unsigned tasks,
                    int64_t cpu_millis, AqTime duration_ms);
+/* Adds a job of one step with "tasks" perpetual tasks, one at most on a VM, of
+ * which "may_miss" may be away at a time. */
+void sim_add_perpetual(Sim *sim, const char *id, unsigned tasks,
+                       unsigned may_miss);
 /* Sets the actual duration of the job's runs, in percent of the declared
  * duration of their tasks. */
 void sim_set_actual_duration(Sim *sim, const char *id, int percent);
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -361,25 +361,6 @@
 
 /* ---- Perpetual tasks ---------------------------------------------------- */
 
-static void
-add_perpetual(Sim *sim, const char *id, unsigned tasks, unsigned may_miss)
-{
-    AqJobSpec spec = {.step_count = 1};
-    g_strlcpy(spec.id, id, sizeof(spec.id));
-    spec.steps = calloc(1, sizeof(*spec.steps));
-    spec.steps[0] = (AqStepSpec){
-        .task_count = tasks,
-        .cpu_millis = 1000,
-        .memory_mb = 100,
-        .is_perpetual = true,
-        .max_per_vm = 1,
-        .may_miss = may_miss,
-        .limits_missing = true,
-        .latency_target_ms = 100,
-    };
-    sim_add_job(sim, &spec);
-}
-
 static unsigned
 count_running(const Sim *sim, const char *id)
 {
@@ -410,7 +391,7 @@
 test_perpetual_moves_one_by_one(void)
 {
     Sim *sim = sim_create(10);
-    add_perpetual(sim, "b1", 4, 1);
+    sim_add_perpetual(sim, "b1", 4, 1);
     sim_run(sim, 1500);
     CU_ASSERT_EQUAL(count_running(sim, "b1"), 4);
     for (unsigned i = 0; i < SIM_VMS; i++) {
@@ -453,7 +434,7 @@
         for (uint64_t seed = 1; seed <= 20; seed++) {
             unsigned vms[SIM_VMS];
             Sim *sim = sim_create(seed);
-            add_perpetual(sim, "b1", 4, 1);
+            sim_add_perpetual(sim, "b1", 4, 1);
             sim_run(sim, 1500);
             CU_ASSERT_EQUAL_FATAL(find_vms(sim, "b1", vms), 4);
             AqScheduler_SetCordon(sim_scheduler(sim), sim_vm_id(sim, vms[0]),
@@ -476,7 +457,7 @@
 test_perpetual_stays_while_another_is_silent(void)
 {
     Sim *sim = sim_create(11);
-    add_perpetual(sim, "b1", 3, 1);
+    sim_add_perpetual(sim, "b1", 3, 1);
     sim_run(sim, 1500);
     unsigned silent = 0;
     while (sim_count_runs(sim, silent, "b1") == 0) {
@@ -503,7 +484,7 @@
 test_fillers_are_paced(void)
 {
     Sim *sim = sim_create(12);
-    add_perpetual(sim, "b1", SIM_VMS, 1);
+    sim_add_perpetual(sim, "b1", SIM_VMS, 1);
     AqJobSpec spec = {.step_count = 1};
     g_strlcpy(spec.id, "c1", sizeof(spec.id));
     spec.steps = calloc(1, sizeof(*spec.steps));
