--- a/packages/io/http_client.c
+++ b/packages/io/http_client.c
@@ -16,6 +16,8 @@
     MAX_HEADER_BYTES = 16384,
     MAX_IDLE_CONNECTIONS = 4096,
     MAX_IDLE_AGE_S = 30, /* connections idle for longer are not reused */
+    /* A large response that stalls for so long ends the call. */
+    STALL_TIMEOUT_S = 2,
     /* Idle time before the first TCP keepalive probe of a connection, and the
      * interval between its probes. */
     KEEPALIVE_INTERVAL_S = 5,
@@ -52,6 +54,7 @@
     AqBuffer body;
     AqBuffer header_text; /* response header lines, each followed by a NUL */
     size_t max_response_bytes;
+    AqTime large_timeout_ms; /* AqHttpRequest.large_timeout_ms */
     bool headers_ended; /* the empty line after the response headers arrived */
     bool has_length;    /* the response has Content-Length or
                            Transfer-Encoding, so that its end is known */
@@ -378,6 +381,18 @@
     return size;
 }
 
+static void
+allow_large_response(const AqHttpCall *call)
+{
+    if (call->large_timeout_ms > 0) {
+        curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS,
+                         (long)call->large_timeout_ms);
+        curl_easy_setopt(call->easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+        curl_easy_setopt(call->easy, CURLOPT_LOW_SPEED_TIME,
+                         (long)STALL_TIMEOUT_S);
+    }
+}
+
 static size_t
 on_header(char *bytes, size_t unit, size_t count, void *context)
 {
@@ -389,6 +404,7 @@
         length--;
     }
     if (length >= 5 && strncmp(bytes, "HTTP/", 5) == 0) {
+        allow_large_response(call);
         /* A status line begins a new response, for example after 100 Continue
          * or after libcurl has sent the request again. */
         AqBuffer_Clear(&call->header_text);
@@ -498,6 +514,7 @@
     call->done = done;
     call->context = context;
     call->max_response_bytes = request->max_response_bytes;
+    call->large_timeout_ms = request->large_timeout_ms;
     AqBuffer_Init(&call->body);
     AqBuffer_Init(&call->header_text);
     AqList_Init(&call->link);
