Site configuration: queues by hash tables

Cause: each request, and each ranking of each job, searched the queues one by one; a big configuration has 1,400 of them, and an owner ranks its jobs up to 200 times a second.

--- a/packages/scheduler/Include/aq_site_config.h
+++ b/packages/scheduler/Include/aq_site_config.h
@@ -49,11 +49,17 @@
     size_t queue_count;
     AqPoolConfig *pools;
     size_t pool_count;
+    /* Made by AqSiteConfig_Index(); NULL: queues are searched one by one. */
+    struct AqQueueIndex *index;
 } AqSiteConfig;
 
 /* Frees what *config owns and zeroes *config. */
 void AqSiteConfig_Clear(AqSiteConfig *config);
 
+/* Makes the functions below find queues by hash tables, for configurations
+ * with thousands of queues.  The queues must not change afterwards. */
+void AqSiteConfig_Index(AqSiteConfig *config);
+
 /* Finds the queue of a caller's request: the queue's host equals "host"
  * without its port, and the queue's prefix is the longest with which "path"
  * begins.  Returns NULL when no queue matches.  Borrowed. */
