--- a/packages/pool/machine_coordinator.c
+++ b/packages/pool/machine_coordinator.c
@@ -6,6 +6,7 @@
 #include "aq_machine_requests.h"
 #include "aq_log.h"
 #include "fenced_order.h"
+#include "order_limit.h"
 #include "store_keys.h"
 #include "owner_writer.h"
 #include "prefix_view.h"
@@ -17,12 +18,7 @@
     /* For this long after the coordinator has chosen a pool for a released VM,
      * the VM is subtracted from the number of VMs that the pool requests.
      * After that the VM has arrived, and the pool requests one VM less. */
-    MOVE_IN_PROGRESS_MS = 2300,
-    /* An order for a VM is sent only while fewer than this many calls are in
-     * progress: orders for VMs, and writes of responses to pool owners.  The
-     * platform accepts about 64 orders a second; an order that it doesn't
-     * accept is repeated after RETRY_MS. */
-    MAX_CONCURRENT_CALLS = 12
+    MOVE_IN_PROGRESS_MS = 2300
 };
 
 typedef enum {
@@ -92,6 +88,7 @@
     /* Number of calls in progress: orders for VMs, and writes of responses to
      * pool owners. */
     int calls;
+    OrderLimit limit; /* of calls in progress */
     /* The coordinator was dropped (machine_coordinator_drop) and is freed once
      * "calls" is 0. */
     bool is_dropped;
@@ -434,6 +431,12 @@
          * so: the VM's pool is not known. */
         record->moved_to_pool[0] = '\0';
     }
+    if (result == FENCED_ORDER_DONE) {
+        order_limit_accepted(&coordinator->limit);
+    }
+    else if (result == FENCED_ORDER_RETRY) {
+        order_limit_put_off(&coordinator->limit);
+    }
     if (result == FENCED_ORDER_DONE || result == FENCED_ORDER_REFUSED) {
         end_entry(coordinator, entry, result == FENCED_ORDER_REFUSED);
     }
@@ -478,7 +481,7 @@
     for (guint i = 0; i < coordinator->entries->len && may_order; i++) {
         RequestEntry *entry = g_ptr_array_index(coordinator->entries, i);
         if (entry->state == REQUEST_WAITING && entry->retry_at <= now &&
-            coordinator->calls < MAX_CONCURRENT_CALLS) {
+            order_limit_is_open(&coordinator->limit, coordinator->calls)) {
             send_order(coordinator, entry);
         }
     }
@@ -491,6 +494,7 @@
     MachineCoordinator *coordinator = calloc(1, sizeof(*coordinator));
     coordinator->node = node;
     coordinator->fence = fence;
+    order_limit_init(&coordinator->limit);
     coordinator->entries = g_ptr_array_new_with_free_func(free);
     coordinator->demands =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_demand);
