carrier: an owner keeps the carriers that a burst needs; stalls are shown

Change: an owner needs carriers for its part of the most VMs that the site has had, so that they are connected before a burst (AqCarrier_VmsNeeded, test_vms_needed). A round whose callbacks take more than 100 ms is logged as loop_stalled; the longest one is a metric (test_longest_stall). The pause in the orders of a pool is logged. A carrier link reads and writes once a round.

--- a/packages/carrier/Include/aq_carrier.h
+++ b/packages/carrier/Include/aq_carrier.h
@@ -37,6 +37,14 @@
  * known). */
 size_t AqCarrier_Capacity(int64_t cpu_millis, int64_t link_mbps);
 
+/* Returns for how many VMs an owner needs carriers: the "own" VMs that its
+ * "own_pools" of the site's "pools" pools have now, and at least their part of
+ * "site_peak", the most VMs that the site has had.  A pool that has few VMs
+ * now has many within two seconds of a burst, and an owner that calls these
+ * itself until then opens thousands of connections. */
+size_t AqCarrier_VmsNeeded(size_t own, size_t own_pools, size_t pools,
+                           size_t site_peak);
+
 /* An entry VM that owns pools or may become a carrier. */
 typedef struct {
     const char *id;      /* borrowed */
--- a/packages/carrier/carrier_choice.c
+++ b/packages/carrier/carrier_choice.c
@@ -26,6 +26,14 @@
     return vms > 0 ? (size_t)vms : 0;
 }
 
+size_t
+AqCarrier_VmsNeeded(size_t own, size_t own_pools, size_t pools,
+                    size_t site_peak)
+{
+    size_t part = pools > 0 ? site_peak * own_pools / pools : 0;
+    return own > part ? own : part;
+}
+
 /* Returns the owner, an index of the candidates, that the candidate may carry
  * for: the one with the highest weight among those of its zone or, if its zone
  * has none, among all; "count" if there is no owner. */
--- a/packages/carrier/carrier_link.c
+++ b/packages/carrier/carrier_link.c
@@ -53,21 +53,23 @@
 
 /* ---- Writing ------------------------------------------------------------ */
 
-/* Returns false if the connection has failed, with the reason. */
+/* Sends what the socket takes at once; the rest follows when it is writable.
+ * Returns false if the connection has failed, with the reason. */
 static bool
 flush(CarrierLink *link, const char **reason)
 {
-    while (link->is_connected && link->out.size > 0) {
+    if (link->is_connected && link->out.size > 0) {
+        /* One call a round: a peer that reads slowly takes a few bytes at a
+         * time, and a loop until the socket is full would not end. */
         ssize_t n =
             send(link->fd, link->out.bytes, link->out.size, MSG_NOSIGNAL);
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-            break;
+        if (n > 0) {
+            AqBuffer_Consume(&link->out, (size_t)n);
         }
-        if (n <= 0) {
+        else if (n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
             *reason = strerror(errno);
             return false;
         }
-        AqBuffer_Consume(&link->out, (size_t)n);
     }
     if (link->out.size > MAX_OUTPUT_BYTES) {
         *reason = "the peer reads nothing";
@@ -128,11 +130,9 @@
 {
     char bytes[READ_BYTES];
     ssize_t n;
-    while ((n = recv(link->fd, bytes, sizeof(bytes), 0)) > 0) {
+    n = recv(link->fd, bytes, sizeof(bytes), 0);
+    if (n > 0) {
         AqBuffer_Append(&link->in, bytes, (size_t)n);
-        if ((size_t)n < sizeof(bytes)) {
-            break;
-        }
     }
     if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
         *reason = n == 0 ? "closed by the peer" : strerror(errno);
--- a/packages/carrier/carrier_server.c
+++ b/packages/carrier/carrier_server.c
@@ -176,6 +176,18 @@
 
 /* ---- Connections -------------------------------------------------------- */
 
+static void
+drop_oldest_excess(AqCarrierServer *server)
+{
+    AqList_ForEachSafe(at, after, &server->owners)
+    {
+        if (server->owner_count <= MAX_LINKS) {
+            break;
+        }
+        drop_owner(AqList_Entry(at, Owner, link), "too many connections");
+    }
+}
+
 static void
 on_acceptable(void *context, int events)
 {
@@ -187,10 +199,6 @@
         Owner *owner = calloc(1, sizeof(*owner));
         owner->texts =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-        if (server->owner_count >= MAX_LINKS) {
-            drop_owner(AqList_Entry(server->owners.next, Owner, link),
-                       "too many connections");
-        }
         AqList_Init(&owner->link);
         owner->connection =
             carrier_link_create(server->loop, fd, true, &ops, owner);
@@ -202,6 +210,7 @@
         AqList_Append(&server->owners, &owner->link);
         server->owner_count++;
     }
+    drop_oldest_excess(server);
 }
 
 AqCarrierServer *
@@ -246,8 +255,9 @@
     if (server == NULL) {
         return;
     }
-    while (!AqList_IsEmpty(&server->owners)) {
-        drop_owner(AqList_Entry(server->owners.next, Owner, link), "stopping");
+    AqList_ForEachSafe(at, after, &server->owners)
+    {
+        drop_owner(AqList_Entry(at, Owner, link), "stopping");
     }
     AqLoop_Unwatch(server->loop, server->watch);
     if (server->fd >= 0) {
--- a/packages/carrier/tests/test_carrier.c
+++ b/packages/carrier/tests/test_carrier.c
@@ -90,6 +90,31 @@
     }
 }
 
+/* Guards against carriers that come after the burst that needs them. */
+static void
+test_vms_needed(void)
+{
+    static const struct {
+        size_t own;
+        size_t own_pools;
+        size_t pools;
+        size_t site_peak;
+        size_t needed;
+    } cases[] = {
+        {0, 0, 5, 349, 0},     /* owns no pool */
+        {15, 1, 5, 349, 69},   /* few now, its part in the burst */
+        {15, 2, 5, 349, 139},  /* of two pools */
+        {130, 1, 5, 349, 130}, /* more than its part */
+        {12, 1, 0, 12, 12},    /* pools not read yet */
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        CU_ASSERT_EQUAL(AqCarrier_VmsNeeded(cases[i].own, cases[i].own_pools,
+                                            cases[i].pools,
+                                            cases[i].site_peak),
+                        cases[i].needed);
+    }
+}
+
 /* Guards against two owners that load the same entry VM, and against an owner
  * that gets none. */
 static void
@@ -372,7 +397,7 @@
 static void
 text_of(const char *job, char text[32])
 {
-    snprintf(text, 32, "text of %s", job);
+    snprintf(text, 32, "text of %.16s", job);
 }
 
 static void
@@ -712,6 +737,7 @@
     CU_pSuite suite = CU_add_suite("carrier", NULL, NULL);
     CU_ADD_TEST(suite, test_capacity);
     CU_ADD_TEST(suite, test_number_of_carriers);
+    CU_ADD_TEST(suite, test_vms_needed);
     CU_ADD_TEST(suite, test_carriers_are_not_shared);
     CU_ADD_TEST(suite, test_choice_is_stable);
     CU_ADD_TEST(suite, test_messages);
--- a/packages/io/Include/aq_http_client.h
+++ b/packages/io/Include/aq_http_client.h
@@ -61,10 +61,10 @@
      * does not. */
     bool fresh_connection;
     AqTime timeout_ms;
-    /* For responses that may be large, whose time depends on the link: once the
-     * response has begun, this time limit from the start of the call replaces
-     * timeout_ms, and the call also ends when no byte arrives for some seconds;
-     * 0: timeout_ms holds. */
+    /* For responses that may be large, whose time depends on the link: once
+     * the response has begun, this time limit from the start of the call
+     * replaces timeout_ms, and the call also ends when no byte arrives for
+     * some seconds; 0: timeout_ms holds. */
     AqTime large_timeout_ms;
     AqTime connect_timeout_ms;
     size_t max_response_bytes; /* longest response body that is accepted */
--- a/packages/io/Include/aq_loop.h
+++ b/packages/io/Include/aq_loop.h
@@ -70,6 +70,10 @@
  * callback of the loop. */
 void AqLoop_OffRound(AqLoop *loop, AqRoundFn fn, const void *context);
 
+/* Returns the longest time, ms, that the callbacks of one round have taken;
+ * the loop handles no other event meanwhile. */
+AqTime AqLoop_LongestStall(const AqLoop *loop);
+
 /* Runs rounds until AqLoop_Stop is called. */
 void AqLoop_Run(AqLoop *loop);
 void AqLoop_Stop(AqLoop *loop);
--- a/packages/io/loop.c
+++ b/packages/io/loop.c
@@ -5,10 +5,14 @@
 #include <apr_portable.h>
 #include <stdlib.h>
 
+#include "aq_log.h"
+
 enum {
     POLLSET_SIZE = 16384,
     MAX_ROUND_CALLBACKS = 8,
-    MAX_WAIT_MS = 1000
+    MAX_WAIT_MS = 1000,
+    /* A round whose callbacks take longer is logged. */
+    STALL_LOG_MS = 100
 };
 
 struct AqWatch {
@@ -28,6 +32,7 @@
     AqTime now;       /* loop time of the current round */
     AqClock *clock;   /* virtual clock; NULL: the host's CLOCK_BOOTTIME */
     bool running;
+    AqTime longest_stall_ms;
     int round_callback_count;
     struct {
         AqRoundFn fn; /* NULL: the entry is free */
@@ -298,6 +303,30 @@
     }
 }
 
+/* Records how long the loop did not wait for events: since "begin", with the
+ * callbacks of "events" descriptors and "timers" timers. */
+static void
+note_stall(AqLoop *loop, AqTime begin, AqTime dispatched, int events)
+{
+    AqTime now = read_time(loop);
+    AqTime taken = now - begin;
+    if (taken > loop->longest_stall_ms) {
+        loop->longest_stall_ms = taken;
+    }
+    if (taken > STALL_LOG_MS) {
+        AqLog_Event(AQ_LOG_WARNING, "loop_stalled",
+                    "took_ms=%lld events=%d events_ms=%lld timers_ms=%lld",
+                    (long long)taken, events, (long long)(dispatched - begin),
+                    (long long)(now - dispatched));
+    }
+}
+
+AqTime
+AqLoop_LongestStall(const AqLoop *loop)
+{
+    return loop->longest_stall_ms;
+}
+
 void
 AqLoop_RunOnce(AqLoop *loop, AqTime wait_ms)
 {
@@ -320,7 +349,9 @@
         }
     }
     free_unwatched(loop);
+    AqTime dispatched = read_time(loop);
     run_timers(loop);
+    note_stall(loop, loop->now, dispatched, count);
 }
 
 void
--- a/packages/io/tests/test_io.c
+++ b/packages/io/tests/test_io.c
@@ -404,6 +404,30 @@
     AqLoop_Destroy(loop);
 }
 
+static void
+advance_clock(void *context)
+{
+    AqClock_Advance(context, 150);
+}
+
+/* Guards against a loop that stands still for long without a trace. */
+static void
+test_longest_stall(void)
+{
+    AqError error;
+    AqLoop *loop = AqLoop_Create(&error);
+    AqClock clock = {.now = 1000};
+    AqTimer timer;
+    AqLoop_SetClock(loop, &clock);
+    AqTimer_Init(&timer, advance_clock, &clock);
+    AqLoop_RunOnce(loop, 10);
+    CU_ASSERT_EQUAL(AqLoop_LongestStall(loop), 0);
+    AqTimer_Start(loop, &timer, clock.now + 5);
+    AqLoop_RunOnce(loop, 10);
+    CU_ASSERT_EQUAL(AqLoop_LongestStall(loop), 150);
+    AqLoop_Destroy(loop);
+}
+
 int
 main(void)
 {
@@ -414,6 +438,7 @@
     CU_ADD_TEST(suite, test_refused_connection_is_not_sent);
     CU_ADD_TEST(suite, test_close_ends_calls);
     CU_ADD_TEST(suite, test_virtual_clock);
+    CU_ADD_TEST(suite, test_longest_stall);
     CU_ADD_TEST(suite, test_server);
     CU_ADD_TEST(suite, test_destroyed_in_callbacks);
     CU_ADD_TEST(suite, test_destroyed_servers_leave_loop);
--- a/packages/pool/bench/bench_owner.c
+++ b/packages/pool/bench/bench_owner.c
@@ -6,6 +6,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "aq_carrier.h"
 #include "aq_http_server.h"
 #include "aq_json.h"
 #include "aq_log.h"
@@ -16,7 +17,8 @@
 
 /* Measures what a run costs the owner of a pool, in processor time and bytes:
  * a real PoolOwner, HTTP client and encoders, a store in memory, and simulated
- * VMs in a second process.  Arguments: number of VMs, jobs a second, seconds.
+ * VMs in a second process.  Arguments: number of VMs, jobs a second, seconds,
+ * number of carriers, each a process.
  * The figures depend on the machine and on what else it does. */
 
 enum {
@@ -26,6 +28,8 @@
     TASK_MS = 500,
     VM_CPU = 64000,
     TASK_CPU = 4000,
+    MAX_CARRIERS = 16, /* carrier i listens on 127.0.1.(i + 1) */
+    CARRIER_PORT = 19465,
     MAX_RUNS = 64, /* of one VM */
     MAX_ENDS = 500
 };
@@ -191,6 +195,41 @@
     AqLoop_Run(self.loop);
 }
 
+/* ---- Carriers ----------------------------------------------------------- */
+
+static bool
+accept_any(void *context, const char *node, const char *incarnation)
+{
+    (void)context;
+    (void)node;
+    (void)incarnation;
+    return true;
+}
+
+static void
+name_carrier(int i, char address[32])
+{
+    snprintf(address, 32, "127.0.1.%d:%d", i + 1, CARRIER_PORT);
+}
+
+static void
+serve_carrier(int i)
+{
+    static const AqCarrierServerOps ops = {accept_any};
+    AqError error;
+    char address[32];
+    AqLoop *loop = AqLoop_Create(&error);
+    AqHttpClient *http = AqHttpClient_Create(loop, &error);
+    AqWorkerClient *workers = AqPlatformWorkers_Create(http, 600);
+    name_carrier(i, address);
+    if (AqCarrierServer_Create(loop, address, workers, &ops, NULL, &error) ==
+        NULL) {
+        fprintf(stderr, "bench_owner: %s\n", error.message);
+        exit(EXIT_FAILURE);
+    }
+    AqLoop_Run(loop);
+}
+
 /* ---- Owner -------------------------------------------------------------- */
 
 typedef struct {
@@ -198,6 +237,7 @@
     NodeContext node;
     Member *member;
     PoolOwner *owner;
+    AqCarrierClient *carriers;
 } Bench;
 
 static void
@@ -246,7 +286,10 @@
     self->node.settings = &settings;
     self->node.loop = AqLoop_Create(&error);
     self->node.http = AqHttpClient_Create(self->node.loop, &error);
-    self->node.workers = AqPlatformWorkers_Create(self->node.http, 600);
+    self->carriers = AqCarrierClient_Create(
+        self->node.loop, AqPlatformWorkers_Create(self->node.http, 600), "n-1",
+        "bench");
+    self->node.workers = AqCarrierClient_Workers(self->carriers);
     strcpy(self->node.incarnation, "bench");
     metrics->all = AqMetrics_Create();
     metrics->save_ms = AqMetrics_Histogram(metrics->all, "save", "");
@@ -262,6 +305,33 @@
     member_site_changed(self->member);
 }
 
+static void
+run_once(Bench *self)
+{
+    AqTime now = AqLoop_Now(self->node.loop);
+    AqTime due = self->owner != NULL ? pool_owner_round(self->owner) : now + 5;
+    AqTime wait = due - now;
+    AqLoop_RunOnce(self->node.loop, wait < 0 ? 0 : wait < 5 ? wait : 5);
+    fake_store_reply_all(self->store);
+}
+
+static void
+connect_carriers(Bench *self, int count)
+{
+    AqCarrierName names[MAX_CARRIERS];
+    char ids[MAX_CARRIERS][16];
+    char addresses[MAX_CARRIERS][32];
+    for (int i = 0; i < count; i++) {
+        snprintf(ids[i], sizeof(ids[i]), "c-%d", i);
+        name_carrier(i, addresses[i]);
+        names[i] = (AqCarrierName){ids[i], addresses[i]};
+    }
+    AqCarrierClient_SetCarriers(self->carriers, names, (size_t)count);
+    while (AqCarrierClient_Connected(self->carriers) < (size_t)count) {
+        run_once(self);
+    }
+}
+
 static void
 list_vms(Bench *self, int count, uint16_t port)
 {
@@ -315,16 +385,6 @@
     AqBuffer_Clear(&encoded);
 }
 
-static void
-run_once(Bench *self)
-{
-    AqTime now = AqLoop_Now(self->node.loop);
-    AqTime due = self->owner != NULL ? pool_owner_round(self->owner) : now + 5;
-    AqTime wait = due - now;
-    AqLoop_RunOnce(self->node.loop, wait < 0 ? 0 : wait < 5 ? wait : 5);
-    fake_store_reply_all(self->store);
-}
-
 static double
 processor_ms(void)
 {
@@ -369,17 +429,26 @@
     int vms = argc > 1 ? atoi(argv[1]) : 100;
     int jobs_per_s = argc > 2 ? atoi(argv[2]) : 40;
     int seconds = argc > 3 ? atoi(argv[3]) : 10;
+    int carriers = argc > 4 ? atoi(argv[4]) : 0;
+    pid_t children[MAX_CARRIERS + 1];
     int ready[2];
     uint16_t port;
     if (vms < 1 || vms > MAX_VMS || jobs_per_s < 0 || seconds < 1 ||
-        pipe(ready) != 0) {
-        fprintf(stderr, "usage: bench_owner [VMS [JOBS_PER_S [SECONDS]]]\n");
+        carriers < 0 || carriers > MAX_CARRIERS || pipe(ready) != 0) {
+        fprintf(stderr, "usage: bench_owner [VMS [JOBS_PER_S [SECONDS "
+                        "[CARRIERS]]]]\n");
         return EXIT_FAILURE;
     }
-    pid_t child = fork();
-    if (child == 0) {
+    children[carriers] = fork();
+    if (children[carriers] == 0) {
         serve_vms(ready[1]);
     }
+    for (int i = 0; i < carriers; i++) {
+        children[i] = fork();
+        if (children[i] == 0) {
+            serve_carrier(i);
+        }
+    }
     if (read(ready[0], &port, sizeof(port)) != sizeof(port)) {
         return EXIT_FAILURE;
     }
@@ -390,10 +459,13 @@
     while (self.owner == NULL || pool_owner_scheduler(self.owner) == NULL) {
         run_once(&self);
     }
+    connect_carriers(&self, carriers);
     list_vms(&self, vms, port);
     run_load(&self, 0, 3);
     run_load(&self, jobs_per_s, seconds);
-    kill(child, SIGKILL);
-    waitpid(child, NULL, 0);
+    for (int i = 0; i <= carriers; i++) {
+        kill(children[i], SIGKILL);
+        waitpid(children[i], NULL, 0);
+    }
     return EXIT_SUCCESS;
 }
--- a/packages/pool/carrier_duty.c
+++ b/packages/pool/carrier_duty.c
@@ -16,6 +16,7 @@
     AqCarrierServer *server; /* NULL: this node is no carrier */
     AqTime choice_due;
     size_t chosen_count;
+    size_t site_peak; /* the most VMs at once that the directory has listed */
 };
 
 static bool
@@ -79,14 +80,34 @@
 typedef struct {
     bool (*owns_pool)(void *context, const char *pool);
     void *context;
-    size_t count;
+    size_t own;  /* VMs in pools that this node owns */
+    size_t site; /* VMs in all pools */
 } VmCount;
 
 static void
-count_own_vm(void *context, const AqVmReport *report)
+count_vm(void *context, const AqVmReport *report)
 {
     VmCount *vms = context;
-    vms->count += vms->owns_pool(vms->context, report->pool);
+    vms->own += vms->owns_pool(vms->context, report->pool);
+    vms->site++;
+}
+
+static size_t
+count_needed(CarrierDuty *duty, const VmCount *vms)
+{
+    if (vms->site > duty->site_peak) {
+        duty->site_peak = vms->site;
+    }
+    const AqSiteConfig *site = &duty->node->site;
+    size_t pools = 0;
+    size_t own_pools = 0;
+    for (size_t i = 0; i < site->pool_count; i++) {
+        if (!site->pools[i].is_spare) {
+            pools++;
+            own_pools += vms->owns_pool(vms->context, site->pools[i].name);
+        }
+    }
+    return AqCarrier_VmsNeeded(vms->own, own_pools, pools, duty->site_peak);
 }
 
 static void
@@ -135,16 +156,17 @@
                    bool (*owns_pool)(void *context, const char *pool),
                    void *context)
 {
-    VmCount own = {.owns_pool = owns_pool, .context = context};
+    VmCount counts = {.owns_pool = owns_pool, .context = context};
     AqTime now = AqLoop_Now(duty->node->loop);
     if (now < duty->choice_due) {
         return;
     }
     duty->choice_due = now + CHOICE_INTERVAL_MS;
     if (vms != NULL) {
-        vm_directory_each(vms, count_own_vm, &own);
+        vm_directory_each(vms, count_vm, &counts);
     }
-    if (own.count > 0 || duty->chosen_count > 0) {
-        choose(duty, own.count);
+    size_t needed = count_needed(duty, &counts);
+    if (needed > 0 || duty->chosen_count > 0) {
+        choose(duty, needed);
     }
 }
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -775,9 +775,13 @@
 {
     GHashTableIter iter;
     gpointer value;
+    const char *spare = AqSiteConfig_SparePool(&member->node->site);
     g_hash_table_iter_init(&iter, member->claims);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const PoolClaim *claim = value;
+        if (spare != NULL && strcmp(claim->pool, spare) == 0) {
+            continue; /* its VMs are powered off */
+        }
         bool is_own = claim->owner_index != 0 &&
                       strcmp(claim->owner_node, view->node) == 0;
         bool is_machines =
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -74,8 +74,8 @@
     const char *zone;            /* "": not known */
     const char *carrier_address; /* "IP:port"; "": takes no orders */
     size_t capacity;             /* AqCarrier_Capacity */
-    bool owns_pool;
-    bool is_coordinator; /* machine coordinator */
+    bool owns_pool;              /* other than the spare pool */
+    bool is_coordinator;         /* machine coordinator */
 } MemberView;
 
 /* Calls "visit" for each member, this node included; the strings are borrowed
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -361,6 +361,8 @@
     AqBuffer_Printf(&out, "aq_config_version %lld\n",
                     (long long)node->context.site.version);
     AqBuffer_Printf(&out, "aq_ready %d\n", is_ready(node));
+    AqBuffer_Printf(&out, "aq_loop_longest_stall_ms %lld\n",
+                    (long long)AqLoop_LongestStall(node->context.loop));
     AqBuffer_Printf(&out, "aq_carriers_connected %zu\n",
                     carrier_duty_connected(node->carriers));
     AqBuffer_Printf(
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -73,6 +73,7 @@
     /* Number of calls to the store, VMs and the advice service that have not
      * ended; each has a pointer to this owner. */
     int calls_in_flight;
+    bool could_order; /* pool_owner_may_order() in the last round */
     bool is_dropped;
     bool is_finishing;
     bool is_saving;
@@ -648,8 +649,16 @@
         check_finished(owner);
         return now + LOAD_RETRY_MS;
     }
-    AqTime due = AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(),
-                                  pool_owner_may_order(owner));
+    bool may_order = pool_owner_may_order(owner);
+    if (may_order != owner->could_order) {
+        owner->could_order = may_order;
+        AqLog_Event(AQ_LOG_INFO, may_order ? "orders_begin" : "orders_pause",
+                    "pool=%s fence=%llu calls=%d", owner->ownership.pool,
+                    (unsigned long long)owner->ownership.fence,
+                    owner->calls_in_flight);
+    }
+    AqTime due =
+        AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(), may_order);
     save_progress(owner);
     write_used_vms(owner);
     if (!owner->is_finishing) {
--- a/packages/pool/tests/test_store_away.c
+++ b/packages/pool/tests/test_store_away.c
@@ -218,10 +218,10 @@
 typedef struct {
     AqTime arrived_at;
     AqTime next_try;
+    AqTime refused_in; /* begin of the outage of these refusals */
     unsigned retries;
     unsigned node;       /* that gets the next try */
     uint32_t refused_at; /* bits of the nodes that refused it */
-    AqTime refused_in;   /* begin of the outage of these refusals */
     bool ended;
 } Caller;
 
--- a/packages/scheduler/tests/test_site_config.c
+++ b/packages/scheduler/tests/test_site_config.c
@@ -1,4 +1,5 @@
 #include <CUnit/Basic.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,11 +17,11 @@
 static char *
 random_text(AqRandom *random, const char *const *parts, size_t count)
 {
-    char text[64] = "";
+    GString *text = g_string_new(NULL);
     for (uint64_t i = AqRandom_Below(random, 4); i > 0; i--) {
-        strcat(text, parts[AqRandom_Below(random, count)]);
+        g_string_append(text, parts[AqRandom_Below(random, count)]);
     }
-    return strdup(text);
+    return g_string_free(text, FALSE);
 }
 
 static const char *const host_parts[] = {"a", "B", "a.example", ":", ":80"};
