--- /dev/null
+++ b/packages/pool/node_metrics.c
@@ -0,0 +1,52 @@
+#include "node_metrics.h"
+
+void
+node_metrics_create(NodeMetrics *metrics)
+{
+    AqMetrics *all = AqMetrics_Create();
+    metrics->all = all;
+    metrics->accept_ms = AqMetrics_Histogram(all, "aq_accept_ms", "");
+    metrics->state_ms = AqMetrics_Histogram(all, "aq_state_ms", "");
+    metrics->start_ms = AqMetrics_Histogram(all, "aq_start_order_ms", "");
+    metrics->save_ms = AqMetrics_Histogram(all, "aq_save_ms", "");
+    metrics->takeover_ms = AqMetrics_Histogram(all, "aq_takeover_ms", "");
+    metrics->stored =
+        AqMetrics_Counter(all, "aq_requests_total", "outcome=\"stored\"");
+    metrics->refused =
+        AqMetrics_Counter(all, "aq_requests_total", "outcome=\"refused\"");
+    metrics->unknown =
+        AqMetrics_Counter(all, "aq_requests_total", "outcome=\"unknown\"");
+    metrics->orders_failed =
+        AqMetrics_Counter(all, "aq_orders_unanswered_total", "");
+    metrics->pools_gained =
+        AqMetrics_Counter(all, "aq_pools_gained_total", "");
+    metrics->pools_lost = AqMetrics_Counter(all, "aq_pools_lost_total", "");
+}
+
+void
+node_metrics_write_pool(const char *pool, AqScheduler *s, AqTime now,
+                        AqBuffer *out)
+{
+    AqSchedulerLoad load;
+    const AqSchedulerCounters *counters = AqScheduler_Counters(s);
+    AqScheduler_GetLoad(s, now, &load);
+    AqBuffer_Printf(out, "aq_pool_jobs{pool=\"%s\"} %zu\n", pool, load.jobs);
+    AqBuffer_Printf(out, "aq_pool_ready_tasks{pool=\"%s\"} %zu\n", pool,
+                    load.ready_tasks);
+    AqBuffer_Printf(out, "aq_pool_wait_ms{pool=\"%s\"} %lld\n", pool,
+                    (long long)load.longest_wait_ms);
+    AqBuffer_Printf(out, "aq_pool_used_cpu_millis{pool=\"%s\"} %lld\n", pool,
+                    (long long)load.used_cpu_millis);
+    AqBuffer_Printf(out, "aq_pool_room_cpu_millis{pool=\"%s\"} %lld\n", pool,
+                    (long long)load.capacity_cpu_millis);
+    AqBuffer_Printf(out, "aq_pool_settled{pool=\"%s\"} %d\n", pool,
+                    load.is_recovered);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"done\"} %llu\n",
+                    pool, (unsigned long long)counters->done);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"failed\"} %llu\n",
+                    pool, (unsigned long long)counters->failed);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"lost\"} %llu\n",
+                    pool, (unsigned long long)counters->lost);
+    AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"stalled\"} %llu\n",
+                    pool, (unsigned long long)counters->stalled);
+}
--- /dev/null
+++ b/packages/scheduler/scheduler_check.c
@@ -0,0 +1,86 @@
+/* Checks that the counts of a scheduler agree with its tasks. */
+
+#include "scheduler_internal.h"
+
+static bool
+check_task(const Task *task, AqError *error)
+{
+    const char *id = task->step->occurrence->job->spec.id;
+    bool is_on_vm = task->state == TASK_STARTING ||
+                    task->state == TASK_RUNNING ||
+                    task->state == TASK_STOPPING;
+    if (is_on_vm != (task->vm != NULL) ||
+        is_on_vm != AqList_IsLinked(&task->link)) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "task %u of job %s is in state %d, on a VM: %d",
+                           task->index, id, task->state, task->vm != NULL);
+    }
+    return true;
+}
+
+static bool
+check_step(const Step *step, AqError *error)
+{
+    uint32_t ready = 0;
+    uint32_t done = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        ready += step->tasks[i].state == TASK_READY;
+        done += step->tasks[i].state == TASK_DONE;
+        if (!check_task(&step->tasks[i], error)) {
+            return false;
+        }
+    }
+    if (ready != step->ready || done != step->done) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "step %u of job %s counts %u ready and %u done, "
+                           "not %u and %u",
+                           step->number, step->occurrence->job->spec.id,
+                           step->ready, step->done, ready, done);
+    }
+    return true;
+}
+
+static bool
+check_vm(const Vm *vm, AqError *error)
+{
+    int64_t cpu = 0;
+    size_t count = 0;
+    AqList_ForEach(at, &vm->tasks)
+    {
+        const Task *task = AqList_Entry(at, Task, link);
+        cpu += task->step->spec->is_filler ? 0 : task->step->spec->cpu_millis;
+        count++;
+    }
+    if (cpu != vm->used_cpu || count != vm->task_count) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "VM %s counts %zu tasks, not %zu", vm->report.id,
+                           vm->task_count, count);
+    }
+    return true;
+}
+
+bool
+AqScheduler_CheckConsistency(const AqScheduler *s, AqError *error)
+{
+    AqList_ForEach(at, &s->active)
+    {
+        const Job *job = AqList_Entry(at, Job, link);
+        AqList_ForEach(each, &job->occurrences)
+        {
+            const Occurrence *occurrence =
+                AqList_Entry(each, Occurrence, link);
+            for (size_t i = 0; i < job->spec.step_count; i++) {
+                if (!check_step(&occurrence->steps[i], error)) {
+                    return false;
+                }
+            }
+        }
+    }
+    AqList_ForEach(at, &s->vms)
+    {
+        if (!check_vm(AqList_Entry(at, Vm, link), error)) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -9,6 +9,7 @@
 
 /* Types and functions shared by the sources of the scheduler:
  * scheduler.c   jobs, steps, the tick and the reported load
+ * scheduler_check.c  whether counts agree with the tasks
  * vms.c         state of each VM, the VM's lease, and VMs that do not reply
  * used_vms.c    stored list of the VMs that a later owner must wait for
  * replies.c     effects of the replies to orders on tasks
