--- a/packages/carrier/carrier_choice.c
+++ b/packages/carrier/carrier_choice.c
@@ -5,12 +5,9 @@
 #include "aq_hash.h"
 
 enum {
-    /* VMs whose calls a core makes with half of its time: the burst of a pool
-     * brings 10 starts and renewals a second to each VM, of 0.15 ms each
-     * (bench_owner), and the platform charges up to twice that. */
+    /* VMs whose calls in a burst take half of a core. */
     VMS_PER_CORE = 120,
-    /* VMs whose calls take half of 1 Mbit/s: these 10 starts and renewals have
-     * 20,000 bytes. */
+    /* VMs whose calls in a burst take half of 1 Mbit/s. */
     VMS_PER_MBPS = 3,
     /* The carriers of an owner have room for so many times its VMs: the other
      * work of their entry VMs comes first. */
