Carriers: one path for each order; bench VMs in platform/tests

Cause: start, stop, renew and pace of the carrier client each looked for a carrier and fell back by themselves, and the carrier's server had the same calls in a switch; bench_owner held the platform's paths outside platform/; a stray backslash stood in a comment of the settings.

Change: carrier_call makes the call of an order, for a carrier and for an owner without one; send_order chooses between them. The simulated VMs of bench_owner are platform/tests/bench_vms.c. Behaviour stays as it is.

--- a/packages/carrier/carrier_client.c
+++ b/packages/carrier/carrier_client.c
@@ -6,6 +6,7 @@
 #include "aq_hash.h"
 #include "aq_log.h"
 #include "aq_peer_socket.h"
+#include "carrier_call.h"
 #include "carrier_link.h"
 
 enum {
@@ -230,23 +231,6 @@
     return best;
 }
 
-static void
-send_order(AqCarrierClient *client, Carrier *carrier, CarrierKind kind,
-           CarrierOrder *order, AqTime wait_ms, AqOrderDone done,
-           void *context)
-{
-    Pending *pending = malloc(sizeof(*pending));
-    *pending =
-        (Pending){.id = ++client->last_id,
-                  .done = done,
-                  .context = context,
-                  .timeout_at = now_of(client) + ORDER_TIMEOUT_MS + wait_ms};
-    order->id = pending->id;
-    g_hash_table_insert(carrier->pending, &pending->id, pending);
-    carrier_encode_order(kind, order,
-                         carrier_link_output(carrier->connection));
-}
-
 /* Sends the text of the job unless it was sent on this connection. */
 static void
 send_text(Carrier *carrier, const char *job, const char *text)
@@ -263,75 +247,74 @@
     carrier_encode_text(&message, carrier_link_output(carrier->connection));
 }
 
+/* Passes the order on to the VM's carrier, or calls the VM if it has none. */
 static void
-start(AqWorkerClient *base, const AqOrderTarget *target,
-      const AqStartOrder *order, AqOrderDone done, void *context)
+send_order(AqCarrierClient *client, CarrierKind kind, CarrierOrder *order,
+           AqTime wait_ms, AqOrderDone done, void *context)
 {
-    AqCarrierClient *client = (AqCarrierClient *)base;
-    Carrier *carrier = find_carrier(client, target->vm);
+    Carrier *carrier = find_carrier(client, order->vm);
     if (carrier == NULL) {
-        client->direct->ops->start(client->direct, target, order, done,
-                                   context);
+        carrier_call(client->direct, kind, order, done, context);
         return;
     }
-    send_text(carrier, order->task.job, order->text);
+    if (kind == CARRIER_START) {
+        send_text(carrier, order->start.task.job, order->start.text);
+    }
+    Pending *pending = malloc(sizeof(*pending));
+    *pending =
+        (Pending){.id = ++client->last_id,
+                  .done = done,
+                  .context = context,
+                  .timeout_at = now_of(client) + ORDER_TIMEOUT_MS + wait_ms};
+    order->id = pending->id;
+    g_hash_table_insert(carrier->pending, &pending->id, pending);
+    carrier_encode_order(kind, order,
+                         carrier_link_output(carrier->connection));
+}
+
+static void
+start(AqWorkerClient *base, const AqOrderTarget *target,
+      const AqStartOrder *order, AqOrderDone done, void *context)
+{
     CarrierOrder message = {
         .address = target->address, .vm = target->vm, .start = *order};
-    send_order(client, carrier, CARRIER_START, &message, 0, done, context);
+    send_order((AqCarrierClient *)base, CARRIER_START, &message, 0, done,
+               context);
 }
 
 static void
 stop(AqWorkerClient *base, const AqOrderTarget *target, const AqTaskName *task,
      int64_t run, uint64_t fence, AqOrderDone done, void *context)
 {
-    AqCarrierClient *client = (AqCarrierClient *)base;
-    Carrier *carrier = find_carrier(client, target->vm);
-    if (carrier == NULL) {
-        client->direct->ops->stop(client->direct, target, task, run, fence,
-                                  done, context);
-        return;
-    }
     CarrierOrder message = {
         .address = target->address,
         .vm = target->vm,
         .start = {.task = *task, .run = run, .fence = fence}};
-    send_order(client, carrier, CARRIER_STOP, &message, 0, done, context);
+    send_order((AqCarrierClient *)base, CARRIER_STOP, &message, 0, done,
+               context);
 }
 
 static void
 renew(AqWorkerClient *base, const AqOrderTarget *target,
       const AqRenewalOrder *order, AqOrderDone done, void *context)
 {
-    AqCarrierClient *client = (AqCarrierClient *)base;
-    Carrier *carrier = find_carrier(client, target->vm);
-    if (carrier == NULL) {
-        client->direct->ops->renew(client->direct, target, order, done,
-                                   context);
-        return;
-    }
     CarrierOrder message = {
         .address = target->address, .vm = target->vm, .renewal = *order};
-    send_order(client, carrier, CARRIER_RENEW, &message, order->wait_ms, done,
-               context);
+    send_order((AqCarrierClient *)base, CARRIER_RENEW, &message,
+               order->wait_ms, done, context);
 }
 
 static void
 pace(AqWorkerClient *base, const AqOrderTarget *target, const AqTaskName *task,
      int64_t run, int percent, uint64_t fence, AqOrderDone done, void *context)
 {
-    AqCarrierClient *client = (AqCarrierClient *)base;
-    Carrier *carrier = find_carrier(client, target->vm);
-    if (carrier == NULL) {
-        client->direct->ops->pace(client->direct, target, task, run, percent,
-                                  fence, done, context);
-        return;
-    }
     CarrierOrder message = {
         .address = target->address,
         .vm = target->vm,
         .start = {.task = *task, .run = run, .fence = fence},
         .percent = percent};
-    send_order(client, carrier, CARRIER_PACE, &message, 0, done, context);
+    send_order((AqCarrierClient *)base, CARRIER_PACE, &message, 0, done,
+               context);
 }
 
 static void
--- a/packages/carrier/carrier_server.c
+++ b/packages/carrier/carrier_server.c
@@ -6,6 +6,7 @@
 #include "aq_carrier.h"
 #include "aq_log.h"
 #include "aq_peer_socket.h"
+#include "carrier_call.h"
 #include "carrier_link.h"
 
 enum {
@@ -85,37 +86,18 @@
 static void
 carry(Owner *owner, CarrierKind kind, const CarrierOrder *message)
 {
-    AqWorkerClient *workers = owner->server->workers;
-    AqOrderTarget target = {.address = message->address, .vm = message->vm};
-    AqStartOrder start = message->start;
-    const char *text = g_hash_table_lookup(owner->texts, start.task.job);
-    if (kind == CARRIER_START && text == NULL) {
+    CarrierOrder call = *message;
+    call.start.text = g_hash_table_lookup(owner->texts, call.start.task.job);
+    if (kind == CARRIER_START && call.start.text == NULL) {
         drop_owner(owner, "start without its text");
         return;
     }
-    start.text = text;
     Order *order = malloc(sizeof(*order));
     order->owner = owner;
     order->id = message->id;
     owner->orders++;
     owner->carried++;
-    switch (kind) {
-    case CARRIER_START:
-        workers->ops->start(workers, &target, &start, on_reply, order);
-        break;
-    case CARRIER_STOP:
-        workers->ops->stop(workers, &target, &start.task, start.run,
-                           start.fence, on_reply, order);
-        break;
-    case CARRIER_RENEW:
-        workers->ops->renew(workers, &target, &message->renewal, on_reply,
-                            order);
-        break;
-    default:
-        workers->ops->pace(workers, &target, &start.task, start.run,
-                           message->percent, start.fence, on_reply, order);
-        break;
-    }
+    carrier_call(owner->server->workers, kind, &call, on_reply, order);
 }
 
 /* Returns false if the owner sends more texts than agreed. */
--- a/packages/pool/bench/bench_owner.c
+++ b/packages/pool/bench/bench_owner.c
@@ -7,10 +7,9 @@
 #include <unistd.h>
 
 #include "aq_carrier.h"
-#include "aq_http_server.h"
-#include "aq_json.h"
 #include "aq_log.h"
 #include "aq_platform.h"
+#include "bench_vms.h"
 #include "fake_store.h"
 #include "pool_owner.h"
 #include "store_keys.h"
@@ -22,179 +21,15 @@
  * The figures depend on the machine and on what else it does. */
 
 enum {
-    MAX_VMS = 250, /* VM i listens on 127.0.0.(i + 2) */
     STEPS = 2,
     TASKS = 8,
     TASK_MS = 500,
     VM_CPU = 64000,
     TASK_CPU = 4000,
     MAX_CARRIERS = 16, /* carrier i listens on 127.0.1.(i + 1) */
-    CARRIER_PORT = 19465,
-    MAX_RUNS = 64, /* of one VM */
-    MAX_ENDS = 500
+    CARRIER_PORT = 19465
 };
 
-/* ---- Simulated VMs ------------------------------------------------------ */
-
-typedef struct {
-    char task[64];
-    long long run;
-    AqTime ends_at;
-} Run;
-
-typedef struct {
-    Run runs[MAX_RUNS];
-    size_t run_count;
-    Run ends[MAX_ENDS];
-    long long end_numbers[MAX_ENDS];
-    size_t end_count;
-    long long last_end;
-    AqExchange *held; /* renewal that waits for an end */
-    AqTime held_until;
-} SimVm;
-
-typedef struct {
-    AqLoop *loop;
-    SimVm vms[MAX_VMS];
-} SimVms;
-
-static void
-respond(AqExchange *exchange, int status, const AqBuffer *body)
-{
-    AqExchange_Respond(exchange, status, NULL, 0, AqBuffer_Text(body),
-                       body->size);
-}
-
-static void
-respond_renewal(SimVm *vm, AqExchange *exchange, AqTime now)
-{
-    AqBuffer body;
-    AqBuffer_Init(&body);
-    AqBuffer_Printf(&body, "{\"clock_ms\":%lld,\"running\":[", (long long)now);
-    for (size_t i = 0; i < vm->run_count; i++) {
-        AqBuffer_Printf(
-            &body, "%s[\"%s\",%lld,\"\",%lld,4000]", i > 0 ? "," : "",
-            vm->runs[i].task, vm->runs[i].run,
-            (long long)(100 - (vm->runs[i].ends_at - now) * 100 / TASK_MS));
-    }
-    AqBuffer_AppendText(&body, "],\"ended\":[");
-    for (size_t i = 0; i < vm->end_count; i++) {
-        AqBuffer_Printf(&body, "%s[%lld,\"%s\",%lld,\"done\",\"\"]",
-                        i > 0 ? "," : "", vm->end_numbers[i], vm->ends[i].task,
-                        vm->ends[i].run);
-    }
-    AqBuffer_AppendText(&body, "]}");
-    respond(exchange, 200, &body);
-    AqBuffer_Clear(&body);
-}
-
-static void
-forget_ends(SimVm *vm, long long last_seen)
-{
-    size_t forgotten = 0;
-    while (forgotten < vm->end_count &&
-           vm->end_numbers[forgotten] <= last_seen) {
-        forgotten++;
-    }
-    vm->end_count -= forgotten;
-    memmove(vm->ends, vm->ends + forgotten, vm->end_count * sizeof(Run));
-    memmove(vm->end_numbers, vm->end_numbers + forgotten,
-            vm->end_count * sizeof(long long));
-}
-
-static void
-handle_vm_request(void *context, AqExchange *exchange)
-{
-    SimVms *self = context;
-    size_t size;
-    AqTime now = AqLoop_Now(self->loop);
-    const char *text = AqExchange_Body(exchange, &size);
-    const char *id = AqExchange_Header(exchange, "X-Expect-Instance");
-    json_t *body = json_loadb(text, size, 0, NULL);
-    SimVm *vm = &self->vms[atoi(id + 2)];
-    if (strcmp(AqExchange_Path(exchange), "/v1/run-start") == 0) {
-        AqBuffer reply;
-        Run *run = &vm->runs[vm->run_count++];
-        snprintf(run->task, sizeof(run->task), "%s",
-                 json_string_value(json_object_get(body, "task")));
-        run->run = json_integer_value(json_object_get(body, "run"));
-        run->ends_at = now + TASK_MS;
-        AqBuffer_Init(&reply);
-        AqBuffer_Printf(&reply, "{\"clock_ms\":%lld}", (long long)now);
-        respond(exchange, 200, &reply);
-        AqBuffer_Clear(&reply);
-    }
-    else {
-        forget_ends(vm,
-                    json_integer_value(json_object_get(body, "last_seen")));
-        AqTime wait = json_integer_value(json_object_get(body, "wait_ms"));
-        if (wait == 0 || vm->end_count > 0 || vm->held != NULL) {
-            respond_renewal(vm, exchange, now);
-        }
-        else {
-            vm->held = exchange;
-            vm->held_until = now + wait;
-        }
-    }
-    json_decref(body);
-}
-
-static void
-end_runs(SimVm *vm, AqTime now)
-{
-    for (size_t i = 0; i < vm->run_count;) {
-        if (vm->runs[i].ends_at <= now && vm->end_count < MAX_ENDS) {
-            vm->ends[vm->end_count] = vm->runs[i];
-            vm->end_numbers[vm->end_count++] = ++vm->last_end;
-            vm->runs[i] = vm->runs[--vm->run_count];
-        }
-        else {
-            i++;
-        }
-    }
-}
-
-static AqTime
-advance_vms(void *context)
-{
-    SimVms *self = context;
-    AqTime now = AqLoop_Now(self->loop);
-    for (int i = 0; i < MAX_VMS; i++) {
-        SimVm *vm = &self->vms[i];
-        end_runs(vm, now);
-        if (vm->held != NULL && (vm->end_count > 0 || vm->held_until <= now)) {
-            AqExchange *exchange = vm->held;
-            vm->held = NULL;
-            respond_renewal(vm, exchange, now);
-        }
-    }
-    return now + 1;
-}
-
-static void
-serve_vms(int ready_fd)
-{
-    static SimVms self;
-    AqError error;
-    AqHttpServerConfig config = {.address = "0.0.0.0",
-                                 .max_body = 65536,
-                                 .max_connections = 16000,
-                                 .idle_timeout_s = 60};
-    self.loop = AqLoop_Create(&error);
-    AqHttpServer *server = AqHttpServer_Create(
-        self.loop, &config, handle_vm_request, &self, &error);
-    if (server == NULL) {
-        fprintf(stderr, "bench_owner: %s\n", error.message);
-        exit(EXIT_FAILURE);
-    }
-    uint16_t port = AqHttpServer_Port(server);
-    if (write(ready_fd, &port, sizeof(port)) != sizeof(port)) {
-        exit(EXIT_FAILURE);
-    }
-    AqLoop_OnRound(self.loop, advance_vms, &self);
-    AqLoop_Run(self.loop);
-}
-
 /* ---- Carriers ----------------------------------------------------------- */
 
 static bool
@@ -433,7 +268,7 @@
     pid_t children[MAX_CARRIERS + 1];
     int ready[2];
     uint16_t port;
-    if (vms < 1 || vms > MAX_VMS || jobs_per_s < 0 || seconds < 1 ||
+    if (vms < 1 || vms > BENCH_VMS_MAX || jobs_per_s < 0 || seconds < 1 ||
         carriers < 0 || carriers > MAX_CARRIERS || pipe(ready) != 0) {
         fprintf(stderr, "usage: bench_owner [VMS [JOBS_PER_S [SECONDS "
                         "[CARRIERS]]]]\n");
@@ -441,7 +276,7 @@
     }
     children[carriers] = fork();
     if (children[carriers] == 0) {
-        serve_vms(ready[1]);
+        bench_vms_serve(ready[1], TASK_MS);
     }
     for (int i = 0; i < carriers; i++) {
         children[i] = fork();
--- a/packages/settings/Include/aq_settings.h
+++ b/packages/settings/Include/aq_settings.h
@@ -16,7 +16,7 @@
     char *node_id;        /* id of this entry VM, unique in the deployment */
     char *node_zone;      /* data centre of this entry VM */
     char *node_cpu_share; /* this VM's share of a core, such as "0.25" */
-    /* Bandwidth of the VM\'s link in Mbit/s, such as "200"; "0": not known. */
+    /* Bandwidth of the VM's link in Mbit/s, such as "200"; "0": not known. */
     char *node_link_mbps;
     char *node_log_level; /* "error", "warning", "info" or "debug" */
     /* IPv4 address of the listener for callers. */
