--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -5,18 +5,14 @@
 #include <string.h>
 
 #include "aq_log.h"
+#include "pool_owner_private.h"
 #include "store_keys.h"
-#include "owner_writer.h"
-#include "prefix_view.h"
 
 enum {
     /* Shortest time from the end of one write of job progress to the start of
      * the next; the changes in between are stored in one write. */
     SAVE_INTERVAL_MS = 60,
     SAVE_RETRY_MS = 150,
-    /* Greatest number of jobs whose progress one write stores; other jobs wait
-     * for the next write.  OwnerWriter adds three entries to each commit. */
-    MAX_SAVES = AQ_STORE_COMMIT_ENTRIES - 3,
     REPORT_INTERVAL_MS = 800,
     LOAD_RETRY_MS = 150,
     /* Longest time for which the handover of a pool waits until the unsaved
@@ -29,58 +25,6 @@
     CANCEL_SUFFIX_LENGTH = 2
 };
 
-typedef enum {
-    LOADING_USED_VMS,
-    LOADING_PROGRESS,
-    LOADING_JOBS,
-    LOADED
-} LoadState;
-
-struct PoolOwner {
-    AqJobSave saves[MAX_SAVES];
-    size_t save_count;
-    NodeContext *node;
-    Member *member;
-    PoolOwnerOps ops;
-    void *context;
-    Ownership ownership;
-    AqScheduler *scheduler;
-    AqTimer load_timer;
-    /* Job id -> GBytes: progress records of the pool's jobs, kept until the
-     * jobs are loaded. */
-    GHashTable *progress_records;
-    GHashTable *cancelled; /* ids of jobs with a cancellation mark */
-    char *last_progress_key;
-    PrefixView *jobs;
-    OwnerWriter *writer;
-    AqTime save_due;
-    AqTime save_sent;
-    AqTime gained_at;
-    uint64_t used_vms_written;
-    uint64_t used_vms_sent_version;
-    AqTime used_vms_due;
-    /* Text of the pool's report of waiting jobs as last written to the store;
-     * NULL: none. */
-    char *last_report;
-    AqTime report_due;
-    /* Callback of pool_owner_finish(), its argument, and the time at which it
-     * is called at the latest; finish_done is NULL before pool_owner_finish()
-     * and after the callback. */
-    void (*finish_done)(void *context);
-    void *finish_context;
-    AqTime finish_deadline;
-    LoadState load_state;
-    /* Number of calls to the store, VMs and the advice service that have not
-     * ended; each has a pointer to this owner. */
-    int calls_in_flight;
-    bool could_order; /* pool_owner_may_order() in the last round */
-    bool is_dropped;
-    bool is_finishing;
-    bool is_saving;
-    bool is_writing_used_vms;
-    bool is_reporting;
-};
-
 static void
 free_owner(PoolOwner *owner)
 {
@@ -94,10 +38,8 @@
     free(owner);
 }
 
-/* Counts one of the owner's calls as ended.  Returns false if the owner was
- * dropped, in which case it may have been freed. */
-static bool
-end_call(PoolOwner *owner)
+bool
+pool_owner_end_call(PoolOwner *owner)
 {
     owner->calls_in_flight--;
     if (!owner->is_dropped) {
@@ -109,186 +51,18 @@
     return false;
 }
 
-static AqTime
-now_of(const PoolOwner *owner)
+AqTime
+pool_owner_now(const PoolOwner *owner)
 {
     return AqLoop_Now(owner->node->loop);
 }
 
-static void
-report_superseded(PoolOwner *owner, const char *reason)
+void
+pool_owner_report_superseded(PoolOwner *owner, const char *reason)
 {
     owner->ops.superseded(owner->context, owner->ownership.pool, reason);
 }
 
-/* ---- Orders ------------------------------------------------------------- */
-
-typedef enum {
-    ORDER_START,
-    ORDER_STOP,
-    ORDER_RENEWAL,
-    ORDER_PACE
-} OrderKind;
-
-typedef struct {
-    PoolOwner *owner;
-    OrderKind kind;
-    char vm[AQ_VM_ID_SIZE];
-    AqTaskName task;
-    int64_t run;
-    AqTime sent_at;
-} Order;
-
-static void
-count_order(const PoolOwner *owner, const Order *order,
-            const AqOrderReply *reply)
-{
-    const NodeMetrics *metrics = &owner->node->metrics;
-    if (reply->result == AQ_ORDER_UNKNOWN ||
-        reply->result == AQ_ORDER_NOT_SENT) {
-        AqMetric_Add(metrics->orders_failed, 1);
-    }
-    else if (order->kind == ORDER_START) {
-        AqMetric_Observe(metrics->start_ms, now_of(owner) - order->sent_at);
-    }
-}
-
-static void
-on_order_reply(void *context, const AqOrderReply *reply)
-{
-    Order *order = context;
-    PoolOwner *owner = order->owner;
-    /* Read the clock: the loop's time may be before the arrival of the VM's
-     * reply, which would make the VM's clock seem ahead and the leases on the
-     * VM expire too early. */
-    AqTime now = AqClock_ReadMonotonic();
-    if (end_call(owner)) {
-        AqScheduler *s = owner->scheduler;
-        count_order(owner, order, reply);
-        switch (order->kind) {
-        case ORDER_START:
-            AqScheduler_OnStart(s, order->vm, &order->task, order->run, reply,
-                                now);
-            break;
-        case ORDER_STOP:
-            AqScheduler_OnStop(s, order->vm, &order->task, order->run, reply,
-                               now);
-            break;
-        case ORDER_RENEWAL:
-            AqScheduler_OnRenewal(s, order->vm, order->sent_at, reply, now);
-            break;
-        case ORDER_PACE:
-            break;
-        }
-    }
-    free(order);
-}
-
-static Order *
-new_order(PoolOwner *owner, OrderKind kind, const AqOrderTarget *target)
-{
-    Order *order = calloc(1, sizeof(*order));
-    order->owner = owner;
-    order->kind = kind;
-    order->sent_at = now_of(owner);
-    g_strlcpy(order->vm, target->vm, sizeof(order->vm));
-    owner->calls_in_flight++;
-    return order;
-}
-
-static void
-order_start(void *context, const AqOrderTarget *target,
-            const AqStartOrder *start)
-{
-    PoolOwner *owner = context;
-    Order *order = new_order(owner, ORDER_START, target);
-    order->task = start->task;
-    order->run = start->run;
-    owner->node->workers->ops->start(owner->node->workers, target, start,
-                                     on_order_reply, order);
-}
-
-static void
-order_stop(void *context, const AqOrderTarget *target, const AqTaskName *task,
-           int64_t run)
-{
-    PoolOwner *owner = context;
-    Order *order = new_order(owner, ORDER_STOP, target);
-    order->task = *task;
-    order->run = run;
-    owner->node->workers->ops->stop(owner->node->workers, target, task, run,
-                                    owner->ownership.fence, on_order_reply,
-                                    order);
-}
-
-static void
-order_renewal(void *context, const AqOrderTarget *target,
-              const AqRenewalOrder *renewal)
-{
-    PoolOwner *owner = context;
-    Order *order = new_order(owner, ORDER_RENEWAL, target);
-    owner->node->workers->ops->renew(owner->node->workers, target, renewal,
-                                     on_order_reply, order);
-}
-
-static void
-order_pace(void *context, const AqOrderTarget *target, const AqTaskName *task,
-           int64_t run, int percent)
-{
-    PoolOwner *owner = context;
-    Order *order = new_order(owner, ORDER_PACE, target);
-    owner->node->workers->ops->pace(owner->node->workers, target, task, run,
-                                    percent, owner->ownership.fence,
-                                    on_order_reply, order);
-}
-
-typedef struct {
-    PoolOwner *owner;
-    AqTaskName step;
-} TicketCall;
-
-static void
-on_tickets(void *context, const AqAdviceReply *reply)
-{
-    TicketCall *call = context;
-    PoolOwner *owner = call->owner;
-    AqTime now = now_of(owner);
-    if (end_call(owner)) {
-        for (size_t i = 0; i < reply->count; i++) {
-            AqScheduler_OnTicket(
-                owner->scheduler, &call->step, reply->tickets[i].vm,
-                reply->tickets[i].ticket, reply->valid_ms, now);
-        }
-        AqScheduler_OnTicketsEnd(owner->scheduler, &call->step,
-                                 reply->result == AQ_ORDER_DONE, now);
-    }
-    free(call);
-}
-
-static void
-request_tickets(void *context, const AqTaskName *step, const char *const *vms,
-                size_t count)
-{
-    PoolOwner *owner = context;
-    AqAdviceClient *advice = owner->node->advice;
-    if (advice == NULL) {
-        AqLog_Event(AQ_LOG_ERROR, "tickets_unavailable",
-                    "request=%s reason=no_advice_service", step->job);
-        return;
-    }
-    TicketCall *call = calloc(1, sizeof(*call));
-    call->owner = owner;
-    call->step = *step;
-    owner->calls_in_flight++;
-    advice->ops->request_tickets(advice, step, vms, count, on_tickets, call);
-}
-
-static void
-on_superseded(void *context)
-{
-    report_superseded(context, "later_fence_at_vm");
-}
-
 /* ---- Loading ------------------------------------------------------------ */
 
 static void load_next(PoolOwner *owner);
@@ -303,19 +77,20 @@
 schedule_load_retry(PoolOwner *owner)
 {
     AqTimer_Start(owner->node->loop, &owner->load_timer,
-                  now_of(owner) + LOAD_RETRY_MS);
+                  pool_owner_now(owner) + LOAD_RETRY_MS);
 }
 
 static void
 on_used_vms(void *context, const AqStoreReply *reply)
 {
     PoolOwner *owner = context;
-    if (!end_call(owner)) {
+    if (!pool_owner_end_call(owner)) {
         return;
     }
     if (reply->status == AQ_STORE_OK && reply->count == 1) {
         if (!AqScheduler_AddUsedVms(owner->scheduler, reply->items[0].value,
-                                    reply->items[0].size, now_of(owner))) {
+                                    reply->items[0].size,
+                                    pool_owner_now(owner))) {
             AqLog_Event(AQ_LOG_ERROR, "roster_unreadable", "pool=%s bytes=%zu",
                         owner->ownership.pool, reply->items[0].size);
         }
@@ -332,7 +107,7 @@
 on_progress(void *context, const AqStoreReply *reply)
 {
     PoolOwner *owner = context;
-    if (!end_call(owner)) {
+    if (!pool_owner_end_call(owner)) {
         return;
     }
     if (reply->status != AQ_STORE_OK) {
@@ -359,7 +134,7 @@
 {
     AqError error;
     AqJobSpec spec;
-    AqTime now = now_of(owner);
+    AqTime now = pool_owner_now(owner);
     if (!AqJobSpec_Decode(item->value, item->size, &spec, &error)) {
         AqLog_Event(AQ_LOG_ERROR, "job_unreadable", "request=%s error=%s", id,
                     AqLog_Quote(error.message));
@@ -396,7 +171,7 @@
         AqLog_Event(AQ_LOG_INFO, "cancel_seen", "request=%s index=%llu", id,
                     (unsigned long long)item->index);
         g_hash_table_add(owner->cancelled, g_strdup(id));
-        AqScheduler_CancelJob(owner->scheduler, id, now_of(owner));
+        AqScheduler_CancelJob(owner->scheduler, id, pool_owner_now(owner));
         return;
     }
     add_job(owner, id, item);
@@ -420,7 +195,7 @@
         AqScheduler_SetLoaded(owner->scheduler);
         g_hash_table_remove_all(owner->progress_records);
         AqMetric_Observe(owner->node->metrics.takeover_ms,
-                         now_of(owner) - owner->gained_at);
+                         pool_owner_now(owner) - owner->gained_at);
         AqLog_Event(AQ_LOG_INFO, "pool_loaded", "pool=%s fence=%llu",
                     owner->ownership.pool,
                     (unsigned long long)owner->ownership.fence);
@@ -469,13 +244,13 @@
 on_saved(void *context, AqStoreStatus status)
 {
     PoolOwner *owner = context;
-    if (!end_call(owner)) {
+    if (!pool_owner_end_call(owner)) {
         return;
     }
     bool is_stored = status == AQ_STORE_OK;
     owner->is_saving = false;
     AqMetric_Observe(owner->node->metrics.save_ms,
-                     now_of(owner) - owner->save_sent);
+                     pool_owner_now(owner) - owner->save_sent);
     for (size_t i = 0; i < owner->save_count && is_stored; i++) {
         if (owner->saves[i].stage >= AQ_STAGE_COMPLETED) {
             AqLog_Event(
@@ -486,12 +261,12 @@
         }
     }
     AqScheduler_EndSave(owner->scheduler, owner->saves, owner->save_count,
-                        is_stored, now_of(owner));
+                        is_stored, pool_owner_now(owner));
     owner->save_count = 0;
     owner->save_due =
-        now_of(owner) + (is_stored ? SAVE_INTERVAL_MS : SAVE_RETRY_MS);
+        pool_owner_now(owner) + (is_stored ? SAVE_INTERVAL_MS : SAVE_RETRY_MS);
     if (status == AQ_STORE_ABSENT) {
-        report_superseded(owner, "save_conflict");
+        pool_owner_report_superseded(owner, "save_conflict");
     }
     else if (!is_stored) {
         AqLog_Event(AQ_LOG_WARNING, "save_failed", "pool=%s status=%d",
@@ -502,12 +277,12 @@
 static void
 save_progress(PoolOwner *owner)
 {
-    AqStorePut puts[MAX_SAVES];
-    if (owner->is_saving || owner->save_due > now_of(owner)) {
+    AqStorePut puts[POOL_OWNER_MAX_SAVES];
+    if (owner->is_saving || owner->save_due > pool_owner_now(owner)) {
         return;
     }
-    owner->save_count =
-        AqScheduler_BeginSave(owner->scheduler, owner->saves, MAX_SAVES);
+    owner->save_count = AqScheduler_BeginSave(owner->scheduler, owner->saves,
+                                              POOL_OWNER_MAX_SAVES);
     if (owner->save_count == 0) {
         return;
     }
@@ -522,7 +297,7 @@
         puts[i].lease = 0;
     }
     owner->is_saving = true;
-    owner->save_sent = now_of(owner);
+    owner->save_sent = pool_owner_now(owner);
     commit_as_owner(owner, puts, owner->save_count, on_saved);
     g_ptr_array_free(keys, TRUE);
 }
@@ -531,7 +306,7 @@
 on_used_vms_written(void *context, AqStoreStatus status)
 {
     PoolOwner *owner = context;
-    if (!end_call(owner)) {
+    if (!pool_owner_end_call(owner)) {
         return;
     }
     owner->is_writing_used_vms = false;
@@ -540,10 +315,10 @@
         AqScheduler_UsedVmsSaved(owner->scheduler, owner->used_vms_written);
     }
     else if (status == AQ_STORE_ABSENT) {
-        report_superseded(owner, "roster_conflict");
+        pool_owner_report_superseded(owner, "roster_conflict");
     }
     else {
-        owner->used_vms_due = now_of(owner) + SAVE_RETRY_MS;
+        owner->used_vms_due = pool_owner_now(owner) + SAVE_RETRY_MS;
     }
 }
 
@@ -553,7 +328,7 @@
     uint64_t version = AqScheduler_UsedVmsVersion(owner->scheduler);
     AqBuffer bytes;
     if (owner->is_writing_used_vms || version == owner->used_vms_written ||
-        owner->used_vms_due > now_of(owner)) {
+        owner->used_vms_due > pool_owner_now(owner)) {
         return;
     }
     AqBuffer_Init(&bytes);
@@ -572,7 +347,7 @@
 on_reported(void *context, AqStoreStatus status)
 {
     PoolOwner *owner = context;
-    if (!end_call(owner)) {
+    if (!pool_owner_end_call(owner)) {
         return;
     }
     owner->is_reporting = false;
@@ -581,7 +356,7 @@
         owner->last_report = NULL;
     }
     if (status == AQ_STORE_ABSENT) {
-        report_superseded(owner, "report_conflict");
+        pool_owner_report_superseded(owner, "report_conflict");
     }
 }
 
@@ -590,10 +365,10 @@
 {
     const AqSiteConfig *site = &owner->node->site;
     AqBuffer text;
-    if (owner->is_reporting || owner->report_due > now_of(owner)) {
+    if (owner->is_reporting || owner->report_due > pool_owner_now(owner)) {
         return;
     }
-    owner->report_due = now_of(owner) + REPORT_INTERVAL_MS;
+    owner->report_due = pool_owner_now(owner) + REPORT_INTERVAL_MS;
     AqBuffer_Init(&text);
     for (size_t i = 0; i < site->queue_count; i++) {
         if (strcmp(site->queues[i].pool, owner->ownership.pool) == 0) {
@@ -628,7 +403,7 @@
     }
     bool is_saved = owner->load_state != LOADED ||
                     !AqScheduler_HasUnsaved(owner->scheduler);
-    if (is_saved || now_of(owner) >= owner->finish_deadline) {
+    if (is_saved || pool_owner_now(owner) >= owner->finish_deadline) {
         void (*done)(void *context) = owner->finish_done;
         owner->finish_done = NULL;
         done(owner->finish_context);
@@ -644,7 +419,7 @@
 AqTime
 pool_owner_round(PoolOwner *owner)
 {
-    AqTime now = now_of(owner);
+    AqTime now = pool_owner_now(owner);
     if (owner->load_state != LOADED) {
         check_finished(owner);
         return now + LOAD_RETRY_MS;
@@ -679,10 +454,6 @@
                   const Ownership *ownership, const PoolOwnerOps *ops,
                   void *context)
 {
-    static const AqSchedulerActions actions = {
-        order_start, order_stop,      order_renewal,
-        order_pace,  request_tickets, on_superseded,
-    };
     PoolOwner *owner = calloc(1, sizeof(*owner));
     AqSchedulerConfig config = {
         .fence = ownership->fence,
@@ -701,18 +472,18 @@
     owner->context = context;
     owner->ownership = *ownership;
     owner->last_progress_key = strdup("");
-    owner->gained_at = now_of(owner);
+    owner->gained_at = pool_owner_now(owner);
     owner->progress_records = g_hash_table_new_full(
         g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
     owner->cancelled =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     owner->writer =
         owner_writer_create(node, ownership->pool, ownership->fence);
-    owner->scheduler =
-        AqScheduler_Create(&config, &actions, owner, now_of(owner));
+    owner->scheduler = AqScheduler_Create(&config, &pool_owner_actions, owner,
+                                          pool_owner_now(owner));
     AqScheduler_SetSite(owner->scheduler, &node->site);
-    AqScheduler_Tick(owner->scheduler, now_of(owner), AqClock_ReadWall(),
-                     false);
+    AqScheduler_Tick(owner->scheduler, pool_owner_now(owner),
+                     AqClock_ReadWall(), false);
     AqTimer_Init(&owner->load_timer, on_load_due, owner);
     load_next(owner);
     return owner;
@@ -773,14 +544,14 @@
 pool_owner_set_vm(PoolOwner *owner, const AqVmReport *report)
 {
     if (strcmp(report->pool, owner->ownership.pool) == 0) {
-        AqScheduler_SetVm(owner->scheduler, report, now_of(owner));
+        AqScheduler_SetVm(owner->scheduler, report, pool_owner_now(owner));
     }
 }
 
 void
 pool_owner_vm_unlisted(PoolOwner *owner, const char *vm)
 {
-    AqScheduler_VmUnlisted(owner->scheduler, vm, now_of(owner));
+    AqScheduler_VmUnlisted(owner->scheduler, vm, pool_owner_now(owner));
 }
 
 bool
@@ -804,6 +575,6 @@
     AqScheduler_Close(owner->scheduler);
     owner->finish_done = done;
     owner->finish_context = context;
-    owner->finish_deadline = now_of(owner) + FINISH_TIMEOUT_MS;
+    owner->finish_deadline = pool_owner_now(owner) + FINISH_TIMEOUT_MS;
     owner->save_due = 0;
 }
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -11,9 +11,7 @@
     MAX_TICK_INTERVAL_MS = 100,
     /* The duration of a finished task has the weight 1 / DURATION_MEAN_DIVISOR
      * in the moving averages of durations. */
-    DURATION_MEAN_DIVISOR = 32,
-    /* time from requesting a VM for the pool until the VM is usable */
-    VM_ARRIVAL_MS = 2000
+    DURATION_MEAN_DIVISOR = 32
 };
 
 /* ---- Jobs --------------------------------------------------------------- */
@@ -260,51 +258,6 @@
     finish_job(s, job, AQ_STAGE_COMPLETED);
 }
 
-/* Time constants, ms, with which offered_work and offered_work_long, sums of
- * the work of submitted jobs, shrink exponentially. */
-static const double offered_decay_ms = 1000.0;
-static const double offered_long_decay_ms = 2000.0;
-
-static void
-decay_offered_work(AqScheduler *s)
-{
-    double passed = (double)(s->now - s->offered_at);
-    if (passed > 0) {
-        s->offered_work *= exp(-passed / offered_decay_ms);
-        s->offered_work_long *= exp(-passed / offered_long_decay_ms);
-        s->offered_at = s->now;
-    }
-}
-
-/* Returns the number of cores needed for the offered load, the recently
- * submitted work, at the time when a VM requested now is usable.  While the
- * load rises steadily, each of its two averages lags by the average's time
- * constant, so the rate of the rise is the difference of the two averages
- * divided by the difference of their time constants. */
-static double
-forecast_offered_cores(const AqScheduler *s)
-{
-    double now = s->offered_work / offered_decay_ms;
-    double rise = (now - s->offered_work_long / offered_long_decay_ms) /
-                  (offered_long_decay_ms - offered_decay_ms);
-    return rise > 0 ? now + rise * VM_ARRIVAL_MS : now;
-}
-
-static void
-add_offered_work(AqScheduler *s, const AqJobSpec *spec)
-{
-    decay_offered_work(s);
-    for (size_t i = 0; i < spec->step_count; i++) {
-        const AqStepSpec *step = &spec->steps[i];
-        if (!step->is_perpetual && spec->occurrences == 0) {
-            double work = (double)step->task_count * (double)step->cpu_millis /
-                          1000.0 * (double)scheduler_estimate(s, step);
-            s->offered_work += work;
-            s->offered_work_long += work;
-        }
-    }
-}
-
 bool
 AqScheduler_AddJob(AqScheduler *s, AqJobSpec *spec, const char *record,
                    size_t size, AqTime now, AqError *error)
@@ -335,7 +288,7 @@
         return true;
     }
     if (s->is_loaded) {
-        add_offered_work(s, &job->spec);
+        load_add_job(s, &job->spec);
         job->is_new = now - s->created_at >= s->config.earlier_owner_ms;
     }
     AqList_Append(&s->active, &job->link);
@@ -390,19 +343,6 @@
     return !AqList_IsEmpty(&s->active);
 }
 
-size_t
-AqScheduler_CountWaiting(const AqScheduler *s, const char *queue)
-{
-    size_t count = 0;
-    AqList_ForEach(at, &s->active)
-    {
-        const Job *job = AqList_Entry(at, Job, link);
-        count += !job->has_started && job->spec.occurrences == 0 &&
-                 strcmp(job->spec.queue, queue) == 0;
-    }
-    return count;
-}
-
 /* ---- Ends of tasks ------------------------------------------------------ */
 
 /* Adds the task, which is done, to the averages of declared and actual
@@ -582,64 +522,6 @@
     return due < latest ? due : latest;
 }
 
-static void
-add_step_load(const Step *step, AqTime now, AqSchedulerLoad *load)
-{
-    const AqStepSpec *spec = step->spec;
-    int64_t cpu = spec->is_filler ? 0 : spec->cpu_millis;
-    if (spec->is_perpetual && spec->max_per_vm > 0) {
-        size_t spread =
-            (spec->task_count + spec->max_per_vm - 1) / spec->max_per_vm;
-        if (spread > load->widest_spread) {
-            load->widest_spread = spread;
-        }
-    }
-    if (step->ready == 0) {
-        return;
-    }
-    load->ready_tasks += step->ready;
-    load->ready_cpu_millis += cpu * step->ready;
-    for (uint32_t i = 0; i < spec->task_count; i++) {
-        const Task *task = &step->tasks[i];
-        if (task->state == TASK_READY &&
-            now - task->ready_at > load->longest_wait_ms) {
-            load->longest_wait_ms = now - task->ready_at;
-        }
-    }
-}
-
-void
-AqScheduler_GetLoad(AqScheduler *s, AqTime now, AqSchedulerLoad *load)
-{
-    memset(load, 0, sizeof(*load));
-    s->now = now;
-    decay_offered_work(s);
-    load->offered_cpu_millis = (int64_t)(forecast_offered_cores(s) * 1000.0);
-    load->is_recovered = s->is_recovered;
-    AqList_ForEach(at, &s->active)
-    {
-        const Job *job = AqList_Entry(at, Job, link);
-        load->jobs++;
-        AqList_ForEach(each, &job->occurrences)
-        {
-            const Occurrence *occurrence =
-                AqList_Entry(each, Occurrence, link);
-            for (size_t i = 0; i < job->spec.step_count; i++) {
-                add_step_load(&occurrence->steps[i], now, load);
-            }
-        }
-    }
-    AqList_ForEach(at, &s->vms)
-    {
-        const Vm *vm = AqList_Entry(at, Vm, link);
-        load->used_cpu_millis += vm->used_cpu;
-        load->perpetual_cpu_millis += vm->perpetual_cpu;
-        if (vms_is_usable(s, vm)) {
-            load->capacity_cpu_millis += vm->report.cpu_millis;
-        }
-    }
-}
-
 const AqSchedulerCounters *
 AqScheduler_Counters(const AqScheduler *s)
 {
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -8,7 +8,8 @@
 #include "start_window.h"
 
 /* Types and functions shared by the sources of the scheduler:
- * scheduler.c   jobs, steps, the tick and the reported load
+ * scheduler.c   jobs, steps and the tick
+ * load.c        the reported load
  * scheduler_check.c  whether counts agree with the tasks
  * vms.c         state of each VM, the VM's lease, and VMs that do not reply
  * used_vms.c    stored list of the VMs that a later owner must wait for
@@ -458,6 +459,10 @@
  * to read a new job from the store. */
 bool vms_is_foreign_run_overdue(const AqScheduler *s, const Vm *vm);
 
+/* ---- load.c */
+/* Adds the work of a new job to the offered load. */
+void load_add_job(AqScheduler *s, const AqJobSpec *spec);
+
 /* ---- replies.c */
 /* Orders the stop of the task's run.  While a start order for the task is
  * pending, the stop is deferred until the VM has replied to the start
