--- a/packages/io/Include/aq_http_client.h
+++ b/packages/io/Include/aq_http_client.h
@@ -39,6 +39,9 @@
     const char *message; /* libcurl's description of the result */
     uint64_t sent;       /* bytes of the request, without TCP/IP headers */
     uint64_t received;   /* bytes of the response, without TCP/IP headers */
+    /* Number of times that the client has begun to send the request.  The
+     * result and the status are those of the last copy. */
+    unsigned copies;
 } AqHttpReply;
 
 typedef void (*AqHttpDone)(void *context, const AqHttpReply *reply);
@@ -94,6 +97,10 @@
 void AqHttpClient_GetTraffic(const AqHttpClient *client, uint64_t *sent,
                              uint64_t *received);
 
+/* Returns the number of copies of requests beyond the first of each that
+ * finished calls have sent since the client was created. */
+uint64_t AqHttpClient_Resent(const AqHttpClient *client);
+
 /* Closes the idle connections to "address" ("IP:port").  Calls in progress
  * whose "connect_to" is this address continue; each of their connections is
  * closed when its call ends. */
--- a/packages/io/http_client.c
+++ b/packages/io/http_client.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 
 #include "aq_buffer.h"
+#include "aq_log.h"
 #include "http_sockets.h"
 
 enum {
@@ -41,6 +42,7 @@
     bool is_destroyed;
     uint64_t sent;
     uint64_t received;
+    uint64_t resent; /* copies of requests that libcurl has sent by itself */
 };
 
 struct AqHttpCall {
@@ -59,9 +61,10 @@
     bool has_length;    /* the response has Content-Length or
                            Transfer-Encoding, so that its end is known */
     bool is_head;       /* the request's method is HEAD */
-    /* Set just before the first byte of the request is written to the
-     * connection. */
-    bool may_have_sent;
+    bool is_read;       /* the request's method is GET or HEAD */
+    /* Number of times that libcurl has begun to send the request; counted just
+     * before the first byte is written to a connection. */
+    unsigned copies;
     bool is_response_too_large;
     AqHttpDone done;
     void *context;
@@ -104,7 +107,7 @@
     if (call->is_response_too_large) {
         return AQ_HTTP_TOO_LARGE;
     }
-    if (!call->may_have_sent) {
+    if (call->copies == 0) {
         return AQ_HTTP_NOT_SENT;
     }
     return code == CURLE_OPERATION_TIMEDOUT ? AQ_HTTP_TIMEOUT
@@ -126,6 +129,24 @@
     call->client->received += reply->received;
 }
 
+/* Logs a request that was sent more than once, since its reply tells only what
+ * became of the last copy.  Reads are only counted. */
+static void
+note_copies(AqHttpCall *call, const AqHttpReply *reply)
+{
+    const char *url = NULL;
+    if (reply->copies <= 1) {
+        return;
+    }
+    call->client->resent += reply->copies - 1;
+    if (!call->is_read) {
+        curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
+        AqLog_Event(AQ_LOG_WARNING, "request_resent",
+                    "url=%s copies=%u result=%d status=%d", AqLog_Quote(url),
+                    reply->copies, (int)reply->result, reply->status);
+    }
+}
+
 static void
 finish_call(AqHttpCall *call, CURLcode code)
 {
@@ -148,8 +169,10 @@
         .size = call->body.size,
         .headers = lines,
         .message = curl_easy_strerror(code),
+        .copies = call->copies,
     };
     count_bytes(call, &reply);
+    note_copies(call, &reply);
     AqHttpDone done = call->done;
     void *context = call->context;
     /* The call is unlinked first, so that it is not freed twice if "done"
@@ -438,7 +461,7 @@
     (void)local_ip;
     (void)primary_port;
     (void)local_port;
-    call->may_have_sent = true;
+    call->copies++;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -519,6 +542,7 @@
     AqBuffer_Init(&call->header_text);
     AqList_Init(&call->link);
     call->is_head = strcmp(request->method, "HEAD") == 0;
+    call->is_read = call->is_head || strcmp(request->method, "GET") == 0;
     call->easy = curl_easy_init();
     curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
     curl_easy_setopt(call->easy, CURLOPT_URL, request->url);
@@ -542,7 +566,7 @@
 bool
 AqHttpClient_Cancel(AqHttpCall *call)
 {
-    bool not_sent = !call->may_have_sent;
+    bool not_sent = call->copies == 0;
     free_call(call);
     return not_sent;
 }
@@ -555,6 +579,12 @@
     *received = client->received;
 }
 
+uint64_t
+AqHttpClient_Resent(const AqHttpClient *client)
+{
+    return client->resent;
+}
+
 const char *
 AqHttpReply_Header(const AqHttpReply *reply, const char *name)
 {
--- a/packages/pool/node_servers.c
+++ b/packages/pool/node_servers.c
@@ -72,6 +72,9 @@
     AqBuffer_Printf(
         &out, "aq_store_calls_total %llu\n",
         (unsigned long long)AqPlatformStore_Calls(node->context.store));
+    AqBuffer_Printf(
+        &out, "aq_http_requests_resent_total %llu\n",
+        (unsigned long long)AqHttpClient_Resent(node->context.http));
     AqBuffer_Printf(&out, "aq_log_lines_dropped_total %lu\n", AqLog_Dropped());
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
