HTTP client: send each request at most once unless it may be repeated

Cause: libcurl sends a request again by itself, POST included and up to six times, when a reused connection ends before the first byte of the response. The client's caller saw the reply to the last copy only. A node that hands a submission to a peer took the peer's 503 to the second copy as the outcome, while the peer went on with the first copy for up to 2.3 s and stored it; the same between a node and the store. Workers' starts and orders to machines went the same way. Callers of the client had to ask for a fresh connection, and the calls to the platform and to peers did not.

Change: the callback before sending aborts a second copy, so that the call ends as interrupted, for every user of the client.

Why it works: with one copy on the wire, a refusal is the refusal of that copy. An interrupted write was "unknown" to all callers before, with 504 for the caller of the job API and the same order again for a VM.

test_reused_connection_resends asserted that libcurl sends twice, which was the reason to ask for fresh connections; test_request_is_sent_once asserts for each method how many copies a server gets.

--- a/packages/daemon/task_client.c
+++ b/packages/daemon/task_client.c
@@ -97,9 +97,6 @@
         .body = body,
         .size = strlen(body),
         .has_body = true,
-        /* Every order names its task and is idempotent, so that a resend on a
-         * reused connection does no harm. */
-        .fresh_connection = false,
         .timeout_ms = settings->store_timeout_ms,
         .connect_timeout_ms = settings->store_timeout_ms,
         .max_response_bytes = MAX_RESPONSE_BYTES,
--- a/packages/io/Include/aq_http_client.h
+++ b/packages/io/Include/aq_http_client.h
@@ -39,9 +39,6 @@
     const char *message; /* libcurl's description of the result */
     uint64_t sent;       /* bytes of the request, without TCP/IP headers */
     uint64_t received;   /* bytes of the response, without TCP/IP headers */
-    /* Number of times that the client has begun to send the request.  The
-     * result and the status are those of the last copy. */
-    unsigned copies;
 } AqHttpReply;
 
 typedef void (*AqHttpDone)(void *context, const AqHttpReply *reply);
@@ -58,10 +55,16 @@
     const void *body; /* request body, copied by AqHttpClient_Start */
     size_t size;      /* length of the body, bytes */
     bool has_body;
+    /* Whether the client may send the request again by itself, which it does
+     * when a reused connection closes before the first byte of the response.
+     * Only for requests that have the same effect however often they are
+     * carried out, and for which the reply to a later copy holds for all of
+     * them.  GET and HEAD requests may always be repeated; all others are sent
+     * at most once by default, so that the reply tells their outcome. */
+    bool may_repeat;
     /* Whether to open a new connection for the request and to close it
-     * afterwards.  If a reused connection closes before the first byte of the
-     * response, libcurl 7.88 sends the request again; on a new connection it
-     * does not. */
+     * afterwards, so that the request is not lost on an idle connection that
+     * has died. */
     bool fresh_connection;
     AqTime timeout_ms;
     /* For responses that may be large, whose time depends on the link: once
@@ -97,9 +100,11 @@
 void AqHttpClient_GetTraffic(const AqHttpClient *client, uint64_t *sent,
                              uint64_t *received);
 
-/* Returns the number of copies of requests beyond the first of each that
- * finished calls have sent since the client was created. */
-uint64_t AqHttpClient_Resent(const AqHttpClient *client);
+/* Sets *resent to the number of further copies of repeatable requests, and
+ * *interrupted to the number of calls with AQ_HTTP_INTERRUPTED, of calls that
+ * have finished since the client was created. */
+void AqHttpClient_GetDisturbed(const AqHttpClient *client, uint64_t *resent,
+                               uint64_t *interrupted);
 
 /* Closes the idle connections to "address" ("IP:port").  Calls in progress
  * whose "connect_to" is this address continue; each of their connections is
--- a/packages/io/http_client.c
+++ b/packages/io/http_client.c
@@ -42,7 +42,11 @@
     bool is_destroyed;
     uint64_t sent;
     uint64_t received;
-    uint64_t resent; /* copies of requests that libcurl has sent by itself */
+    /* Further copies of repeatable requests, which libcurl has sent after a
+     * reused connection had closed. */
+    uint64_t resent;
+    /* Calls that ended with AQ_HTTP_INTERRUPTED. */
+    uint64_t interrupted;
 };
 
 struct AqHttpCall {
@@ -61,7 +65,7 @@
     bool has_length;    /* the response has Content-Length or
                            Transfer-Encoding, so that its end is known */
     bool is_head;       /* the request's method is HEAD */
-    bool is_read;       /* the request's method is GET or HEAD */
+    bool may_repeat;    /* AqHttpRequest.may_repeat, or a GET or HEAD */
     /* Number of times that libcurl has begun to send the request; counted just
      * before the first byte is written to a connection. */
     unsigned copies;
@@ -129,21 +133,21 @@
     call->client->received += reply->received;
 }
 
-/* Logs a request that was sent more than once, since its reply tells only what
- * became of the last copy.  Reads are only counted. */
+/* Counts copies and interrupted calls.  Logs an interrupted request that must
+ * not be repeated, since its outcome is unknown. */
 static void
-note_copies(AqHttpCall *call, const AqHttpReply *reply)
+note_result(AqHttpCall *call, AqHttpResult result)
 {
     const char *url = NULL;
-    if (reply->copies <= 1) {
+    call->client->resent += call->copies > 1 ? call->copies - 1 : 0;
+    if (result != AQ_HTTP_INTERRUPTED) {
         return;
     }
-    call->client->resent += reply->copies - 1;
-    if (!call->is_read) {
+    call->client->interrupted++;
+    if (!call->may_repeat) {
         curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
-        AqLog_Event(AQ_LOG_WARNING, "request_resent",
-                    "url=%s copies=%u result=%d status=%d", AqLog_Quote(url),
-                    reply->copies, (int)reply->result, reply->status);
+        AqLog_Event(AQ_LOG_WARNING, "request_interrupted", "url=%s",
+                    AqLog_Quote(url));
     }
 }
 
@@ -169,10 +173,9 @@
         .size = call->body.size,
         .headers = lines,
         .message = curl_easy_strerror(code),
-        .copies = call->copies,
     };
     count_bytes(call, &reply);
-    note_copies(call, &reply);
+    note_result(call, reply.result);
     AqHttpDone done = call->done;
     void *context = call->context;
     /* The call is unlinked first, so that it is not freed twice if "done"
@@ -461,6 +464,12 @@
     (void)local_ip;
     (void)primary_port;
     (void)local_port;
+    /* libcurl sends a request again, POST included, when a reused connection
+     * closes before the first byte of the response.  The reply to another copy
+     * would not tell whether the server has carried out the first one. */
+    if (call->copies > 0 && !call->may_repeat) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     call->copies++;
     return CURL_PREREQFUNC_OK;
 }
@@ -542,7 +551,8 @@
     AqBuffer_Init(&call->header_text);
     AqList_Init(&call->link);
     call->is_head = strcmp(request->method, "HEAD") == 0;
-    call->is_read = call->is_head || strcmp(request->method, "GET") == 0;
+    call->may_repeat = request->may_repeat || call->is_head ||
+                       strcmp(request->method, "GET") == 0;
     call->easy = curl_easy_init();
     curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
     curl_easy_setopt(call->easy, CURLOPT_URL, request->url);
@@ -579,10 +589,12 @@
     *received = client->received;
 }
 
-uint64_t
-AqHttpClient_Resent(const AqHttpClient *client)
+void
+AqHttpClient_GetDisturbed(const AqHttpClient *client, uint64_t *resent,
+                          uint64_t *interrupted)
 {
-    return client->resent;
+    *resent = client->resent;
+    *interrupted = client->interrupted;
 }
 
 const char *
--- a/packages/io/tests/test_io.c
+++ b/packages/io/tests/test_io.c
@@ -115,25 +115,54 @@
     }
 }
 
-/* Documents why a POST needs fresh_connection: on a reused connection that the
- * server closes before the response, libcurl sends the POST a second time, so
- * that the server runs it twice without the client noticing. */
+/* Guards against a request that libcurl sends a second time after the server
+ * has carried it out and closed a reused connection: the server runs it twice,
+ * and a refusal of the second copy passes for the outcome of the first. */
 static void
-test_reused_connection_resends(void)
+test_request_is_sent_once(void)
 {
-    AqError error;
-    AqLoop *loop = AqLoop_Create(&error);
-    AqHttpClient *client = AqHttpClient_Create(loop, &error);
-    RawServer server = {.stage = STAGE_BEFORE_RESPONSE,
-                        .complete_responses_first = 1};
-    raw_server_start(&server, loop);
-    call(loop, client, server.port, "GET", NULL, false, 2000);
-    call(loop, client, server.port, "POST", "x", false, 2000);
-    CU_ASSERT_TRUE(server.requests > 2);
-    AqHttpClient_Destroy(client);
-    AqLoop_RunOnce(loop, 0);
-    raw_server_stop(&server);
-    AqLoop_Destroy(loop);
+    static const struct {
+        const char *method;
+        bool may_repeat;
+        int copies; /* that the server receives */
+    } cases[] = {
+        {"POST", false, 1},   {"PUT", false, 1}, {"PATCH", false, 1},
+        {"DELETE", false, 1}, {"POST", true, 2}, {"GET", false, 2},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        AqError error;
+        Reply reply = {0};
+        char url[64];
+        uint64_t resent;
+        uint64_t interrupted;
+        AqLoop *loop = AqLoop_Create(&error);
+        AqHttpClient *client = AqHttpClient_Create(loop, &error);
+        RawServer server = {.stage = STAGE_BEFORE_RESPONSE,
+                            .complete_responses_first = 1};
+        raw_server_start(&server, loop);
+        call(loop, client, server.port, "GET", NULL, false, 2000);
+        snprintf(url, sizeof(url), "http://127.0.0.1:%u/x", server.port);
+        AqHttpRequest request = {.method = cases[i].method,
+                                 .url = url,
+                                 .body = "x",
+                                 .size = 1,
+                                 .has_body = cases[i].method[0] == 'P',
+                                 .may_repeat = cases[i].may_repeat,
+                                 .timeout_ms = 2000,
+                                 .connect_timeout_ms = 1000,
+                                 .max_response_bytes = 100};
+        AqHttpClient_Start(client, &request, on_reply, &reply);
+        run_until(loop, &reply.done);
+        AqHttpClient_GetDisturbed(client, &resent, &interrupted);
+        CU_ASSERT_EQUAL(reply.result, AQ_HTTP_INTERRUPTED);
+        CU_ASSERT_EQUAL(server.requests, 1 + cases[i].copies);
+        CU_ASSERT_EQUAL(resent, (uint64_t)cases[i].copies - 1);
+        CU_ASSERT_EQUAL(interrupted, 1);
+        AqHttpClient_Destroy(client);
+        AqLoop_RunOnce(loop, 0);
+        raw_server_stop(&server);
+        AqLoop_Destroy(loop);
+    }
 }
 
 /* Guards against a result other than "not sent" for a request whose connection
@@ -434,7 +463,7 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("io", NULL, NULL);
     CU_ADD_TEST(suite, test_close_at_each_stage);
-    CU_ADD_TEST(suite, test_reused_connection_resends);
+    CU_ADD_TEST(suite, test_request_is_sent_once);
     CU_ADD_TEST(suite, test_refused_connection_is_not_sent);
     CU_ADD_TEST(suite, test_close_ends_calls);
     CU_ADD_TEST(suite, test_virtual_clock);
--- a/packages/pool/node_servers.c
+++ b/packages/pool/node_servers.c
@@ -58,6 +58,8 @@
     GHashTableIter iter;
     gpointer key;
     gpointer value;
+    uint64_t resent;
+    uint64_t interrupted;
     AqBuffer out;
     AqTime now = AqLoop_Now(node->context.loop);
     AqBuffer_Init(&out);
@@ -72,9 +74,11 @@
     AqBuffer_Printf(
         &out, "aq_store_calls_total %llu\n",
         (unsigned long long)AqPlatformStore_Calls(node->context.store));
-    AqBuffer_Printf(
-        &out, "aq_http_requests_resent_total %llu\n",
-        (unsigned long long)AqHttpClient_Resent(node->context.http));
+    AqHttpClient_GetDisturbed(node->context.http, &resent, &interrupted);
+    AqBuffer_Printf(&out, "aq_http_requests_resent_total %llu\n",
+                    (unsigned long long)resent);
+    AqBuffer_Printf(&out, "aq_http_requests_interrupted_total %llu\n",
+                    (unsigned long long)interrupted);
     AqBuffer_Printf(&out, "aq_log_lines_dropped_total %lu\n", AqLog_Dropped());
     g_hash_table_iter_init(&iter, node->owners);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
--- a/packages/store/store_http.c
+++ b/packages/store/store_http.c
@@ -171,9 +171,8 @@
         .body = body,
         .size = size,
         .has_body = body != NULL,
-        /* Writes use a new connection because libcurl may send a request again
-         * on a reused one.  If the first request took effect, the service
-         * answers the second with "false" although the write succeeded. */
+        /* On an idle connection that has died, the outcome of a write would
+         * be unknown. */
         .fresh_connection = pending->is_write,
         .timeout_ms = store->timeout_ms + extra_ms,
         .connect_timeout_ms = store->timeout_ms,
