--- a/packages/pool/caller_responses.c
+++ b/packages/pool/caller_responses.c
@@ -2,6 +2,7 @@
 
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "aq_hash.h"
 #include "aq_log.h"
@@ -11,6 +12,42 @@
 const char response_unknown[] =
     "{\"error\":\"the outcome is not known; ask again with the same id\"}";
 
+static bool
+is_submission(const AqExchange *exchange)
+{
+    return strcmp(AqExchange_Method(exchange), "POST") == 0;
+}
+
+static bool
+is_refusal(int status)
+{
+    return status == 429 || status == 503;
+}
+
+void
+correct_refusal(NodeContext *node, const AqExchange *exchange,
+                CallerResponse *response)
+{
+    const char *path = AqExchange_Path(exchange);
+    if (!is_refusal(response->status) || !is_submission(exchange)) {
+        return;
+    }
+    switch (
+        open_writes_state(&node->open_writes, path, AqLoop_Now(node->loop))) {
+    case SUBMISSION_NOT_STORED:
+        return;
+    case SUBMISSION_OPEN:
+        *response = (CallerResponse){504, response_unknown,
+                                     sizeof(response_unknown) - 1};
+        break;
+    case SUBMISSION_STORED:
+        *response = (CallerResponse){200, "{}", 2};
+        break;
+    }
+    AqLog_Event(AQ_LOG_INFO, "refusal_corrected", "path=%s status=%d",
+                AqLog_Quote(path), response->status);
+}
+
 void
 respond_json(NodeContext *node, AqExchange *exchange, int status,
              const char *body, size_t size)
@@ -18,7 +55,12 @@
     char seconds[16];
     AqHttpHeader headers[] = {{"Content-Type", "application/json"},
                               {"Retry-After", seconds}};
-    bool may_retry = status == 429 || status == 503;
+    bool may_retry = is_refusal(status);
+    if (is_submission(exchange)) {
+        open_writes_note_response(&node->open_writes,
+                                  AqExchange_Path(exchange), status,
+                                  AqLoop_Now(node->loop));
+    }
     if (may_retry) {
         AqTime now = AqLoop_Now(node->loop);
         /* The path names the job, which a retry has in common. */
--- a/packages/pool/caller_responses.h
+++ b/packages/pool/caller_responses.h
@@ -14,6 +14,19 @@
 extern const char response_unavailable[];
 extern const char response_unknown[];
 
+typedef struct {
+    int status;
+    const char *body; /* borrowed */
+    size_t size;      /* length of the body, bytes */
+} CallerResponse;
+
+/* Replaces a refusal (429 or 503) of a submission, which promises that the job
+ * never runs, if this node knows better: by 200 if the job is stored, by 504
+ * if another request of the caller for it has an open outcome.  To be called
+ * for each response before respond_json. */
+void correct_refusal(NodeContext *node, const AqExchange *exchange,
+                     CallerResponse *response);
+
 /* Sends a JSON response; statuses 429 and 503 get a Retry-After header, whose
  * time depends on how long the store has not served this node. */
 void respond_json(NodeContext *node, AqExchange *exchange, int status,
--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -48,15 +48,19 @@
 static void
 respond(const Forward *forward, int status, const char *body, size_t size)
 {
-    AqLog_Event(status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "forwarded",
+    CallerResponse response = {status, body, size};
+    correct_refusal(forward->forwarder->node, forward->order.exchange,
+                    &response);
+    AqLog_Event(response.status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO,
+                "forwarded",
                 "path=%s method=%s peer=%s tries=%u status=%d took_ms=%lld",
                 AqLog_Quote(AqExchange_Path(forward->order.exchange)),
                 AqExchange_Method(forward->order.exchange), forward->peer,
-                forward->tries, status,
+                forward->tries, response.status,
                 (long long)(AqLoop_Now(forward->forwarder->node->loop) -
                             forward->sent_at));
-    respond_json(forward->forwarder->node, forward->order.exchange, status,
-                 body, size);
+    respond_json(forward->forwarder->node, forward->order.exchange,
+                 response.status, response.body, response.size);
 }
 
 int
--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -76,7 +76,10 @@
 {
     char body[AQ_ERROR_MESSAGE_SIZE + 32];
     snprintf(body, sizeof(body), "{\"error\":%s}", AqLog_Quote(message));
-    respond_json(job_api->node, exchange, status, body, strlen(body));
+    CallerResponse response = {status, body, strlen(body)};
+    correct_refusal(job_api->node, exchange, &response);
+    respond_json(job_api->node, exchange, response.status, response.body,
+                 response.size);
 }
 
 static void
@@ -113,17 +116,19 @@
 finish_request(Request *request, int status, const char *body,
                const char *reason)
 {
-    AqLog_Event(status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "answered",
-                "request=%s queue=%s method=%s status=%d reason=%s tries=%u "
-                "took_ms=%lld config=%lld",
-                request->id, request->queue,
-                AqExchange_Method(request->exchange), status, reason,
-                request->attempts,
-                (long long)(now_of(request->job_api) - request->arrived_at),
-                (long long)request->job_api->node->site.version);
-    count_response(request, status);
-    respond_json(request->job_api->node, request->exchange, status, body,
-                 strlen(body));
+    CallerResponse response = {status, body, strlen(body)};
+    correct_refusal(request->job_api->node, request->exchange, &response);
+    AqLog_Event(
+        response.status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "answered",
+        "request=%s queue=%s method=%s status=%d reason=%s tries=%u "
+        "took_ms=%lld config=%lld",
+        request->id, request->queue, AqExchange_Method(request->exchange),
+        response.status, reason, request->attempts,
+        (long long)(now_of(request->job_api) - request->arrived_at),
+        (long long)request->job_api->node->site.version);
+    count_response(request, response.status);
+    respond_json(request->job_api->node, request->exchange, response.status,
+                 response.body, response.size);
     free_request(request);
 }
 
@@ -243,6 +248,10 @@
 {
     Request *request = context;
     record_store_status(request, reply);
+    open_writes_end(&request->job_api->node->open_writes,
+                    AqExchange_Path(request->exchange),
+                    reply->status == AQ_STORE_UNKNOWN,
+                    now_of(request->job_api));
     switch (reply->status) {
     case AQ_STORE_OK:
         finish_request(request, 200, "{}", "stored");
@@ -283,6 +292,9 @@
     AqStoreCommit commit = {
         .expects = expects, .expect_count = 2, .puts = &put, .put_count = 1};
     request->attempts++;
+    open_writes_begin(&request->job_api->node->open_writes,
+                      AqExchange_Path(request->exchange),
+                      now_of(request->job_api));
     store->ops->commit(store, &commit, on_submitted, request);
 }
 
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -109,6 +109,7 @@
     job_api_destroy(fixture->job_api);
     AqMetrics_Destroy(fixture->node.metrics.all);
     fake_store_destroy(fixture->fake);
+    open_writes_clear(&fixture->node.open_writes);
     AqLoop_Destroy(fixture->node.loop);
 }
 
@@ -374,6 +375,57 @@
     }
 }
 
+/* Sends a submission that the node refuses unless it knows better, since the
+ * store counts as failing; returns the status of the response. */
+static int
+submit_to_lost_store(Fixture *fixture, const char *path)
+{
+    unsigned response_count = fixture->response_count;
+    fixture->node.store_health.failures = 10;
+    send_to(fixture, "POST", path);
+    while (fixture->response_count == response_count) {
+        AqLoop_RunOnce(fixture->node.loop, ROUND_MS);
+    }
+    return fixture->status;
+}
+
+/* Guards against a job that runs after this node has refused it: a caller's
+ * second request for it is refused while the first one's write is still in
+ * flight, has had no reply, or has stored the job. */
+static void
+test_no_refusal_beside_open_write(void)
+{
+    static const struct {
+        void (*end)(FakeStore *fake); /* of the first write; NULL: in flight */
+        int status;                   /* of the second response */
+    } cases[] = {
+        {NULL, 504},
+        {fake_store_reply, 200},
+        {fake_store_lose_call, 504},
+        {fake_store_refuse_call, 503},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Fixture fixture;
+        set_up(&fixture);
+        send_to(&fixture, "POST", "/q/ab12");
+        run(&fixture);
+        if (cases[i].end != NULL) {
+            cases[i].end(fixture.fake);
+            AqLoop_RunOnce(fixture.node.loop, 0);
+        }
+        CU_ASSERT_EQUAL(submit_to_lost_store(&fixture, "/q/ab12"),
+                        cases[i].status);
+        CU_ASSERT_EQUAL(submit_to_lost_store(&fixture, "/q/cd34"), 503);
+        while (fixture.response_count < 3) {
+            run(&fixture);
+            if (fake_store_pending_count(fixture.fake) > 0) {
+                fake_store_refuse_call(fixture.fake);
+            }
+        }
+        tear_down(&fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -390,6 +442,7 @@
         {"effect_without_reply", test_effect_without_reply},
         {"waiting_count_needs_owner", test_waiting_count_needs_owner},
         {"status_after_forwarding", test_status_after_forwarding},
+        {"no_refusal_beside_open_write", test_no_refusal_beside_open_write},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
