Forwarder: a peer's 404 or error doesn't decide what an earlier write did

Callers could see 404 or 400 for a submission that runs later: this node's write, or an earlier peer, gave no reply, and the next peer, with another configuration, answered 404, which was passed on.

Cause: forwarder_status replaced only 429 and 503 by 504 for a request whose earlier copy may have taken effect.

Result: test_status_after_forwarding fails in the new rows 404, 400 and 500 before, and passes after.

--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -66,8 +66,12 @@
 int
 forwarder_status(int status, bool was_sent, bool is_read, bool may_have_effect)
 {
-    bool is_refusal = status == 429 || status == 503;
-    if (status != 0 && !(is_refusal && may_have_effect)) {
+    /* Of a request whose earlier copy may have taken effect, a peer's success,
+     * or 410 to a cancellation, tells the outcome.  A refusal, or a 404 of a
+     * peer with another configuration, tells only that the peer did nothing.
+     */
+    bool is_outcome = (status >= 200 && status < 300) || status == 410;
+    if (status != 0 && (is_outcome || !may_have_effect)) {
         return status;
     }
     if (may_have_effect || (status == 0 && was_sent && !is_read)) {
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -348,9 +348,10 @@
     tear_down(&fixture);
 }
 
-/* Guards against a peer's refusal (503 or 429: nothing was done) passed on to
- * the caller although this node's own write may have had an effect, and
- * against a status 504 (outcome unknown) where nothing can have been done. */
+/* Guards against a peer's refusal (503 or 429: nothing was done) or error,
+ * such as the 404 of a peer with another configuration, passed on to the
+ * caller although an earlier write may have had an effect, and against a
+ * status 504 (outcome unknown) where nothing can have been done. */
 static void
 test_status_after_forwarding(void)
 {
@@ -361,11 +362,14 @@
         bool may_have_effect;
         int expected_status; /* HTTP status of the response to the caller */
     } cases[] = {
-        {200, true, false, true, 200}, {503, true, false, false, 503},
-        {503, true, false, true, 504}, {429, true, false, true, 504},
-        {410, true, false, true, 410}, {0, false, false, false, 503},
-        {0, true, false, false, 504},  {0, true, true, false, 503},
-        {0, false, false, true, 504},
+        {200, true, false, true, 200},  {503, true, false, false, 503},
+        {503, true, false, true, 504},  {429, true, false, true, 504},
+        {410, true, false, true, 410},  {0, false, false, false, 503},
+        {0, true, false, false, 504},   {0, true, true, false, 503},
+        {0, false, false, true, 504},   {404, true, false, true, 504},
+        {404, true, false, false, 404}, {400, true, false, true, 504},
+        {500, true, false, true, 504},  {500, true, false, false, 500},
+        {202, true, false, true, 202},
     };
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         CU_ASSERT_EQUAL(forwarder_status(cases[i].status, cases[i].was_sent,
