HTTP client: reads are repeated only where their caller says so

A caller of the daemon could be told that a GET was not run though it had: the endpoint runs the first copy and closes the reused connection, libcurl sends the GET again, and the second copy gets 503 with Aq-Not-Run.

Cause: the client let every GET and HEAD be sent again. That holds for reads of the store, not for requests of callers that it passes on.

Change: may_repeat decides alone; reads of the store and the platform, its lists, and GET requests handed to a peer set it. Requests to endpoints do not.

--- a/packages/daemon/vm_list.c
+++ b/packages/daemon/vm_list.c
@@ -87,6 +87,7 @@
     AqHttpRequest request = {
         .method = "GET",
         .url = url,
+        .may_repeat = true,
         .timeout_ms = LIST_WAIT_S * 1000 + LIST_TIMEOUT_MARGIN_MS,
         .connect_timeout_ms = list->daemon->settings->store_timeout_ms,
         .max_response_bytes = MAX_LIST_BYTES,
--- a/packages/io/Include/aq_http_client.h
+++ b/packages/io/Include/aq_http_client.h
@@ -59,8 +59,8 @@
      * when a reused connection closes before the first byte of the response.
      * Only for requests that have the same effect however often they are
      * carried out, and for which the reply to a later copy holds for all of
-     * them.  GET and HEAD requests may always be repeated; all others are sent
-     * at most once by default, so that the reply tells their outcome. */
+     * them, such as reads.  Without it, the request is sent at most once, so
+     * that the reply tells its outcome. */
     bool may_repeat;
     /* Whether to open a new connection for the request and to close it
      * afterwards, so that the request is not lost on an idle connection that
--- a/packages/io/http_client.c
+++ b/packages/io/http_client.c
@@ -65,7 +65,7 @@
     bool has_length;    /* the response has Content-Length or
                            Transfer-Encoding, so that its end is known */
     bool is_head;       /* the request's method is HEAD */
-    bool may_repeat;    /* AqHttpRequest.may_repeat, or a GET or HEAD */
+    bool may_repeat;    /* AqHttpRequest.may_repeat */
     /* Number of times that libcurl has begun to send the request; counted just
      * before the first byte is written to a connection. */
     unsigned copies;
@@ -551,8 +551,7 @@
     AqBuffer_Init(&call->header_text);
     AqList_Init(&call->link);
     call->is_head = strcmp(request->method, "HEAD") == 0;
-    call->may_repeat = request->may_repeat || call->is_head ||
-                       strcmp(request->method, "GET") == 0;
+    call->may_repeat = request->may_repeat;
     call->easy = curl_easy_init();
     curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
     curl_easy_setopt(call->easy, CURLOPT_URL, request->url);
--- a/packages/io/tests/test_io.c
+++ b/packages/io/tests/test_io.c
@@ -127,7 +127,8 @@
         int copies; /* that the server receives */
     } cases[] = {
         {"POST", false, 1},   {"PUT", false, 1}, {"PATCH", false, 1},
-        {"DELETE", false, 1}, {"POST", true, 2}, {"GET", false, 2},
+        {"DELETE", false, 1}, {"POST", true, 2}, {"GET", false, 1},
+        {"GET", true, 2},
     };
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         AqError error;
--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -182,6 +182,7 @@
         .body = body,
         .size = size,
         .has_body = size > 0,
+        .may_repeat = forward->is_read,
         .timeout_ms = left - RESPONSE_RESERVE_MS,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .max_response_bytes = MAX_RESPONSE_BYTES,
--- a/packages/store/store_http.c
+++ b/packages/store/store_http.c
@@ -174,6 +174,7 @@
         /* On an idle connection that has died, the outcome of a write would
          * be unknown. */
         .fresh_connection = pending->is_write,
+        .may_repeat = !pending->is_write,
         .timeout_ms = store->timeout_ms + extra_ms,
         .connect_timeout_ms = store->timeout_ms,
         .max_response_bytes = MAX_REPLY_BYTES,
