HTTP client: an interrupted call opens no further connection

Callers of the client waited up to the connect timeout (250 to 800 ms) for the result of a call whose connection had ended, and each such call cost the server one more connection, which was closed unused.

Cause: the abort of the second copy came in the callback before sending, after libcurl had connected again.

Change: the callback that opens a socket fails for a call that must not send again, so that the call ends at once as interrupted. The callback before sending stays for a second copy on another idle connection.

Result: test_request_is_sent_once asserts the number of connections; 5 of 7 rows fail before, all pass after.

--- a/packages/io/http_client.c
+++ b/packages/io/http_client.c
@@ -455,6 +455,26 @@
     return size;
 }
 
+/* Whether libcurl may send the request now.  It sends a request again, POST
+ * included, when a reused connection closes before the first byte of the
+ * response.  The reply to another copy would not tell whether the server has
+ * carried out the first one. */
+static bool
+may_send(const AqHttpCall *call)
+{
+    return call->copies == 0 || call->may_repeat;
+}
+
+static curl_socket_t
+on_open_socket(void *context, curlsocktype purpose,
+               struct curl_sockaddr *address)
+{
+    AqHttpCall *call = context;
+    (void)purpose;
+    return may_send(call) ? HttpSockets_Open(&call->client->sockets, address)
+                          : CURL_SOCKET_BAD;
+}
+
 static int
 on_before_send(void *context, char *primary_ip, char *local_ip,
                int primary_port, int local_port)
@@ -464,10 +484,7 @@
     (void)local_ip;
     (void)primary_port;
     (void)local_port;
-    /* libcurl sends a request again, POST included, when a reused connection
-     * closes before the first byte of the response.  The reply to another copy
-     * would not tell whether the server has carried out the first one. */
-    if (call->copies > 0 && !call->may_repeat) {
+    if (!may_send(call)) {
         return CURL_PREREQFUNC_ABORT;
     }
     call->copies++;
@@ -518,6 +535,8 @@
 {
     CURL *easy = call->easy;
     HttpSockets_Track(&call->client->sockets, easy);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, call);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/packages/io/http_sockets.c
+++ b/packages/io/http_sockets.c
@@ -35,16 +35,15 @@
     return socket;
 }
 
-static curl_socket_t
-on_open(void *context, curlsocktype purpose, struct curl_sockaddr *address)
+curl_socket_t
+HttpSockets_Open(HttpSockets *sockets, const struct curl_sockaddr *address)
 {
-    (void)purpose;
     int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
                     address->protocol);
     if (fd < 0) {
         return CURL_SOCKET_BAD;
     }
-    HttpSocket *entry = add_socket(context, fd);
+    HttpSocket *entry = add_socket(sockets, fd);
     entry->is_open = true;
     if (address->family == AF_INET) {
         memcpy(&entry->to, &address->addr, sizeof(entry->to));
@@ -65,8 +64,6 @@
 void
 HttpSockets_Track(HttpSockets *sockets, CURL *easy)
 {
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, sockets);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, sockets);
 }
--- a/packages/io/http_sockets.h
+++ b/packages/io/http_sockets.h
@@ -26,7 +26,11 @@
 } HttpSockets;
 
 void HttpSockets_Clear(HttpSockets *sockets);
-/* Sets the socket callbacks of an easy handle, so that each socket it opens or
+/* Opens a socket and records it in the table.  Returns CURL_SOCKET_BAD on
+ * failure. */
+curl_socket_t HttpSockets_Open(HttpSockets *sockets,
+                               const struct curl_sockaddr *address);
+/* Sets the callback of an easy handle that closes sockets, so that each one it
  * closes is recorded in the table. */
 void HttpSockets_Track(HttpSockets *sockets, CURL *easy);
 void HttpSockets_SetWatched(HttpSockets *sockets, curl_socket_t fd,
--- a/packages/io/tests/test_io.c
+++ b/packages/io/tests/test_io.c
@@ -157,6 +157,7 @@
         AqHttpClient_GetDisturbed(client, &resent, &interrupted);
         CU_ASSERT_EQUAL(reply.result, AQ_HTTP_INTERRUPTED);
         CU_ASSERT_EQUAL(server.requests, 1 + cases[i].copies);
+        CU_ASSERT_EQUAL(server.connections, cases[i].copies);
         CU_ASSERT_EQUAL(resent, (uint64_t)cases[i].copies - 1);
         CU_ASSERT_EQUAL(interrupted, 1);
         AqHttpClient_Destroy(client);
