Scheduler: a lost order that sets a filler's pace is repeated

Serving tasks stayed over their latency target beside a filler that was ordered to stop: in the simulator it still worked at 25% of its speed after 63 s. The other way round a filler could stay slow for good.

Change: AqScheduler_OnPace takes the reply; an order without confirmation is repeated after 0.4 s. While serving tasks stay near their target, the pace in force is ordered again each second, since an earlier order without a reply may have been carried out after it.

--- a/packages/pool/pool_owner_orders.c
+++ b/packages/pool/pool_owner_orders.c
@@ -59,6 +59,8 @@
             AqScheduler_OnRenewal(s, order->vm, order->sent_at, reply, now);
             break;
         case ORDER_PACE:
+            AqScheduler_OnPace(s, order->vm, &order->task, order->run, reply,
+                               now);
             break;
         }
     }
@@ -118,6 +120,8 @@
 {
     PoolOwner *owner = context;
     Order *order = new_order(owner, ORDER_PACE, target);
+    order->task = *task;
+    order->run = run;
     owner->node->workers->ops->pace(owner->node->workers, target, task, run,
                                     percent, owner->ownership.fence,
                                     on_order_reply, order);
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -62,8 +62,8 @@
 } AqSchedulerConfig;
 
 /* Calls by which the scheduler sends its orders.  The caller reports the reply
- * to each order with the AqScheduler_On* function of that order, except for
- * "pace" (limit the speed of a run), whose reply is not reported. */
+ * to each order with the AqScheduler_On* function of that order.  "pace" limits
+ * the speed of a run. */
 typedef struct {
     void (*start)(void *context, const AqOrderTarget *target,
                   const AqStartOrder *order);
@@ -198,6 +198,9 @@
 void AqScheduler_OnStop(AqScheduler *scheduler, const char *id,
                         const AqTaskName *name, int64_t run,
                         const AqOrderReply *reply, AqTime now);
+void AqScheduler_OnPace(AqScheduler *scheduler, const char *id,
+                        const AqTaskName *name, int64_t run,
+                        const AqOrderReply *reply, AqTime now);
 /* Handles the VM's reply to a renewal order (extends the VM's lease).
  * "sent_at" is when that order was sent, on the scheduler's clock. */
 void AqScheduler_OnRenewal(AqScheduler *scheduler, const char *id,
--- a/packages/scheduler/perpetual.c
+++ b/packages/scheduler/perpetual.c
@@ -24,6 +24,10 @@
      * lowers that limit again. */
     PACE_UP_DELAY_MS = 1500,
     PACE_DOWN_DELAY_MS = 400,
+    /* Interval at which an order that stops a filler is repeated while the
+     * serving tasks stay near their target: an earlier order without a reply
+     * may have been carried out after it. */
+    PACE_REPEAT_MS = 1000,
     PACE_STEP_UP_PERCENT = 20,
     FULL_PACE_PERCENT = 100
 };
@@ -172,6 +176,7 @@
                 name.step, name.index, vm->report.id, task->pace, percent);
     task->pace = percent;
     task->pace_changed_at = s->now;
+    task->is_pace_unconfirmed = false;
     s->counters.paced++;
     s->actions.pace(s->context, &target, &name, task->run, percent);
 }
@@ -202,6 +207,22 @@
                      percent > FULL_PACE_PERCENT ? FULL_PACE_PERCENT
                                                  : percent);
         }
+        else if ((task->is_pace_unconfirmed && since >= PACE_DOWN_DELAY_MS) ||
+                 (pressure.is_near_target && since >= PACE_REPEAT_MS)) {
+            set_pace(s, vm, task, task->pace);
+        }
+    }
+}
+
+void
+AqScheduler_OnPace(AqScheduler *s, const char *id, const AqTaskName *name,
+                   int64_t run, const AqOrderReply *reply, AqTime now)
+{
+    s->now = now;
+    const Vm *vm = vms_find(s, id);
+    Task *task = scheduler_find_task(s, name);
+    if (vm != NULL && task != NULL && task->vm == vm && task->run == run) {
+        task->is_pace_unconfirmed = reply->result != AQ_ORDER_DONE;
     }
 }
 
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -100,6 +100,8 @@
      * leave */
     int pace;
     AqTime pace_changed_at;
+    /* the VM has not confirmed the last order that set the pace */
+    bool is_pace_unconfirmed;
     /* Of a perpetual task: since when the task is not at work, because it has
      * no run, its run is being stopped to move, or its run is not slowed and
      * reports a percent below 100.  AQ_TIME_NEVER while the task is at
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -205,6 +205,8 @@
 } StoredJob;
 
 struct Sim {
+    /* Number of next pace orders that are lost. */
+    unsigned lost_pace_count;
     /* Bandwidth of the link that the orders of all owners share; 0: orders
      * take no time there. */
     unsigned link_bytes_per_s;
@@ -876,6 +878,8 @@
         AqScheduler_OnRenewal(s, event->vm, event->sent_at, &reply, sim->now);
         break;
     case ORDER_PACE:
+        AqScheduler_OnPace(s, event->vm, &event->name, event->run, &reply,
+                           sim->now);
         break;
     }
 }
@@ -1016,6 +1020,14 @@
     event->name = *task;
     event->run = run;
     event->percent = percent;
+    Sim *sim = ((SimOwner *)context)->sim;
+    if (sim->lost_pace_count > 0) {
+        sim->lost_pace_count--;
+        queue_reply(sim, event, NULL, AQ_ORDER_UNKNOWN,
+                    sim->now + REPLY_DELAY_MS);
+        free_event(event);
+        return;
+    }
     send_order(context, event);
 }
 
@@ -1346,6 +1358,12 @@
     sim->vms[vm]->tail_latency_ms = ms;
 }
 
+void
+sim_lose_paces(Sim *sim, unsigned count)
+{
+    sim->lost_pace_count = count;
+}
+
 int
 sim_lowest_pace(const Sim *sim, unsigned vm)
 {
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -106,6 +106,9 @@
 /* Sets the tail latency, ms, that the VM reports for each of its perpetual
  * tasks. */
 void sim_set_tail_latency(Sim *sim, unsigned vm, int64_t ms);
+/* Loses the next "count" orders that limit the speed of a run, as when their
+ * connection ends. */
+void sim_lose_paces(Sim *sim, unsigned count);
 /* Returns the lowest speed to which an order has limited a run on the VM, in
  * percent of full speed; 100 when the VM has no runs. */
 int sim_lowest_pace(const Sim *sim, unsigned vm);
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -476,14 +476,13 @@
     sim_destroy(sim);
 }
 
-/* Guards against a filler (task that uses only CPU that others leave) that
- * runs at full speed while a serving task on the same VM exceeds its latency
- * target, and against a filler that stays slow once the latency is low
- * again. */
-static void
-test_fillers_are_paced(void)
+/* Starts a simulated pool with a serving task on each VM and one filler; sets
+ * *out to it.  Returns the VM that runs the filler. */
+static unsigned
+start_filler(Sim **out)
 {
     Sim *sim = sim_create(12);
+    *out = sim;
     sim_add_perpetual(sim, "b1", SIM_VMS, 1);
     AqJobSpec spec = {.step_count = 1};
     g_strlcpy(spec.id, "c1", sizeof(spec.id));
@@ -501,6 +500,18 @@
     while (sim_count_runs(sim, vm, "c1") == 0) {
         vm++;
     }
+    return vm;
+}
+
+/* Guards against a filler (task that uses only CPU that others leave) that
+ * runs at full speed while a serving task on the same VM exceeds its latency
+ * target, and against a filler that stays slow once the latency is low
+ * again. */
+static void
+test_fillers_are_paced(void)
+{
+    Sim *sim;
+    unsigned vm = start_filler(&sim);
     sim_set_tail_latency(sim, vm, 150);
     sim_run(sim, 3000);
     CU_ASSERT_EQUAL(sim_lowest_pace(sim, vm), 0);
@@ -511,6 +522,27 @@
     sim_destroy(sim);
 }
 
+/* Guards against a filler that runs on beside a serving task over its target,
+ * or stays slow for good, because the order that set its pace was lost. */
+static void
+test_lost_pace_is_repeated(void)
+{
+    Sim *sim;
+    unsigned vm = start_filler(&sim);
+    sim_set_tail_latency(sim, vm, 150);
+    sim_run(sim, 1000);
+    sim_lose_paces(sim, 2);
+    sim_run(sim, 3000);
+    CU_ASSERT_EQUAL(sim_lowest_pace(sim, vm), 0);
+    sim_set_tail_latency(sim, vm, 20);
+    sim_run(sim, 6000);
+    sim_lose_paces(sim, 2);
+    sim_run(sim, 6000);
+    CU_ASSERT_EQUAL(sim_lowest_pace(sim, vm), 100);
+    expect_no_violation(sim);
+    sim_destroy(sim);
+}
+
 /* ---- Offered load ------------------------------------------------------- */
 
 /* Returns the offered load that the scheduler computes (CPU for the recently
@@ -641,6 +673,7 @@
         {"perpetual_stays_while_another_is_silent",
          test_perpetual_stays_while_another_is_silent},
         {"fillers_are_paced", test_fillers_are_paced},
+        {"lost_pace_is_repeated", test_lost_pace_is_repeated},
         {"misdeclared_durations", test_misdeclared_durations},
         {"offered_load_follows_rise", test_offered_load_follows_rise},
     };
