Membership: a late registration does not take the entry of a live node

A node could stay without its membership entry while it owned pools: peers don't forward requests to it, take it for gone, and it carries no orders.

Cause: the entry was written without a condition. A registration without a reply that the store carries out after the next one ties the entry to its own lease, which nobody renews; nothing wrote a removed entry again.

Change: the entry is written on condition that it is as last seen; a conflict shows its revision and leads to another write. An own entry that vanishes while the lease holds is written again after the next renewal. A registration whose lease has ended gives up the pools as a renewal does.

--- a/packages/pool/forwarder.h
+++ b/packages/pool/forwarder.h
@@ -51,8 +51,8 @@
  * says whether the peer may have received the request.  "is_read": the request
  * has no effect.  "may_have_effect": this node has sent a write for the
  * request to the store and got no reply.  A refusal tells the caller that
- * nothing was done, so that only a peer's 2xx or 410 is returned if a write for
- * the request can have taken effect; otherwise the status is 504. */
+ * nothing was done, so that only a peer's 2xx or 410 is returned if a write
+ * for the request can have taken effect; otherwise the status is 504. */
 int forwarder_status(int status, bool was_sent, bool is_read,
                      bool may_have_effect);
 
--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -43,20 +43,50 @@
                   AqLoop_Now(member->node->loop) + wait);
 }
 
+static void write_entry(Member *member);
+
+static void
+end_lease(Member *member)
+{
+    AqLog_Event(AQ_LOG_WARNING, "lease_ended", "lease=%llu",
+                (unsigned long long)member->lease);
+    member->lease = 0;
+    member->lease_valid_until = 0;
+    member->joined_at = AQ_TIME_NEVER;
+    member_lose_all_pools(member, "lease_ended");
+    schedule_renewal(member, 0);
+}
+
 static void
 on_registered(void *context, const AqStoreReply *reply)
 {
     Member *member = context;
     store_health_note(&member->node->store_health, reply->status,
                       AqLoop_Now(member->node->loop));
+    if (reply->status == AQ_STORE_CONFLICT) {
+        member->entry_index = reply->count > 0 ? reply->items[0].index : 0;
+        write_entry(member);
+        return;
+    }
+    if (reply->status == AQ_STORE_ABSENT) {
+        end_lease(member);
+        return;
+    }
     if (reply->status != AQ_STORE_OK) {
-        member->lease = 0;
+        if (member->joined_at == AQ_TIME_NEVER) {
+            member->lease = 0;
+        }
         schedule_renewal(member, LEASE_RETRY_MS);
         return;
     }
-    AqLog_Event(AQ_LOG_INFO, "member_joined", "lease=%llu incarnation=%s",
-                (unsigned long long)member->lease, member->node->incarnation);
-    member->joined_at = AqLoop_Now(member->node->loop);
+    member->entry_index = reply->index;
+    member->is_entry_due = false;
+    if (member->joined_at == AQ_TIME_NEVER) {
+        AqLog_Event(AQ_LOG_INFO, "member_joined", "lease=%llu incarnation=%s",
+                    (unsigned long long)member->lease,
+                    member->node->incarnation);
+        member->joined_at = AqLoop_Now(member->node->loop);
+    }
     record_lease_reply(member, member->renewal_sent_at);
     schedule_renewal(member, RENEWAL_INTERVAL_MS);
     member_claim_all_vacant(member);
@@ -96,6 +126,16 @@
         return;
     }
     member->lease = reply->lease;
+    write_entry(member);
+}
+
+/* Writes this node's membership entry under its lease.  The condition keeps an
+ * earlier write without a reply from replacing the entry later: the entry
+ * would then end with the lease of that write. */
+static void
+write_entry(Member *member)
+{
+    NodeContext *node = member->node;
     char value[MEMBER_VALUE_SIZE];
     const AqSettings *settings = node->settings;
     bool is_carrier = settings->carriers_listen != NULL &&
@@ -106,13 +146,16 @@
              is_carrier ? settings->carriers_listen : "-",
              settings->node_zone != NULL ? settings->node_zone : "-",
              (long long)own_link_mbps(member));
+    AqStoreExpect expect = {key_of(KEY_MEMBER, node->settings->node_id),
+                            member->entry_index};
     AqStorePut put = {
-        .key = key_of(KEY_MEMBER, node->settings->node_id),
+        .key = expect.key,
         .value = value,
         .size = strlen(value),
         .lease = member->lease,
     };
-    AqStoreCommit commit = {.puts = &put, .put_count = 1};
+    AqStoreCommit commit = {
+        .expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
     node->store->ops->commit(node->store, &commit, on_registered, member);
 }
 
@@ -124,16 +167,15 @@
                       AqLoop_Now(member->node->loop));
     if (reply->status == AQ_STORE_OK) {
         record_lease_reply(member, member->renewal_sent_at);
-        schedule_renewal(member, RENEWAL_INTERVAL_MS);
+        if (member->is_entry_due) {
+            write_entry(member);
+        }
+        else {
+            schedule_renewal(member, RENEWAL_INTERVAL_MS);
+        }
     }
     else if (reply->status == AQ_STORE_ABSENT) {
-        AqLog_Event(AQ_LOG_WARNING, "lease_ended", "lease=%llu",
-                    (unsigned long long)member->lease);
-        member->lease = 0;
-        member->lease_valid_until = 0;
-        member->joined_at = AQ_TIME_NEVER;
-        member_lose_all_pools(member, "lease_ended");
-        schedule_renewal(member, 0);
+        end_lease(member);
     }
     else {
         schedule_renewal(member, LEASE_RETRY_MS);
@@ -197,6 +239,9 @@
     if (fields < 5 || strcmp(entry.carrier_address, "-") == 0) {
         entry.carrier_address[0] = '\0';
     }
+    if (strcmp(node, member->node->settings->node_id) == 0) {
+        member->entry_index = item->index;
+    }
     if (fields < 3) {
         AqLog_Event(AQ_LOG_WARNING, "member_unreadable", "node=%s", node);
         return;
@@ -210,7 +255,17 @@
 on_member_removed(void *context, const char *key)
 {
     Member *member = context;
-    g_hash_table_remove(member->peers, key + strlen(KEYS_MEMBERS));
+    const char *node = key + strlen(KEYS_MEMBERS);
+    g_hash_table_remove(member->peers, node);
+    if (strcmp(node, member->node->settings->node_id) == 0 &&
+        member->joined_at != AQ_TIME_NEVER && !member->is_leaving) {
+        /* Peers neither forward requests to a node without an entry nor count
+         * its pools as owned. */
+        AqLog_Event(AQ_LOG_WARNING, "member_entry_removed", "lease=%llu",
+                    (unsigned long long)member->lease);
+        member->entry_index = 0;
+        member->is_entry_due = true;
+    }
     /* This node waits longer before it claims a pool while another member has
      * a greater CPU share.  The removed member may have had that share, so all
      * waits are computed again. */
--- a/packages/pool/member_private.h
+++ b/packages/pool/member_private.h
@@ -76,6 +76,12 @@
     GHashTable *claims; /* pool name -> PoolClaim */
     AqTimer renewal_timer;
     uint64_t lease;
+    /* Store revision of this node's membership entry as last seen; 0: there is
+     * none. */
+    uint64_t entry_index;
+    /* The entry has vanished although the lease holds; it is written again
+     * after the next renewal. */
+    bool is_entry_due;
     AqTime renewal_sent_at;
     /* This node's lease is certain to hold until this time. */
     AqTime lease_valid_until;
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -325,8 +325,20 @@
     reply_to(fake, g_queue_pop_head(fake->calls));
 }
 
-void
-fake_store_reply_all(FakeStore *fake)
+static bool
+is_put_of(const Call *call, const char *key)
+{
+    for (guint i = 0; call->kind == CALL_COMMIT && i < call->puts->len; i++) {
+        const Record *put = g_ptr_array_index(call->puts, i);
+        if (strcmp(put->key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+fake_store_reply_until_put(FakeStore *fake, const char *key)
 {
     enum {
         /* Number of calls after which the loop ends, since each reply to a
@@ -335,12 +347,22 @@
     };
     for (int i = 0; i < MAX_CALLS && fake_store_pending_count(fake) > 0; i++) {
         Call *call = g_queue_peek_head(fake->calls);
+        if (is_put_of(call, key)) {
+            return true;
+        }
         if (call->kind == CALL_CHANGES && call->index >= fake->index) {
             g_queue_push_tail(fake->calls, g_queue_pop_head(fake->calls));
             continue;
         }
         fake_store_reply(fake);
     }
+    return false;
+}
+
+void
+fake_store_reply_all(FakeStore *fake)
+{
+    fake_store_reply_until_put(fake, "");
 }
 
 static void
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -20,6 +20,9 @@
  * watches without a change, which stay queued.  Stops after 100 calls, of
  * which each watch left queued counts as one; the others stay queued. */
 void fake_store_reply_all(FakeStore *fake);
+/* Like fake_store_reply_all, but stops before a commit that writes the key.
+ * Returns whether such a commit is the oldest queued call. */
+bool fake_store_reply_until_put(FakeStore *fake, const char *key);
 /* Ends the oldest queued call without a reply: a commit with AQ_STORE_UNKNOWN,
  * other calls with AQ_STORE_UNAVAILABLE.  The call is not executed, unless
  * fake_store_execute_lost() does so later. */
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -566,6 +566,55 @@
     tear_down(self->fixture);
 }
 
+/* Guards against a live node without a membership entry, which peers take for
+ * gone: a write of the entry without a reply is carried out after a later one
+ * and ends with its own lease. */
+static void
+test_late_registration_has_no_effect(void)
+{
+    Fixture fixture;
+    OwnerFixture self;
+    char key[64];
+    set_up(&fixture);
+    set_up_member(&self, &fixture);
+    g_strlcpy(key, key_of(KEY_MEMBER, fixture.node.settings->node_id),
+              sizeof(key));
+    while (!fake_store_reply_until_put(fixture.fake, key)) {
+        AqLoop_RunOnce(fixture.node.loop, 10);
+    }
+    fake_store_lose_call(fixture.fake);
+    while (fake_store_value(fixture.fake, key) == NULL) {
+        run_member(&self);
+    }
+    fake_store_execute_lost(fixture.fake);
+    fake_store_end_lease(fixture.fake);
+    /* The entry was written under the lease that has ended now. */
+    CU_ASSERT_PTR_NULL(fake_store_value(fixture.fake, key));
+    tear_down_owner(&self);
+}
+
+/* Guards against a node whose membership entry was removed while its lease
+ * holds and that never writes it again. */
+static void
+test_removed_entry_is_written_again(void)
+{
+    Fixture fixture;
+    OwnerFixture self;
+    char key[64];
+    set_up(&fixture);
+    set_up_owner(&self, &fixture);
+    g_strlcpy(key, key_of(KEY_MEMBER, fixture.node.settings->node_id),
+              sizeof(key));
+    fake_store_remove(fixture.fake, key);
+    for (int i = 0; i < 200 && fake_store_value(fixture.fake, key) == NULL;
+         i++) {
+        run_member(&self);
+    }
+    CU_ASSERT_PTR_NOT_NULL(fake_store_value(fixture.fake, key));
+    CU_ASSERT_PTR_NOT_NULL(self.owner);
+    tear_down_owner(&self);
+}
+
 /* Guards against a pool's outdated report that stays in the store after the
  * lease of the pool's owner has ended: callers would get too low a count of
  * waiting jobs. */
@@ -1219,6 +1268,10 @@
         {"first_watch_after_outage", test_first_watch_after_outage},
         {"silent_watch_is_replaced", test_silent_watch_is_replaced},
         {"unreadable_vm_is_unlisted", test_unreadable_vm_is_unlisted},
+        {"late_registration_has_no_effect",
+         test_late_registration_has_no_effect},
+        {"removed_entry_is_written_again",
+         test_removed_entry_is_written_again},
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
         {"weak_node_defers_claim", test_weak_node_defers_claim},
