--- a/packages/io/tests/raw_server.c
+++ b/packages/io/tests/raw_server.c
@@ -62,6 +62,18 @@
                   AqLoop_Now(c->server->loop) + TRICKLE_MS);
 }
 
+/* Sends a complete response with "status", or 200 if that is 0. */
+static void
+send_complete_response(Connection *c, int status)
+{
+    char text[256];
+    const char *body = c->server->body != NULL ? c->server->body : "ok";
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 %d Status\r\nContent-Length: %zu\r\n\r\n%s",
+             status != 0 ? status : 200, strlen(body), body);
+    send_text(c, text);
+}
+
 /* Returns whether the whole header and body of the request have arrived. */
 static int
 is_request_complete(const Connection *c)
@@ -77,6 +89,7 @@
 static int
 handle_received_bytes(Connection *c, RawStage stage)
 {
+    int is_first = c->server->requests < c->server->complete_responses_first;
     int has_header = strstr(c->bytes, "\r\n\r\n") != NULL;
     if (stage == STAGE_IN_HEADER || (stage == STAGE_IN_BODY && has_header)) {
         return 0;
@@ -109,7 +122,7 @@
         start_trickle(c);
         return 1;
     default:
-        send_text(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        send_complete_response(c, is_first ? 0 : c->server->status);
         return 1;
     }
 }
@@ -118,7 +131,14 @@
 on_bytes(void *context, int events)
 {
     Connection *c = context;
+    RawStage stage = c->server->requests < c->server->complete_responses_first
+                         ? STAGE_COMPLETE_RESPONSE
+                         : c->server->stage;
     (void)events;
+    if (stage == STAGE_BEFORE_READING) {
+        close_connection(c);
+        return;
+    }
     ssize_t n =
         recv(c->fd, c->bytes + c->size, MAX_REQUEST_BYTES - c->size, 0);
     if (n <= 0) {
@@ -127,9 +147,6 @@
     }
     c->size += (size_t)n;
     c->bytes[c->size] = '\0';
-    RawStage stage = c->server->requests < c->server->complete_responses_first
-                         ? STAGE_COMPLETE_RESPONSE
-                         : c->server->stage;
     if (!handle_received_bytes(c, stage)) {
         close_connection(c);
     }
--- a/packages/io/tests/raw_server.h
+++ b/packages/io/tests/raw_server.h
@@ -31,6 +31,10 @@
     unsigned port;
     RawStage stage;
     const char *trickle_body; /* of STAGE_TRICKLE */
+    /* Of STAGE_COMPLETE_RESPONSE: HTTP status, 0 for 200, and body, NULL for
+     * "ok".  The responses of complete_responses_first have status 200. */
+    int status;
+    const char *body;
     /* Number of requests that get a complete response before "stage"
      * applies. */
     int complete_responses_first;
