--- a/packages/store/Include/aq_store.h
+++ b/packages/store/Include/aq_store.h
@@ -11,8 +11,10 @@
  * change of its data, in increasing order. */
 
 typedef enum {
-    AQ_STORE_OK,     /* a read found the key, or a write took effect */
-    AQ_STORE_ABSENT, /* a read found no such key */
+    AQ_STORE_OK, /* a read found the key, or a write took effect */
+    /* A read found no such key, or the lease that a write names has ended and
+     * the write had no effect. */
+    AQ_STORE_ABSENT,
     /* A write had no effect, because the index of a key did not match. */
     AQ_STORE_CONFLICT,
     /* The service was not reached or a read failed; the call had no effect. */
