--- a/packages/scheduler/Include/aq_machines.h
+++ b/packages/scheduler/Include/aq_machines.h
@@ -46,7 +46,8 @@
     /* the platform does not carry out the order, which exceeds the platform's
      * rate limit or did not reach the platform */
     AQ_MACHINE_ORDER_LATER,
-    /* no response; the platform may carry out the order later */
+    /* no response, or one that does not show the outcome; the platform may
+     * have carried out the order or may do so later */
     AQ_MACHINE_ORDER_UNKNOWN
 } AqMachineResult;
 
--- a/packages/scheduler/Include/aq_worker_client.h
+++ b/packages/scheduler/Include/aq_worker_client.h
@@ -72,7 +72,8 @@
     /* refused as malformed; the order has no effect */
     AQ_ORDER_INVALID,
     AQ_ORDER_NOT_SENT, /* no byte of the order was sent */
-    /* no reply; the VM may execute the order later */
+    /* no reply, or one that does not show the outcome; the VM may have
+     * executed the order or may do so later */
     AQ_ORDER_UNKNOWN
 } AqOrderResult;
 
