Job API: only UNAVAILABLE and CONFLICT of a write tell that nothing was done

A caller could get 503, which promises that a job never runs or was not cancelled, after a write with a status that does not show this.

Cause: on_submitted read every status but OK, CONFLICT and UNKNOWN as "this write had no effect", and retry_cancel every one but UNKNOWN.

Change: the cases are listed; ABSENT and COMPACTED count as unknown.

Why it works: an unknown write is sent again or handed on, since submissions and cancellings may be repeated, and ends with 504 if no reply shows its outcome.

Result: the rows ABSENT and COMPACTED of POST and DELETE in test_status_of_write fail with 503 before, and pass now; job_api passes.

--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -55,7 +55,7 @@
     /* Submitted job, encoded; empty for other requests. */
     AqBuffer encoded_job;
     unsigned attempts;
-    /* A write to the store for this request got no reply. */
+    /* A write to the store for this request got no clear reply. */
     bool may_have_effect;
 } Request;
 
@@ -252,11 +252,7 @@
          * submission arrived. */
         finish_request(request, 200, "{}", "known");
         break;
-    case AQ_STORE_UNKNOWN:
-        request->may_have_effect = true;
-        forward_or_retry(request);
-        break;
-    default:
+    case AQ_STORE_UNAVAILABLE:
         /* This write had no effect; an earlier write for the same request that
          * got no reply may still take effect. */
         if (request->may_have_effect) {
@@ -266,6 +262,14 @@
             forward_or_finish(request);
         }
         break;
+    case AQ_STORE_UNKNOWN:
+    /* A submission names no lease and watches nothing, so that these statuses
+     * do not show its outcome. */
+    case AQ_STORE_ABSENT:
+    case AQ_STORE_COMPACTED:
+        request->may_have_effect = true;
+        forward_or_retry(request);
+        break;
     }
 }
 
@@ -390,13 +394,16 @@
 
 /* ---- Cancelling --------------------------------------------------------- */
 
-/* Continues a cancellation whose write was not carried out or got no reply:
- * forwards it to another node, retries it on this one, or ends it with status
- * 503 or 504. */
+/* Continues a cancellation whose write was not carried out or got no clear
+ * reply: forwards it to another node, retries it on this one, or ends it with
+ * status 503 or 504. */
 static void
 retry_cancel(Request *request, const AqStoreReply *reply)
 {
-    request->may_have_effect |= reply->status == AQ_STORE_UNKNOWN;
+    /* Only these statuses show that the write had no effect. */
+    bool had_no_effect = reply->status == AQ_STORE_CONFLICT ||
+                         reply->status == AQ_STORE_UNAVAILABLE;
+    request->may_have_effect |= !had_no_effect;
     if (request->may_have_effect) {
         forward_or_retry(request);
     }
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -373,6 +373,12 @@
     fail_call(fake, AQ_STORE_UNAVAILABLE, false);
 }
 
+void
+fake_store_end_call(FakeStore *fake, AqStoreStatus status)
+{
+    fail_call(fake, status, true);
+}
+
 void
 fake_store_execute_lost(FakeStore *fake)
 {
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -30,6 +30,9 @@
 /* Ends the oldest queued call with AQ_STORE_UNAVAILABLE; the call is never
  * executed. */
 void fake_store_refuse_call(FakeStore *fake);
+/* Ends the oldest queued call with "status"; the call is not executed, unless
+ * fake_store_execute_lost() does so later. */
+void fake_store_end_call(FakeStore *fake, AqStoreStatus status);
 /* Drops the history of changes, so that the next watch ends with
  * AQ_STORE_COMPACTED. */
 void fake_store_compact(FakeStore *fake);
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -15,6 +15,7 @@
 enum {
     CALL_TIMEOUT_MS = 5000,
     DEADLINE_MS = 3000,
+    SHORT_DEADLINE_MS = 500,
     ROUND_MS = 20
 };
 
@@ -27,6 +28,7 @@
     AqHttpClient *client;
     JobApi *job_api;
     AqQueueConfig queue;
+    AqTime deadline_ms; /* of the caller's requests */
     bool has_peer;
     /* The peer fails to serve the first forwarded request: "done" of the
      * ForwardOrder is called with "has_responded" false, so this node has to
@@ -79,6 +81,7 @@
                                  .max_connections = 4,
                                  .idle_timeout_s = 5};
     memset(fixture, 0, sizeof(*fixture));
+    fixture->deadline_ms = DEADLINE_MS;
     fixture->fake = fake_store_create();
     fixture->node.store = fake_store_interface(fixture->fake);
     fixture->node.loop = AqLoop_Create(&error);
@@ -127,8 +130,8 @@
     const char *headers[] = {deadline, NULL};
     char url[64];
     bool has_body = strcmp(method, "POST") == 0;
-    snprintf(deadline, sizeof(deadline), "%s: %d", AqPlatform_DeadlineHeader,
-             DEADLINE_MS);
+    snprintf(deadline, sizeof(deadline), "%s: %lld", AqPlatform_DeadlineHeader,
+             (long long)fixture->deadline_ms);
     snprintf(url, sizeof(url), "http://127.0.0.1:%u%s",
              AqHttpServer_Port(fixture->server), path);
     AqHttpRequest request = {.method = method,
@@ -257,6 +260,46 @@
     tear_down(&fixture);
 }
 
+/* Guards against a refusal, which tells that nothing was done, after a write
+ * that ended with a status that does not show this, and against 504 after one
+ * that does. */
+static void
+test_status_of_write(void)
+{
+    static const struct {
+        const char *method;
+        AqStoreStatus status;
+        int expected_status; /* HTTP status of the response to the caller */
+    } cases[] = {
+        {"POST", AQ_STORE_UNAVAILABLE, 503},
+        {"POST", AQ_STORE_UNKNOWN, 504},
+        {"POST", AQ_STORE_ABSENT, 504},
+        {"POST", AQ_STORE_COMPACTED, 504},
+        {"DELETE", AQ_STORE_UNAVAILABLE, 503},
+        {"DELETE", AQ_STORE_CONFLICT, 503},
+        {"DELETE", AQ_STORE_UNKNOWN, 504},
+        {"DELETE", AQ_STORE_ABSENT, 504},
+        {"DELETE", AQ_STORE_COMPACTED, 504},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Fixture fixture;
+        set_up(&fixture);
+        fixture.deadline_ms = SHORT_DEADLINE_MS;
+        send_request(&fixture, cases[i].method);
+        while (fixture.response_count == 0) {
+            run(&fixture);
+            if (fake_store_pending_count(fixture.fake) > 0) {
+                fake_store_end_call(fixture.fake, cases[i].status);
+            }
+        }
+        if (fixture.status != cases[i].expected_status) {
+            printf("case %zu: status %d\n", i, fixture.status);
+        }
+        CU_ASSERT_EQUAL(fixture.status, cases[i].expected_status);
+        tear_down(&fixture);
+    }
+}
+
 /* Guards against a response that says that the outcome is unknown (504) when a
  * peer could not determine the outcome of a forwarded request, although
  * another store call of this node would show the outcome. */
@@ -385,6 +428,7 @@
         {"silent_store_hands_on", test_silent_store_hands_on},
         {"refusing_store_hands_on", test_refusing_store_hands_on},
         {"refusal_after_silence", test_refusal_after_silence},
+        {"status_of_write", test_status_of_write},
         {"unsure_peer_gives_back", test_unsure_peer_gives_back},
         {"lost_store_is_not_written_to", test_lost_store_is_not_written_to},
         {"effect_without_reply", test_effect_without_reply},
