Test: a peer that closes an idle connection under a submission

The forwarder's tests had peers that close new connections only, and no peer with status 500, 502 or 504.

Change: a peer that serves one request and closes its connection when it has read the second; rows for peers that respond with 500, 502 and 504.

Result: forwarder passes: the peer gets one copy, the caller 504 when the other peers refuse and 200 when one serves; 500, 502 and 504 are passed on.

--- a/packages/pool/tests/test_forwarder.c
+++ b/packages/pool/tests/test_forwarder.c
@@ -20,7 +20,13 @@
 typedef enum {
     PEER_SERVES,
     PEER_REFUSES, /* status 503 */
-    PEER_CLOSES   /* reads the request and closes the connection */
+    PEER_CLOSES,  /* reads the request and closes the connection */
+    /* Serves the first request, and closes its connection when it has read the
+     * second one. */
+    PEER_SERVES_ONCE,
+    PEER_FAILS,          /* status 500 */
+    PEER_BAD_GATEWAY,    /* status 502 */
+    PEER_GATEWAY_TIMEOUT /* status 504 */
 } PeerKind;
 
 typedef struct {
@@ -50,9 +56,13 @@
 handle_at_peer(void *context, AqExchange *exchange)
 {
     Peer *peer = context;
+    static const int statuses[] = {
+        [PEER_SERVES] = 200,          [PEER_REFUSES] = 503,
+        [PEER_FAILS] = 500,           [PEER_BAD_GATEWAY] = 502,
+        [PEER_GATEWAY_TIMEOUT] = 504,
+    };
     peer->requests++;
-    AqExchange_Respond(exchange, peer->kind == PEER_SERVES ? 200 : 503, NULL,
-                       0, "{}", 2);
+    AqExchange_Respond(exchange, statuses[peer->kind], NULL, 0, "{}", 2);
 }
 
 static const char *
@@ -117,6 +127,12 @@
     return server;
 }
 
+static bool
+is_raw(PeerKind kind)
+{
+    return kind == PEER_CLOSES || kind == PEER_SERVES_ONCE;
+}
+
 static void
 set_up(Fixture *fixture, const PeerKind kinds[PEERS])
 {
@@ -132,8 +148,10 @@
         Peer *peer = &fixture->peers[i];
         unsigned port;
         peer->kind = kinds[i];
-        if (peer->kind == PEER_CLOSES) {
+        if (is_raw(peer->kind)) {
             peer->raw.stage = STAGE_BEFORE_RESPONSE;
+            peer->raw.complete_responses_first =
+                peer->kind == PEER_SERVES_ONCE ? 1 : 0;
             raw_server_start(&peer->raw, fixture->node.loop);
             port = peer->raw.port;
         }
@@ -177,7 +195,7 @@
     AqHttpServer_Destroy(fixture->front);
     for (int i = 0; i < PEERS; i++) {
         AqHttpServer_Destroy(fixture->peers[i].server);
-        if (fixture->peers[i].kind == PEER_CLOSES) {
+        if (is_raw(fixture->peers[i].kind)) {
             raw_server_stop(&fixture->peers[i].raw);
         }
     }
@@ -208,6 +226,11 @@
         {"POST", {PEER_CLOSES, PEER_REFUSES, PEER_REFUSES}, 504, 3},
         {"POST", {PEER_REFUSES, PEER_REFUSES, PEER_CLOSES}, 504, 3},
         {"GET", {PEER_CLOSES, PEER_REFUSES, PEER_REFUSES}, 503, 3},
+        {"POST", {PEER_FAILS, PEER_SERVES, PEER_SERVES}, 500, 1},
+        {"POST", {PEER_BAD_GATEWAY, PEER_SERVES, PEER_SERVES}, 502, 1},
+        {"POST", {PEER_GATEWAY_TIMEOUT, PEER_SERVES, PEER_SERVES}, 504, 1},
+        {"POST", {PEER_CLOSES, PEER_FAILS, PEER_SERVES}, 500, 2},
+        {"POST", {PEER_CLOSES, PEER_GATEWAY_TIMEOUT, PEER_SERVES}, 504, 2},
     };
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         Fixture fixture;
@@ -228,6 +251,31 @@
     }
 }
 
+/* Guards against a second copy of a submission to a peer that closes the idle
+ * connection of an earlier request when it has read the first copy: the reply
+ * to the second copy would pass for the outcome. */
+static void
+test_reused_connection_closes(void)
+{
+    static const struct {
+        PeerKind others;
+        int status;
+    } cases[] = {{PEER_REFUSES, 504}, {PEER_SERVES, 200}};
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Fixture fixture;
+        PeerKind kinds[PEERS] = {PEER_SERVES_ONCE, cases[i].others,
+                                 cases[i].others};
+        set_up(&fixture, kinds);
+        send_request(&fixture, "POST");
+        CU_ASSERT_EQUAL(fixture.status, 200);
+        fixture.next_peer = 0;
+        send_request(&fixture, "POST");
+        CU_ASSERT_EQUAL(fixture.status, cases[i].status);
+        CU_ASSERT_EQUAL(fixture.peers[0].raw.requests, 2);
+        tear_down(&fixture);
+    }
+}
+
 /* Guards against a peer that gets request after request although it has just
  * failed. */
 static void
@@ -269,6 +317,7 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("forwarder", NULL, NULL);
     CU_ADD_TEST(suite, test_next_peer);
+    CU_ADD_TEST(suite, test_reused_connection_closes);
     CU_ADD_TEST(suite, test_failed_peer_is_left_out);
     CU_ADD_TEST(suite, test_unknown_outcome_is_returned);
     CU_basic_set_mode(CU_BRM_VERBOSE);
