Member: write a node's entry under one lease until that has ended

A node could vanish for the others while it runs, and stay so: the write of its membership entry ends without a clear reply, the node gets another lease and writes the entry under that, and the store then carries out the first write, which puts the entry under the first lease. Nobody renews that one, and the entry is removed when it ends. Peers then send the node no requests, and owners no orders to carry.

Cause: on_registered gave up the lease after any failure.

Change: the entry is written again under the same lease until the store says that the lease has ended. The lease's term still counts from its grant, and the next renewal is due by it.

Why it works: all writes of the entry that may still be carried out name the lease that the node renews, or one that has ended, which the store refuses.

Result: test_late_registration_keeps_lease fails before and passes now; member, pool and store_away pass.

--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -49,8 +49,13 @@
     Member *member = context;
     store_health_note(&member->node->store_health, reply->status,
                       AqLoop_Now(member->node->loop));
-    if (reply->status != AQ_STORE_OK) {
+    if (reply->status == AQ_STORE_ABSENT) {
         member->lease = 0;
+    }
+    if (reply->status != AQ_STORE_OK) {
+        /* A write without a clear reply may be carried out later.  All writes
+         * of the entry name the same lease until that has ended, so that a
+         * late one cannot put the entry under a lease that nobody renews. */
         schedule_renewal(member, LEASE_RETRY_MS);
         return;
     }
@@ -58,7 +63,9 @@
                 (unsigned long long)member->lease, member->node->incarnation);
     member->joined_at = AqLoop_Now(member->node->loop);
     record_lease_reply(member, member->renewal_sent_at);
-    schedule_renewal(member, RENEWAL_INTERVAL_MS);
+    AqTime due = member->renewal_sent_at + RENEWAL_INTERVAL_MS;
+    schedule_renewal(member,
+                     due > member->joined_at ? due - member->joined_at : 0);
     member_claim_all_vacant(member);
 }
 
@@ -84,18 +91,11 @@
                               own_link_mbps(member));
 }
 
+/* Writes this node's membership entry under its lease. */
 static void
-on_granted(void *context, const AqStoreReply *reply)
+register_member(Member *member)
 {
-    Member *member = context;
     NodeContext *node = member->node;
-    store_health_note(&node->store_health, reply->status,
-                      AqLoop_Now(node->loop));
-    if (reply->status != AQ_STORE_OK || reply->lease == 0) {
-        schedule_renewal(member, LEASE_RETRY_MS);
-        return;
-    }
-    member->lease = reply->lease;
     char value[MEMBER_VALUE_SIZE];
     const AqSettings *settings = node->settings;
     bool is_carrier = settings->carriers_listen != NULL &&
@@ -116,6 +116,20 @@
     node->store->ops->commit(node->store, &commit, on_registered, member);
 }
 
+static void
+on_granted(void *context, const AqStoreReply *reply)
+{
+    Member *member = context;
+    store_health_note(&member->node->store_health, reply->status,
+                      AqLoop_Now(member->node->loop));
+    if (reply->status != AQ_STORE_OK || reply->lease == 0) {
+        schedule_renewal(member, LEASE_RETRY_MS);
+        return;
+    }
+    member->lease = reply->lease;
+    register_member(member);
+}
+
 static void
 on_renewed(void *context, const AqStoreReply *reply)
 {
@@ -148,6 +162,11 @@
     if (member->is_leaving) {
         return;
     }
+    if (member->lease != 0 && member->joined_at == AQ_TIME_NEVER) {
+        /* The lease's term still runs from the call that granted it. */
+        register_member(member);
+        return;
+    }
     member->renewal_sent_at = AqLoop_Now(node->loop);
     if (member->lease == 0) {
         node->store->ops->lease_grant(node->store, MEMBER_LEASE_MS, on_granted,
--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -424,6 +424,29 @@
     fake->lease = 0;
 }
 
+bool
+fake_store_is_next_write(const FakeStore *fake, const char *key)
+{
+    const Call *call = g_queue_peek_head(fake->calls);
+    for (guint i = 0;
+         call != NULL && call->kind == CALL_COMMIT && i < call->puts->len;
+         i++) {
+        const Record *put = g_ptr_array_index(call->puts, i);
+        if (strcmp(put->key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+fake_store_has_last_lease(const FakeStore *fake, const char *key)
+{
+    const Record *record = find(fake, key);
+    return record != NULL && !record->removed && record->lease != 0 &&
+           record->lease == fake->lease;
+}
+
 const char *
 fake_store_bytes(const FakeStore *fake, const char *key, size_t *size)
 {
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -51,6 +51,11 @@
  * if there is no such key.  Valid until the key's next write. */
 const char *fake_store_bytes(const FakeStore *fake, const char *key,
                              size_t *size);
+/* Returns whether the oldest queued call is a commit that writes the key. */
+bool fake_store_is_next_write(const FakeStore *fake, const char *key);
+/* Returns whether the key exists and was last written under the lease that was
+ * granted last. */
+bool fake_store_has_last_lease(const FakeStore *fake, const char *key);
 /* Returns the number of get calls that the store has received so far. */
 unsigned fake_store_get_count(const FakeStore *fake);
 /* Returns the wait that the last watch has requested, ms. */
