Owner writer: a stamp of an earlier ownership is not that of this write

An owner could take a write for stored that never took effect, such as a job's record: the write stamp that it reads after a write without a reply is the one that an earlier ownership of the same process left.

Cause: a stamp is the incarnation and a number that starts at 1 with each ownership. A pool that a node gains again, as after a lost lease, finds the numbers of before in the store.

Change: the stamp has the ownership's fence between the two.

Why it works: no two ownerships have the same fence.

Result: test_stamp_of_earlier_ownership fails before (the write ends after two copies of which none was carried out) and passes now; pool passes.

--- a/packages/pool/owner_writer.c
+++ b/packages/pool/owner_writer.c
@@ -12,7 +12,10 @@
     /* Delay from a write without a reply, or from a failed read, to the next
      * read of the write stamp: a key that every write of the owner requires to
      * be unchanged and replaces. */
-    STAMP_READ_RETRY_MS = 150
+    STAMP_READ_RETRY_MS = 150,
+    /* Size of the value of a write stamp, with its NUL: an incarnation and two
+     * numbers. */
+    STAMP_SIZE = 100
 };
 
 typedef struct {
@@ -26,7 +29,7 @@
     /* Value that this write gives to the write stamp, the key that every write
      * of the owner replaces; the key is read back after a lost reply to see
      * whether the write took effect. */
-    char stamp[80];
+    char stamp[STAMP_SIZE];
     OwnerWriteDone done;
     void *context;
 } Write;
@@ -225,8 +228,11 @@
     const char *write_stamp = key_of(KEY_WRITE_STAMP, writer->pool);
     size_t expect_count = 0;
     size_t put_count = 0;
-    snprintf(write->stamp, sizeof(write->stamp), "%s %" PRIu64,
-             writer->node->incarnation, ++writer->last_stamp_number);
+    /* The fence tells the stamp from those of an earlier ownership of the same
+     * process. */
+    snprintf(write->stamp, sizeof(write->stamp), "%s %" PRIu64 " %" PRIu64,
+             writer->node->incarnation, writer->fence,
+             ++writer->last_stamp_number);
     expects[expect_count++] =
         (AqStoreExpect){key_of(KEY_OWNER, writer->pool), writer->fence};
     expects[expect_count++] =
