Owner writer: an earlier copy of a write counts as the write

An owner could take a write for refused that took effect: the claim of slots of a wave, the one write of owners with a condition of its own. The write has no reply, the write stamp shows no effect, the write is sent again, and the store carries out the first copy meanwhile; the second copy then fails on the condition that the first one has changed.

Cause: only the stamp of the last copy was compared.

Change: a write keeps the number of its first stamp, and the stamp of any of its copies shows that it took effect. Two comments that still told of copies sent by the HTTP client tell of earlier writes without a reply.

Why it works: all copies of a write carry the same records, each requires the stamp that the copy before has not changed, and the fence in the stamp keeps other ownerships apart.

--- a/packages/pool/member_claims.c
+++ b/packages/pool/member_claims.c
@@ -128,9 +128,9 @@
     }
     else if (reply->status == AQ_STORE_UNKNOWN ||
              reply->status == AQ_STORE_CONFLICT) {
-        /* The claim may have taken effect: without a reply the store may have
-         * carried it out, and a copy of the call that the HTTP client resent
-         * conflicts with the first one.  Read the owner key to find out. */
+        /* The claim may have taken effect: without a clear reply the store may
+         * have carried it out, and after a conflict an earlier claim without a
+         * reply may be what conflicts.  Read the owner key to find out. */
         node->store->ops->get(node->store, key_of(KEY_OWNER, claim->pool),
                               on_claim_read, claim);
     }
--- a/packages/pool/owner_writer.c
+++ b/packages/pool/owner_writer.c
@@ -26,10 +26,11 @@
     size_t expect_count;
     AqStorePut puts[AQ_STORE_COMMIT_ENTRIES];
     size_t put_count;
-    /* Value that this write gives to the write stamp, the key that every write
-     * of the owner replaces; the key is read back after a lost reply to see
-     * whether the write took effect. */
-    char stamp[STAMP_SIZE];
+    /* Number in the write stamp that the first copy of this write sets; later
+     * copies set higher ones.  0: the write was not sent yet.  The write
+     * stamp, the key that every write of the owner replaces, is read back
+     * after a lost reply to see whether a copy took effect. */
+    uint64_t first_stamp_number;
     OwnerWriteDone done;
     void *context;
 } Write;
@@ -107,15 +108,31 @@
     return NULL;
 }
 
+/* Writes what the stamps of all writes of this ownership begin with.  The
+ * fence tells them from those of an earlier ownership of the same process. */
+static int
+print_stamp_prefix(const OwnerWriter *writer, char *out, size_t size)
+{
+    return snprintf(out, size, "%s %" PRIu64 " ", writer->node->incarnation,
+                    writer->fence);
+}
+
+/* Whether a copy of the write has set the write stamp, and so took effect. */
 static bool
-is_stamped(const AqStoreItem *write_stamp, const Write *write)
+is_stamped(const OwnerWriter *writer, const AqStoreItem *write_stamp,
+           const Write *write)
 {
-    if (write_stamp == NULL || write_stamp->value == NULL) {
+    char text[STAMP_SIZE];
+    char prefix[STAMP_SIZE];
+    if (write_stamp == NULL || write_stamp->value == NULL ||
+        write->first_stamp_number == 0) {
         return false;
     }
-    size_t size = strlen(write->stamp);
-    return write_stamp->size == size &&
-           memcmp(write_stamp->value, write->stamp, size) == 0;
+    key_text(write_stamp, text, sizeof(text));
+    print_stamp_prefix(writer, prefix, sizeof(prefix));
+    return g_str_has_prefix(text, prefix) &&
+           strtoull(text + strlen(prefix), NULL, 10) >=
+               write->first_stamp_number;
 }
 
 static void
@@ -127,9 +144,9 @@
     const AqStoreItem *owner =
         find_item(reply, key_of(KEY_OWNER, writer->pool));
     uint64_t write_stamp_index = write_stamp != NULL ? write_stamp->index : 0;
-    if (is_stamped(write_stamp, write)) {
-        /* The HTTP client sent the write twice; the first copy took effect,
-         * and the second conflicted with it. */
+    if (is_stamped(writer, write_stamp, write)) {
+        /* An earlier copy of the write, which had no reply, took effect after
+         * the write stamp was read, and this copy conflicts with it. */
         writer->write_stamp_index = write_stamp_index;
         finish_first(writer, AQ_STORE_OK);
     }
@@ -191,7 +208,7 @@
     }
     writer->write_stamp_index = is_present ? reply->items[0].index : 0;
     writer->is_write_stamp_known = true;
-    if (is_present && is_stamped(&reply->items[0], write)) {
+    if (is_present && is_stamped(writer, &reply->items[0], write)) {
         finish_first(writer, AQ_STORE_OK);
         return;
     }
@@ -228,17 +245,18 @@
     const char *write_stamp = key_of(KEY_WRITE_STAMP, writer->pool);
     size_t expect_count = 0;
     size_t put_count = 0;
-    /* The fence tells the stamp from those of an earlier ownership of the same
-     * process. */
-    snprintf(write->stamp, sizeof(write->stamp), "%s %" PRIu64 " %" PRIu64,
-             writer->node->incarnation, writer->fence,
+    char stamp[STAMP_SIZE];
+    int length = print_stamp_prefix(writer, stamp, sizeof(stamp));
+    snprintf(stamp + length, sizeof(stamp) - (size_t)length, "%" PRIu64,
              ++writer->last_stamp_number);
+    if (write->first_stamp_number == 0) {
+        write->first_stamp_number = writer->last_stamp_number;
+    }
     expects[expect_count++] =
         (AqStoreExpect){key_of(KEY_OWNER, writer->pool), writer->fence};
     expects[expect_count++] =
         (AqStoreExpect){write_stamp, writer->write_stamp_index};
-    puts[put_count++] =
-        (AqStorePut){write_stamp, write->stamp, strlen(write->stamp), 0};
+    puts[put_count++] = (AqStorePut){write_stamp, stamp, strlen(stamp), 0};
     for (size_t i = 0; i < write->expect_count; i++) {
         expects[expect_count++] = write->expects[i];
     }
--- a/packages/pool/owner_writer.h
+++ b/packages/pool/owner_writer.h
@@ -18,9 +18,9 @@
 
 /* Result of a write: AQ_STORE_OK; AQ_STORE_CONFLICT: the conditions given to
  * owner_writer_commit() did not hold; AQ_STORE_ABSENT: the ownership has
- * ended; AQ_STORE_UNAVAILABLE: nothing was written.  Called once for each
- * write, from the loop or from owner_writer_drop(), also after the writer was
- * dropped. */
+ * ended; AQ_STORE_UNAVAILABLE: nothing was written, or the writer was dropped
+ * before the outcome was known.  Called once for each write, from the loop or
+ * from owner_writer_drop(), also after the writer was dropped. */
 typedef void (*OwnerWriteDone)(void *context, AqStoreStatus status);
 
 OwnerWriter *owner_writer_create(NodeContext *node, const char *pool,
--- a/packages/pool/tests/test_owner_writer.c
+++ b/packages/pool/tests/test_owner_writer.c
@@ -79,6 +79,47 @@
     CU_ASSERT_EQUAL(fixture->end_count, 0);
 }
 
+/* Guards against a write that is reported as refused by its own condition,
+ * which its first copy has changed: that copy is carried out after the write
+ * stamp was read. */
+static void
+test_late_first_copy_counts(void)
+{
+    /* Whether the second copy gets a reply, or its outcome is unknown too. */
+    for (int is_answered = 0; is_answered < 2; is_answered++) {
+        Fixture fixture;
+        set_up(&fixture);
+        write_twice(&fixture);
+        fake_store_execute_lost(fixture.fake);
+        if (is_answered) {
+            fake_store_reply_all(fixture.fake);
+        }
+        else {
+            fake_store_lose_call(fixture.fake);
+            reply_to_stamp_read(&fixture);
+            fake_store_reply_all(fixture.fake);
+        }
+        CU_ASSERT_EQUAL(fixture.end_count, 1);
+        CU_ASSERT_EQUAL(fixture.last, AQ_STORE_OK);
+        tear_down(&fixture);
+    }
+}
+
+/* Guards against a write that is reported as done although another write has
+ * changed its condition. */
+static void
+test_other_write_is_conflict(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    write_twice(&fixture);
+    fake_store_put(fixture.fake, "record", "other");
+    fake_store_reply_all(fixture.fake);
+    CU_ASSERT_EQUAL(fixture.end_count, 1);
+    CU_ASSERT_EQUAL(fixture.last, AQ_STORE_CONFLICT);
+    tear_down(&fixture);
+}
+
 /* Guards against the write stamp of an earlier ownership of the same process
  * that passes for that of a write without a reply. */
 static void
@@ -113,6 +154,8 @@
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("owner_writer", NULL, NULL);
+    CU_ADD_TEST(suite, test_late_first_copy_counts);
+    CU_ADD_TEST(suite, test_other_write_is_conflict);
     CU_ADD_TEST(suite, test_stamp_of_earlier_ownership);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
