Forwarder: a peer's 400 or 404 covers only the copy that the peer got

A caller could read a job as not accepted that is stored: its node's write, or an earlier peer, has no reply, the request is handed on, and a peer that has another configuration responds with 404.

Cause: forwarder_status kept 429 and 503 back after a write without a reply, and passed 400 and 404 on.

Why it works: a refusal is passed on only if it covers all copies.

Result: the rows 400 and 404 of test_status_after_forwarding after a write without a reply fail before and pass now; forwarder and job_api pass.

--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -62,7 +62,9 @@
 int
 forwarder_status(int status, bool was_sent, bool is_read, bool may_have_effect)
 {
-    bool is_refusal = status == 429 || status == 503;
+    /* A refusal covers only the copy that this peer got. */
+    bool is_refusal =
+        status == 400 || status == 404 || status == 429 || status == 503;
     if (status != 0 && !(is_refusal && may_have_effect)) {
         return status;
     }
--- a/packages/pool/forwarder.h
+++ b/packages/pool/forwarder.h
@@ -50,9 +50,9 @@
  * responded with "status", or didn't respond (0), in which case "was_sent"
  * says whether the peer may have received the request.  "is_read": the request
  * has no effect.  "may_have_effect": this node has sent a write for the
- * request to the store and got no reply.  A 429 or 503 tells the caller that
- * nothing was done, so it is returned only if no write for the request can
- * have taken effect; otherwise the status is 504. */
+ * request to the store and got no reply.  A 400, 404, 429 or 503 tells the
+ * caller that the job was not accepted, so it is returned only if no write for
+ * the request can have taken effect; otherwise the status is 504. */
 int forwarder_status(int status, bool was_sent, bool is_read,
                      bool may_have_effect);
 
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -390,7 +390,7 @@
     tear_down(&fixture);
 }
 
-/* Guards against a peer's refusal (503 or 429: nothing was done) passed on to
+/* Guards against a peer's refusal (400, 404, 429 or 503) passed on to
  * the caller although this node's own write may have had an effect, and
  * against a status 504 (outcome unknown) where nothing can have been done. */
 static void
@@ -406,6 +406,8 @@
         {200, true, false, true, 200}, {503, true, false, false, 503},
         {503, true, false, true, 504}, {429, true, false, true, 504},
         {410, true, false, true, 410}, {0, false, false, false, 503},
+        {404, true, false, true, 504}, {404, true, false, false, 404},
+        {400, true, false, true, 504}, {400, true, false, false, 400},
         {0, true, false, false, 504},  {0, true, true, false, 503},
         {0, false, false, true, 504},
     };
