--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -395,6 +395,12 @@
     fail_call(fake, AQ_STORE_UNAVAILABLE, false);
 }
 
+void
+fake_store_end_call(FakeStore *fake, AqStoreStatus status)
+{
+    fail_call(fake, status, true);
+}
+
 void
 fake_store_execute_lost(FakeStore *fake)
 {
@@ -440,6 +446,21 @@
     fake->lease = 0;
 }
 
+bool
+fake_store_is_next_write(const FakeStore *fake, const char *key)
+{
+    const Call *call = g_queue_peek_head(fake->calls);
+    return call != NULL && is_put_of(call, key);
+}
+
+bool
+fake_store_has_last_lease(const FakeStore *fake, const char *key)
+{
+    const Record *record = find(fake, key);
+    return record != NULL && !record->removed && record->lease != 0 &&
+           record->lease == fake->lease;
+}
+
 const char *
 fake_store_bytes(const FakeStore *fake, const char *key, size_t *size)
 {
