Forwarder: a peer with an older configuration does not answer

Cause: a node with configuration 5, turned away by the store, handed a GET to a peer that still had configuration 2, and passed its 404 on.

Evidence: log of front-attiki-a-3: config_applied version=5 at 4.776 s, status 200 with config=5 at 5.142, forwarded tries=2 status=404 at 6.375; log of the peer front-attiki-b-1: refused reason=no_queue config=2 at 6.374.

Change: a forwarded request carries the version of the sender's configuration; a peer with an older one refuses it (503, reason=older_config), and the next peer is asked. A sender of an earlier build sends no version and is served as before.

Result: older_peer_does_not_answer fails in both rows of a newer sender before (404, 200) and passes after.

--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -25,6 +25,9 @@
 /* HTTP header that marks a forwarded request, so that the receiving node does
  * not forward it again. */
 static const char forwarded_header[] = "Aq-Forwarded";
+/* HTTP header of a forwarded request: the version of the configuration of the
+ * node that forwards it. */
+static const char version_header[] = "Aq-Config-Version";
 
 struct Forwarder {
     NodeContext *node;
@@ -172,7 +175,9 @@
         g_strdup_printf("http://%s%s", peer, AqExchange_Path(exchange));
     char *host_line = g_strdup_printf("Host: %s", host);
     char *forwarded_line = g_strdup_printf("%s: 1", forwarded_header);
-    const char *headers[] = {host_line, forwarded_line,
+    char *version_line = g_strdup_printf(
+        "%s: %lld", version_header, (long long)forwarder->node->site.version);
+    const char *headers[] = {host_line, forwarded_line, version_line,
                              "Content-Type: application/json", NULL};
     const char *body = AqExchange_Body(exchange, &size);
     AqHttpRequest request = {
@@ -192,9 +197,18 @@
     g_free(url);
     g_free(host_line);
     g_free(forwarded_line);
+    g_free(version_line);
     return true;
 }
 
+bool
+forwarder_is_sender_newer(const AqExchange *exchange, int64_t version)
+{
+    const char *text = AqExchange_Header(exchange, version_header);
+    return AqExchange_Header(exchange, forwarded_header) != NULL &&
+           text != NULL && strtoll(text, NULL, 10) > version;
+}
+
 bool
 forwarder_send(Forwarder *forwarder, const ForwardOrder *order)
 {
--- a/packages/pool/forwarder.h
+++ b/packages/pool/forwarder.h
@@ -46,6 +46,11 @@
  * deadline. */
 bool forwarder_send(Forwarder *forwarder, const ForwardOrder *order);
 
+/* Returns whether another node has forwarded the request to this one and that
+ * node's configuration is newer than "version".  This node must not answer
+ * such a request: the caller may have seen the newer configuration already. */
+bool forwarder_is_sender_newer(const AqExchange *exchange, int64_t version);
+
 /* Returns the HTTP status for the caller of a forwarded request when the peer
  * responded with "status", or didn't respond (0), in which case "was_sent"
  * says whether the peer may have received the request.  "is_read": the request
--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -641,6 +641,15 @@
             "the node has no current configuration; come back later");
         return;
     }
+    if (forwarder_is_sender_newer(exchange, job_api->node->site.version)) {
+        AqLog_Event(AQ_LOG_WARNING, "refused",
+                    "path=%s reason=older_config config=%lld",
+                    AqLog_Quote(path), (long long)job_api->node->site.version);
+        respond_error(job_api, exchange, 503,
+                      "the node's configuration is older than that of the "
+                      "node that forwards the request");
+        return;
+    }
     const AqQueueConfig *queue = AqSiteConfig_Match(
         &job_api->node->site, host != NULL ? host : "", path);
     const char *id = queue != NULL ? path + strlen(queue->prefix) : "";
--- a/packages/pool/tests/test_forwarder.c
+++ b/packages/pool/tests/test_forwarder.c
@@ -12,6 +12,7 @@
 enum {
     PEERS = 3,
     DEADLINE_MS = 5000,
+    SENDER_VERSION = 5, /* of the forwarding node's configuration */
     ROUND_MS = 50,
     MAX_ROUNDS = 400
 };
@@ -62,6 +63,8 @@
         [PEER_GATEWAY_TIMEOUT] = 504,
     };
     peer->requests++;
+    CU_ASSERT_TRUE(forwarder_is_sender_newer(exchange, SENDER_VERSION - 1));
+    CU_ASSERT_FALSE(forwarder_is_sender_newer(exchange, SENDER_VERSION));
     AqExchange_Respond(exchange, statuses[peer->kind], NULL, 0, "{}", 2);
 }
 
@@ -139,6 +142,7 @@
     static const ForwarderOps ops = {pick_peer};
     AqError error;
     memset(fixture, 0, sizeof(*fixture));
+    fixture->node.site.version = SENDER_VERSION;
     fixture->node.loop = AqLoop_Create(&error);
     fixture->node.http = AqHttpClient_Create(fixture->node.loop, &error);
     fixture->caller = AqHttpClient_Create(fixture->node.loop, &error);
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -43,6 +43,8 @@
     unsigned response_count;
     /* HTTP status of the last response that the caller received; 0: none. */
     int status;
+    /* Further headers "Name: value" of the requests, or NULL. */
+    const char *headers[2];
 } Fixture;
 
 static bool
@@ -128,7 +130,8 @@
 send_to(Fixture *fixture, const char *method, const char *path)
 {
     char deadline[64];
-    const char *headers[] = {deadline, NULL};
+    const char *headers[] = {deadline, fixture->headers[0],
+                             fixture->headers[1], NULL};
     char url[64];
     bool has_body = strcmp(method, "POST") == 0;
     snprintf(deadline, sizeof(deadline), "%s: %lld", AqPlatform_DeadlineHeader,
@@ -473,6 +476,37 @@
     }
 }
 
+/* Guards against a route that is gone again for a caller: a node hands the
+ * request to a peer that has an older configuration, and passes its 404 on. */
+static void
+test_older_peer_does_not_answer(void)
+{
+    static const struct {
+        const char *headers[2];
+        const char *path;
+        int status;
+    } cases[] = {
+        {{"Aq-Forwarded: 1", "Aq-Config-Version: 2"}, "/new/ab12", 503},
+        {{"Aq-Forwarded: 1", "Aq-Config-Version: 2"}, "/q/ab12", 503},
+        {{"Aq-Forwarded: 1", "Aq-Config-Version: 1"}, "/new/ab12", 404},
+        {{"Aq-Forwarded: 1", NULL}, "/new/ab12", 404},
+        {{"Aq-Config-Version: 2", NULL}, "/new/ab12", 404},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Fixture fixture;
+        set_up(&fixture);
+        memcpy(fixture.headers, cases[i].headers, sizeof(fixture.headers));
+        send_to(&fixture, "GET", cases[i].path);
+        run(&fixture);
+        CU_ASSERT_EQUAL(fixture.status, cases[i].status);
+        while (fixture.response_count == 0) {
+            fake_store_reply_all(fixture.fake);
+            run(&fixture);
+        }
+        tear_down(&fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -491,6 +525,7 @@
         {"waiting_count_needs_owner", test_waiting_count_needs_owner},
         {"status_after_forwarding", test_status_after_forwarding},
         {"no_refusal_beside_open_write", test_no_refusal_beside_open_write},
+        {"older_peer_does_not_answer", test_older_peer_does_not_answer},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
