Scheduler: lasting tasks start on cordoned VMs when no other has room

From 14.6 s on, 11 usable VMs were full and 5 cordoned VMs had room, two of them for 4 and 5 tasks, because their remaining tasks fitted nowhere else.

Change: a perpetual task that fits on no usable VM starts on a cordoned VM that has had tasks ever since it was cordoned. A VM that was empty once is left alone, since its move or maintenance may have been ordered.

Result: test_perpetual, waiting_task_uses_cordoned_vm, failed before (6 of 7 tasks ran while the eighth VM was silent).

--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -126,7 +126,8 @@
  * incarnation of the VM.  Tasks may start on the VM again if this incarnation
  * replies later. */
 void AqScheduler_VmEnded(AqScheduler *scheduler, const char *id, AqTime now);
-/* Sets whether the VM is cordoned.  A cordoned VM gets no new tasks; the
+/* Sets whether the VM is cordoned.  A cordoned VM gets no new tasks, except,
+ * until it first has no tasks, perpetual ones that fit on no other VM.  The
  * scheduler moves its perpetual tasks to other VMs unless more tasks of a step
  * would be missing than the step's limit allows. */
 void AqScheduler_SetCordon(AqScheduler *scheduler, const char *id,
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -8,7 +8,9 @@
  * room, preferably in the rack of its data.  Among these the fullest VM is
  * chosen, so that other VMs become empty and can be released.  The perpetual
  * tasks of a step are spread over racks, so that the loss of one rack affects
- * few of them. */
+ * few of them.  A perpetual task that fits on no such VM goes to a cordoned VM
+ * that still has tasks, and moves on later: the wait for room elsewhere may
+ * have no end, since cordoned VMs keep the tasks that fit nowhere else. */
 
 enum {
     /* addend of placement_cost() for each task of the same perpetual step in
@@ -94,13 +96,15 @@
     return queue != NULL && queue->needs_tickets;
 }
 
+/* Whether the VM, if it may get tasks, may run the task and has room for
+ * it. */
 static bool
 can_run_on(const AqScheduler *s, const Vm *vm, const Task *task, bool tickets)
 {
     const Step *step = task->step;
     const AqStepSpec *spec = step->spec;
-    return vms_is_usable(s, vm) && vm->blocked_until <= s->now &&
-           fits_on(vm, spec) && has_label(vm, spec->required_label) &&
+    return vm->blocked_until <= s->now && fits_on(vm, spec) &&
+           has_label(vm, spec->required_label) &&
            (spec->max_per_vm == 0 ||
             (vm->foreign_cpu == 0 &&
              count_step_tasks(vm, step) < spec->max_per_vm)) &&
@@ -129,8 +133,10 @@
     return cost;
 }
 
+/* Chooses among the VMs for which "may_use" is true; NULL: none has room. */
 static Vm *
-choose_vm(const AqScheduler *s, const Task *task, const char *rack)
+choose_vm(const AqScheduler *s, const Task *task, const char *rack,
+          bool (*may_use)(const AqScheduler *s, const Vm *vm))
 {
     Vm *best = NULL;
     int64_t best_cost = INT64_MAX;
@@ -141,7 +147,7 @@
         if (rack != NULL && strcmp(vm->report.rack, rack) != 0) {
             continue;
         }
-        if (can_run_on(s, vm, task, tickets)) {
+        if (may_use(s, vm) && can_run_on(s, vm, task, tickets)) {
             int64_t cost = placement_cost(s, vm, task);
             if (cost < best_cost) {
                 best = vm;
@@ -252,7 +258,7 @@
 place_tasks(AqScheduler *s, Step *step)
 {
     bool has_placed = false;
-    if (!step->spec->is_filler &&
+    if (!step->spec->is_filler && !step->spec->is_perpetual &&
         step->spec->cpu_millis > s->largest_free_cpu_millis) {
         /* no usable VM has enough free CPU for a task of the step; checked
          * before the single VMs to save time, since many jobs wait in a full
@@ -267,7 +273,10 @@
         if (!start_window_is_open(&s->start_window)) {
             break;
         }
-        Vm *vm = choose_vm(s, task, NULL);
+        Vm *vm = choose_vm(s, task, NULL, vms_is_usable);
+        if (vm == NULL && step->spec->is_perpetual) {
+            vm = choose_vm(s, task, NULL, vms_is_being_emptied);
+        }
         if (vm == NULL) {
             /* no VM has room for the step's other tasks either, since each of
              * them needs the same resources */
@@ -297,7 +306,7 @@
     int64_t *earlier = calloc(count + 1, sizeof(*earlier));
     for (; placed < count; placed++) {
         Task *task = &step->tasks[placed];
-        Vm *vm = choose_vm(s, task, rack);
+        Vm *vm = choose_vm(s, task, rack, vms_is_usable);
         if (vm == NULL) {
             break;
         }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -229,6 +229,9 @@
      * list; not used while is_listed is true */
     AqTime unlisted_at;
     bool is_cordoned;
+    /* The VM has been without tasks at some time since it was cordoned: the
+     * order to move it or take it down may have been sent. */
+    bool is_vacated;
     /* first version of the list of used VMs (VMs to which this pool owner may
      * have sent orders) in which this VM is included */
     uint64_t used_since_version;
@@ -422,6 +425,10 @@
 /* Whether tasks may be started on the VM, provided that its free resources
  * suffice for them. */
 bool vms_is_usable(const AqScheduler *s, const Vm *vm);
+/* Whether the VM would be usable but for its cordon and has had tasks ever
+ * since it was cordoned, so that nobody has ordered its move or
+ * maintenance. */
+bool vms_is_being_emptied(const AqScheduler *s, const Vm *vm);
 /* Records that the VM replied, and the VM's clock from the reply. */
 void vms_on_reply(AqScheduler *s, Vm *vm, const AqOrderReply *reply);
 /* Records that an order to the VM ended without a reply. */
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -117,20 +117,34 @@
     task->vm = NULL;
     if (--vm->task_count == 0) {
         vm->idle_since = s->now;
+        vm->is_vacated = vm->is_cordoned;
     }
 }
 
-bool
-vms_is_usable(const AqScheduler *s, const Vm *vm)
+/* Whether the VM may run tasks, cordoned or not. */
+static bool
+is_in_service(const AqScheduler *s, const Vm *vm)
 {
     bool is_present =
         vm->is_listed || s->now - vm->unlisted_at < UNLISTED_GRACE_MS;
     return is_present && !vm->has_ended && vm->has_replied &&
-           vm->is_use_recorded && !vm->is_cordoned &&
-           !vm->report.is_draining && vm->silent_since == AQ_TIME_NEVER &&
+           vm->is_use_recorded && !vm->report.is_draining &&
+           vm->silent_since == AQ_TIME_NEVER &&
            vm->quarantined_until <= s->now;
 }
 
+bool
+vms_is_usable(const AqScheduler *s, const Vm *vm)
+{
+    return !vm->is_cordoned && is_in_service(s, vm);
+}
+
+bool
+vms_is_being_emptied(const AqScheduler *s, const Vm *vm)
+{
+    return vm->is_cordoned && !vm->is_vacated && is_in_service(s, vm);
+}
+
 /* ---- Replies and leases ------------------------------------------------- */
 
 void
@@ -421,6 +435,7 @@
     Vm *vm = vms_find(s, id);
     if (vm != NULL && vm->is_cordoned != is_cordoned) {
         vm->is_cordoned = is_cordoned;
+        vm->is_vacated = is_cordoned && vm->task_count == 0;
         s->placement_due = true;
     }
 }
