Scheduler: reserve the room of a lasting task that moves

During a stop, which takes up to 0.9 s, waiting jobs could take the room as well. Labels, GPUs, max_per_vm and foreign usage were passed over, so that a task could be stopped that fitted on no other VM at all.

Change: the VM is chosen as for a start, and holds the room until the task's next run is placed, its job ends or the VM is gone. A VM with such a reservation is not idle. The log event lasting_task_moved names the VM.

--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -135,9 +135,9 @@
 /* Orders the stop of the tasks on the VM, except perpetual ones, so that these
  * tasks start on other VMs from their last checkpoint. */
 void AqScheduler_StopTasks(AqScheduler *scheduler, const char *id, AqTime now);
-/* Whether no run is starting, running or stopping on the VM and all ends of
- * the VM's runs are stored, so that the VM may be moved, rebooted or switched
- * off. */
+/* Whether no run is starting, running or stopping on the VM, no task is about
+ * to move there and all ends of the VM's runs are stored, so that the VM may
+ * be moved, rebooted or switched off. */
 bool AqScheduler_IsIdle(const AqScheduler *scheduler, const char *id);
 
 typedef struct {
--- a/packages/scheduler/perpetual.c
+++ b/packages/scheduler/perpetual.c
@@ -84,25 +84,10 @@
                : count_absent(s, task->step, task) < spec->may_miss;
 }
 
-/* Whether a usable VM other than "vm" has room for a task of the step. */
-static bool
-fits_on_other_vm(const AqScheduler *s, const Vm *vm, const AqStepSpec *spec)
-{
-    AqList_ForEach(at, &s->vms)
-    {
-        const Vm *other = AqList_Entry(at, Vm, link);
-        if (other != vm && vms_is_usable(s, other) &&
-            other->used_memory + spec->memory_mb <= other->report.memory_mb &&
-            (spec->is_filler ||
-             other->used_cpu + spec->cpu_millis <= other->report.cpu_millis)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Orders the stop of each perpetual task on the VM that may be stopped now
- * (see may_move_away()) and fits on another VM. */
+ * (see may_move_away()) and fits on another VM, where the room for its next
+ * run is reserved: the stop takes most of a second, in which the room would
+ * go to other tasks. */
 static void
 move_perpetual(AqScheduler *s, const Vm *vm)
 {
@@ -110,14 +95,18 @@
     {
         Task *task = AqList_Entry(at, Task, link);
         if (!task->step->spec->is_perpetual || task->state != TASK_RUNNING ||
-            !may_move_away(s, vm, task) ||
-            !fits_on_other_vm(s, vm, task->step->spec)) {
+            !may_move_away(s, vm, task)) {
+            continue;
+        }
+        Vm *target = placement_find_move_target(s, task);
+        if (target == NULL) {
             continue;
         }
+        vms_reserve(target, task);
         AqLog_Event(AQ_LOG_INFO, "lasting_task_moved",
-                    "request=%s step=%u task=%u vm=%s reason=%s",
+                    "request=%s step=%u task=%u vm=%s target=%s reason=%s",
                     task->step->occurrence->job->spec.id, task->step->number,
-                    task->index, vm->report.id,
+                    task->index, vm->report.id, target->report.id,
                     vm->report.is_draining ? "draining" : "cordoned");
         if (task->absent_since == AQ_TIME_NEVER) {
             task->absent_since = s->now;
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -38,12 +38,16 @@
 fits_on(const Vm *vm, const AqStepSpec *spec)
 {
     int64_t cpu = spec->is_filler ? 0 : spec->cpu_millis;
-    return vm->used_cpu + vm->foreign_cpu + cpu <= vm->report.cpu_millis &&
-           vm->used_memory + vm->foreign_memory + spec->memory_mb <=
+    return vm->used_cpu + vm->reserved_cpu + vm->foreign_cpu + cpu <=
+               vm->report.cpu_millis &&
+           vm->used_memory + vm->reserved_memory + vm->foreign_memory +
+                   spec->memory_mb <=
                vm->report.memory_mb &&
-           vm->used_gpus + spec->gpus <= vm->report.gpus;
+           vm->used_gpus + vm->reserved_gpus + spec->gpus <= vm->report.gpus;
 }
 
+/* Number of the step's tasks that are on the VM or have a reservation there.
+ */
 static uint32_t
 count_step_tasks(const Vm *vm, const Step *step)
 {
@@ -52,6 +56,10 @@
     {
         count += AqList_Entry(at, Task, link)->step == step;
     }
+    AqList_ForEach(at, &vm->reservations)
+    {
+        count += AqList_Entry(at, Task, reservation_link)->step == step;
+    }
     return count;
 }
 
@@ -133,14 +141,14 @@
     return cost;
 }
 
-/* Chooses among the VMs for which "may_use" is true; NULL: none has room. */
+/* Chooses among the VMs for which "may_use" is true; NULL: none has room. With
+ * "tickets" the VM needs a ticket for the task's step. */
 static Vm *
 choose_vm(const AqScheduler *s, const Task *task, const char *rack,
-          bool (*may_use)(const AqScheduler *s, const Vm *vm))
+          bool tickets, bool (*may_use)(const AqScheduler *s, const Vm *vm))
 {
     Vm *best = NULL;
     int64_t best_cost = INT64_MAX;
-    bool tickets = needs_ticket(s, task->step);
     AqList_ForEach(at, &s->vms)
     {
         Vm *vm = AqList_Entry(at, Vm, link);
@@ -158,6 +166,13 @@
     return best;
 }
 
+Vm *
+placement_find_move_target(const AqScheduler *s, const Task *task)
+{
+    /* Tickets are requested once the task is ready. */
+    return choose_vm(s, task, NULL, false, vms_is_usable);
+}
+
 void
 placement_send_start(AqScheduler *s, Task *task)
 {
@@ -254,10 +269,27 @@
     }
 }
 
+/* Chooses the VM for a run of the task, which no longer needs the room that
+ * was reserved for it.  NULL: no VM has room. */
+static Vm *
+choose_vm_for_run(const AqScheduler *s, Task *task)
+{
+    bool tickets = needs_ticket(s, task->step);
+    vms_end_reservation(task);
+    Vm *vm = choose_vm(s, task, NULL, tickets, vms_is_usable);
+    if (vm == NULL && task->step->spec->is_perpetual) {
+        vm = choose_vm(s, task, NULL, tickets, vms_is_being_emptied);
+    }
+    return vm;
+}
+
 static void
 place_tasks(AqScheduler *s, Step *step)
 {
     bool has_placed = false;
+    /* No VM has room for a task of the step.  Each of them needs the same, so
+     * only those with a reservation are tried after that. */
+    bool is_full = false;
     if (!step->spec->is_filler && !step->spec->is_perpetual &&
         step->spec->cpu_millis > s->largest_free_cpu_millis) {
         /* no usable VM has enough free CPU for a task of the step; checked
@@ -267,20 +299,16 @@
     }
     for (uint32_t i = 0; i < step->spec->task_count && step->ready > 0; i++) {
         Task *task = &step->tasks[i];
-        if (!is_startable(s, task)) {
+        if (!is_startable(s, task) || (is_full && task->reserved_vm == NULL)) {
             continue;
         }
         if (!start_window_is_open(&s->start_window)) {
             break;
         }
-        Vm *vm = choose_vm(s, task, NULL, vms_is_usable);
-        if (vm == NULL && step->spec->is_perpetual) {
-            vm = choose_vm(s, task, NULL, vms_is_being_emptied);
-        }
+        Vm *vm = choose_vm_for_run(s, task);
         if (vm == NULL) {
-            /* no VM has room for the step's other tasks either, since each of
-             * them needs the same resources */
-            break;
+            is_full = true;
+            continue;
         }
         assign_task(s, vm, task, next_run(s, task->run));
         placement_send_start(s, task);
@@ -306,7 +334,9 @@
     int64_t *earlier = calloc(count + 1, sizeof(*earlier));
     for (; placed < count; placed++) {
         Task *task = &step->tasks[placed];
-        Vm *vm = choose_vm(s, task, rack, vms_is_usable);
+        vms_end_reservation(task);
+        Vm *vm =
+            choose_vm(s, task, rack, needs_ticket(s, step), vms_is_usable);
         if (vm == NULL) {
             break;
         }
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -83,6 +83,7 @@
     task->pace = 100;
     task->absent_since = s->now;
     AqList_Init(&task->link);
+    AqList_Init(&task->reservation_link);
 }
 
 Occurrence *
@@ -113,6 +114,7 @@
 {
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         vms_detach(s, &step->tasks[i]);
+        vms_end_reservation(&step->tasks[i]);
         free(step->tasks[i].checkpoint);
         free(step->tasks[i].failed_runs);
     }
@@ -234,6 +236,7 @@
             Step *step = &occurrence->steps[i];
             for (uint32_t j = 0; j < step->spec->task_count; j++) {
                 Task *task = &step->tasks[j];
+                vms_end_reservation(task);
                 if (task->vm != NULL) {
                     replies_order_stop(s, task);
                 }
@@ -395,6 +398,7 @@
     /* the task may be on a VM while another task of its gang (step whose tasks
      * run together) has ended */
     vms_detach(s, task);
+    vms_end_reservation(task);
     task->state = TASK_DONE;
     step->done++;
 }
--- a/packages/scheduler/scheduler_check.c
+++ b/packages/scheduler/scheduler_check.c
@@ -44,6 +44,7 @@
 check_vm(const Vm *vm, AqError *error)
 {
     int64_t cpu = 0;
+    int64_t reserved = 0;
     size_t count = 0;
     AqList_ForEach(at, &vm->tasks)
     {
@@ -51,6 +52,25 @@
         cpu += task->step->spec->is_filler ? 0 : task->step->spec->cpu_millis;
         count++;
     }
+    AqList_ForEach(at, &vm->reservations)
+    {
+        const Task *task = AqList_Entry(at, Task, reservation_link);
+        reserved +=
+            task->step->spec->is_filler ? 0 : task->step->spec->cpu_millis;
+        if (task->reserved_vm != vm ||
+            (task->state != TASK_STOPPING && task->state != TASK_READY)) {
+            return AqError_Set(error, AQ_ERR_INVALID,
+                               "VM %s holds room for task %u, which is in "
+                               "state %d",
+                               vm->report.id, task->index, task->state);
+        }
+    }
+    if (reserved != vm->reserved_cpu) {
+        return AqError_Set(error, AQ_ERR_INVALID,
+                           "VM %s holds %lld thousandths of a core, not %lld",
+                           vm->report.id, (long long)vm->reserved_cpu,
+                           (long long)reserved);
+    }
     if (cpu != vm->used_cpu || count != vm->task_count) {
         return AqError_Set(error, AQ_ERR_INVALID,
                            "VM %s counts %zu tasks, not %zu", vm->report.id,
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -60,6 +60,11 @@
      * borrowed */
     Vm *vm;
     AqLink link; /* links the task into vm->tasks */
+    /* VM that holds room for the next run of the task, whose present run is
+     * being stopped to move there; NULL: none; borrowed */
+    Vm *reserved_vm;
+    /* links the task into reserved_vm->reservations */
+    AqLink reservation_link;
     /* a start or stop order for the task has had no reply yet */
     bool is_order_pending;
     /* when the last start order for the run was sent */
@@ -223,6 +228,8 @@
     /* list of Task: the tasks whose current run may be alive on this VM */
     AqLink tasks;
     size_t task_count;
+    /* list of Task: the tasks for whose next run the VM holds room */
+    AqLink reservations;
     bool is_listed; /* the store has an entry of this VM */
     /* when the VM's entry in the store last disappeared, or, for a VM known
      * only from the stored list of used VMs, when this scheduler read that
@@ -278,6 +285,10 @@
     int64_t perpetual_cpu;
     int64_t used_memory;
     int64_t used_gpus;
+    /* resources of the tasks in "reservations" */
+    int64_t reserved_cpu;
+    int64_t reserved_memory;
+    int64_t reserved_gpus;
     /* CPU, in thousandths of a core, of those runs on the VM that are not the
      * current run of any task of this scheduler (foreign usage) */
     int64_t foreign_cpu;
@@ -416,12 +427,17 @@
 /* Returns the VM with this id; NULL when the scheduler has no such VM. */
 Vm *vms_find(const AqScheduler *s, const char *id);
 Vm *vms_add(AqScheduler *s, const AqVmReport *report);
-/* Assigns the task to the VM and adds the task's resources to the VM's
- * usage. */
+/* Assigns the task to the VM, adds the task's resources to the VM's usage and
+ * ends the task's reservation. */
 void vms_attach(AqScheduler *s, Vm *vm, Task *task);
 /* Takes the task off its VM and subtracts the task's resources from the VM's
  * usage; no effect on a task without a VM. */
 void vms_detach(AqScheduler *s, Task *task);
+/* Holds room on the VM for the next run of the task, until that run is placed
+ * or the reservation is ended. */
+void vms_reserve(Vm *vm, Task *task);
+/* Ends the task's reservation; no effect on a task without one. */
+void vms_end_reservation(Task *task);
 /* Whether tasks may be started on the VM, provided that its free resources
  * suffice for them. */
 bool vms_is_usable(const AqScheduler *s, const Vm *vm);
@@ -494,6 +510,9 @@
 /* ---- placement.c */
 /* Orders the start of ready tasks if a placement of tasks is due. */
 void placement_run(AqScheduler *s);
+/* Returns a usable VM with room for a task that is to move off its VM; NULL:
+ * there is none. */
+Vm *placement_find_move_target(const AqScheduler *s, const Task *task);
 /* Sends the start order of a task that is assigned to a VM. */
 void placement_send_start(AqScheduler *s, Task *task);
 
--- a/packages/scheduler/tests/test_perpetual.c
+++ b/packages/scheduler/tests/test_perpetual.c
@@ -61,6 +61,33 @@
     return vm;
 }
 
+static unsigned
+find_fullest_vm(const Sim *sim)
+{
+    unsigned fullest = 0;
+    for (unsigned vm = 1; vm < SIM_VMS; vm++) {
+        if (sim_count_runs(sim, vm, NULL) >
+            sim_count_runs(sim, fullest, NULL)) {
+            fullest = vm;
+        }
+    }
+    return fullest;
+}
+
+/* Runs the simulation for "ms"; returns the lowest number of the job's tasks
+ * that were running after any tick. */
+static unsigned
+min_running(Sim *sim, const char *id, AqTime ms)
+{
+    unsigned least = UINT_MAX;
+    for (AqTime i = 0; i < ms; i += 10) {
+        sim_run(sim, 10);
+        unsigned count = count_running(sim, id);
+        least = count < least ? count : least;
+    }
+    return least;
+}
+
 static void
 cordon(const Sim *sim, unsigned vm)
 {
@@ -108,6 +135,107 @@
     sim_destroy(sim);
 }
 
+/* Guards against perpetual tasks that are stopped on a cordoned VM to move,
+ * although no other VM can run them or only some of them fit. */
+static void
+test_moves_count_room_once(void)
+{
+    static const struct {
+        /* what keeps tasks from moving */
+        const char *name;
+        AqStepSpec step;
+        /* how many of the step's tasks fit on other VMs than the cordoned */
+        unsigned movable;
+    } cases[] = {
+        {"one hole", {.task_count = 23, .cpu_millis = 5000}, 1},
+        {"two holes", {.task_count = 22, .cpu_millis = 5000}, 2},
+        {"memory",
+         {.task_count = 16, .cpu_millis = 1000, .memory_mb = 30000},
+         0},
+        {"tasks a VM",
+         {.task_count = SIM_VMS, .cpu_millis = 1000, .max_per_vm = 1},
+         0},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Sim *sim = sim_create(i + 3);
+        AqJobSpec spec = {.step_count = 1};
+        unsigned tasks = cases[i].step.task_count;
+        g_strlcpy(spec.id, "b1", sizeof(spec.id));
+        spec.steps = calloc(1, sizeof(*spec.steps));
+        spec.steps[0] = cases[i].step;
+        spec.steps[0].is_perpetual = true;
+        sim_add_job(sim, &spec);
+        sim_run(sim, STARTUP_MS);
+        CU_ASSERT_EQUAL_FATAL(count_running(sim, "b1"), tasks);
+        cordon(sim, find_fullest_vm(sim));
+        unsigned least = min_running(sim, "b1", 5000);
+        if (least < tasks - cases[i].movable) {
+            fprintf(stderr, "%s: %u of %u tasks ran\n", cases[i].name, least,
+                    tasks);
+        }
+        CU_ASSERT_TRUE(least >= tasks - cases[i].movable);
+        CU_ASSERT_EQUAL(count_running(sim, "b1"), tasks);
+        CU_ASSERT_EQUAL(sim_count_starts(sim, "b1"), tasks + cases[i].movable);
+        expect_no_violation(sim);
+        sim_destroy(sim);
+    }
+}
+
+/* Guards against a perpetual task that is stopped to move and then waits,
+ * since other tasks have taken the room that it was to move to. */
+static void
+test_move_keeps_its_room(void)
+{
+    /* Times from the cordon until a job arrives that fills all VMs: before and
+     * after the stop order, and while the VM has not listed the end. */
+    static const AqTime pauses_ms[] = {0, 5, 10, 15, 20, 22, 24, 26, 28, 30};
+    for (size_t i = 0; i < sizeof(pauses_ms) / sizeof(pauses_ms[0]); i++) {
+        for (uint64_t seed = 1; seed <= 10; seed++) {
+            Sim *sim = sim_create(seed);
+            add_wide_tasks(sim, "b1", 1, 8000);
+            sim_run(sim, STARTUP_MS);
+            cordon(sim, find_fullest_vm(sim));
+            sim_run(sim, pauses_ms[i]);
+            sim_add_chain(sim, "a1", 1, 40, SIM_VM_CPU_MILLIS, 4000);
+            sim_run(sim, 1000);
+            CU_ASSERT_EQUAL(count_running(sim, "b1"), 1);
+            expect_no_violation(sim);
+            sim_destroy(sim);
+        }
+    }
+}
+
+static unsigned
+count_idle_vms(const Sim *sim)
+{
+    unsigned count = 0;
+    for (unsigned vm = 0; vm < SIM_VMS; vm++) {
+        count += AqScheduler_IsIdle(sim_scheduler(sim), sim_vm_id(sim, vm));
+    }
+    return count;
+}
+
+/* Guards against the move or maintenance of a VM to which a perpetual task is
+ * about to move. */
+static void
+test_move_target_is_not_idle(void)
+{
+    Sim *sim = sim_create(10);
+    add_wide_tasks(sim, "b1", 1, 8000);
+    sim_run(sim, STARTUP_MS);
+    unsigned from = find_fullest_vm(sim);
+    CU_ASSERT_EQUAL_FATAL(count_idle_vms(sim), SIM_VMS - 1);
+    cordon(sim, from);
+    unsigned idle = SIM_VMS;
+    while (sim_count_runs(sim, from, "b1") > 0 && sim_now(sim) < 10000) {
+        idle = count_idle_vms(sim);
+        sim_run(sim, 1);
+    }
+    CU_ASSERT_EQUAL(idle, SIM_VMS - 2);
+    expect_no_violation(sim);
+    sim_destroy(sim);
+}
+
 int
 main(void)
 {
@@ -117,6 +245,9 @@
     } tests[] = {
         {"waiting_task_uses_cordoned_vm", test_waiting_task_uses_cordoned_vm},
         {"vacated_vm_stays_empty", test_vacated_vm_stays_empty},
+        {"moves_count_room_once", test_moves_count_room_once},
+        {"move_keeps_its_room", test_move_keeps_its_room},
+        {"move_target_is_not_idle", test_move_target_is_not_idle},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -67,6 +67,7 @@
     vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
     vm->used_since_version = ++s->used_vms_version;
     AqList_Init(&vm->tasks);
+    AqList_Init(&vm->reservations);
     AqList_Append(&s->vms, &vm->link);
     g_hash_table_insert(s->vms_by_id, vm->report.id, vm);
     return vm;
@@ -94,10 +95,38 @@
     vm->used_gpus += sign * spec->gpus;
 }
 
+static void
+add_reserved(Vm *vm, const AqStepSpec *spec, int sign)
+{
+    vm->reserved_cpu += sign * (spec->is_filler ? 0 : spec->cpu_millis);
+    vm->reserved_memory += sign * spec->memory_mb;
+    vm->reserved_gpus += sign * spec->gpus;
+}
+
+void
+vms_reserve(Vm *vm, Task *task)
+{
+    vms_end_reservation(task);
+    task->reserved_vm = vm;
+    AqList_Append(&vm->reservations, &task->reservation_link);
+    add_reserved(vm, task->step->spec, 1);
+}
+
+void
+vms_end_reservation(Task *task)
+{
+    if (task->reserved_vm != NULL) {
+        add_reserved(task->reserved_vm, task->step->spec, -1);
+        AqList_Remove(&task->reservation_link);
+        task->reserved_vm = NULL;
+    }
+}
+
 void
 vms_attach(AqScheduler *s, Vm *vm, Task *task)
 {
     vms_detach(s, task);
+    vms_end_reservation(task);
     task->vm = vm;
     AqList_Append(&vm->tasks, &task->link);
     vm->task_count++;
@@ -236,6 +265,10 @@
 vms_remove(AqScheduler *s, Vm *vm)
 {
     requeue_lost_tasks(s, vm, "other_life");
+    AqList_ForEachSafe(at, after, &vm->reservations)
+    {
+        vms_end_reservation(AqList_Entry(at, Task, reservation_link));
+    }
     g_hash_table_remove(s->vms_by_id, vm->report.id);
     s->used_vms_version++;
     s->placement_due = true;
@@ -461,8 +494,9 @@
 AqScheduler_IsIdle(const AqScheduler *s, const char *id)
 {
     const Vm *vm = vms_find(s, id);
-    return vm == NULL || (vm->task_count == 0 && vm->foreign_cpu == 0 &&
-                          vm->pending_ends->len == 0);
+    return vm == NULL ||
+           (vm->task_count == 0 && vm->foreign_cpu == 0 &&
+            vm->pending_ends->len == 0 && AqList_IsEmpty(&vm->reservations));
 }
 
 /* Returns AqScheduledVm.silent_since of the VM.  A VM that an earlier pool
