Scheduler: stop inherited runs of cancelled jobs

Cause: when a pool is handed over, the new owner takes the stored runs over after it has read the jobs. If a job was cancelled in between, its tasks became running although the job had ended: no stop was ordered, and the VM's listing of the run counted as that of a run whose stop is under way.

Change: a run that is taken over for a job that has ended is stopped at once.

Result: test_scheduler, hand_over_stops_cancelled_runs, failed before.

--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -1183,8 +1183,10 @@
     sim->owner->lease_end = sim->now;
 }
 
-void
-sim_hand_over(Sim *sim)
+/* Stores the changed records and the live runs of the current pool owner, and
+ * ends that owner. */
+static void
+give_up_pool(Sim *sim)
 {
     SimOwner *owner = sim->owner;
     AqScheduler *s = owner->scheduler;
@@ -1195,6 +1197,20 @@
     AqBuffer_Clear(&sim->used_vms);
     AqScheduler_EncodeUsedVms(s, &sim->used_vms);
     sim_kill_owner(sim);
+}
+
+void
+sim_hand_over(Sim *sim)
+{
+    give_up_pool(sim);
+    sim_start_owner(sim, false);
+}
+
+void
+sim_hand_over_cancelling(Sim *sim, const char *id)
+{
+    give_up_pool(sim);
+    find_job(sim, id)->is_cancelled = true;
     sim_start_owner(sim, false);
 }
 
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -79,6 +79,10 @@
  * jobs, stores its live runs with the list of used VMs and exits; then the
  * next pool owner starts. */
 void sim_hand_over(Sim *sim);
+/* Hands the pool over like sim_hand_over().  The job is cancelled after the
+ * current pool owner has stored its runs; the next one reads the cancelling
+ * with the jobs. */
+void sim_hand_over_cancelling(Sim *sim, const char *id);
 /* Returns the scheduler of the current pool owner; borrowed. */
 AqScheduler *sim_scheduler(const Sim *sim);
 /* Sets whether the current pool owner is certain to hold its lease on the
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -304,6 +304,25 @@
     sim_destroy(sim);
 }
 
+/* Guards against runs that go on after a hand-over although their job was
+ * cancelled during it, before the next pool owner took the runs over. */
+static void
+test_hand_over_stops_cancelled_runs(void)
+{
+    Sim *sim = sim_create(18);
+    sim_add_chain(sim, "a1", 1, 8, 2000, 60000);
+    sim_run(sim, 1000);
+    CU_ASSERT_EQUAL_FATAL(sim_count_starts(sim, "a1"), 8);
+    sim_hand_over_cancelling(sim, "a1");
+    sim_run(sim, 2000);
+    for (unsigned vm = 0; vm < SIM_VMS; vm++) {
+        CU_ASSERT_EQUAL(sim_count_runs(sim, vm, "a1"), 0);
+    }
+    CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_CANCELLED);
+    expect_no_violation(sim);
+    sim_destroy(sim);
+}
+
 /* Guards against tasks that wait for a silent VM although their job was
  * submitted after the takeover, so that the silent VM can't be running
  * them. */
@@ -633,6 +652,8 @@
         {"new_jobs_start_at_once", test_new_jobs_start_at_once},
         {"replaced_vm_is_not_awaited", test_replaced_vm_is_not_awaited},
         {"hand_over_passes_on_runs", test_hand_over_passes_on_runs},
+        {"hand_over_stops_cancelled_runs",
+         test_hand_over_stops_cancelled_runs},
         {"cancel_stops", test_cancel_stops},
         {"uncertain_owner_sends_no_orders",
          test_uncertain_owner_sends_no_orders},
--- a/packages/scheduler/used_vms.c
+++ b/packages/scheduler/used_vms.c
@@ -219,6 +219,10 @@
             task->run = inherited->run;
             task->state = TASK_RUNNING;
             task->progress_at = s->now;
+            if (scheduler_is_finished(task->step->occurrence->job)) {
+                /* The job was cancelled during the hand-over. */
+                replies_order_stop(s, task);
+            }
         }
     }
     s->is_recovered = s->is_recovered || s->is_handed_over;
