--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -8,7 +8,9 @@
  * room, preferably in the rack of its data.  Among these the fullest VM is
  * chosen, so that other VMs become empty and can be released.  The perpetual
  * tasks of a step are spread over racks, so that the loss of one rack affects
- * few of them. */
+ * few of them.  A perpetual task that fits on no such VM goes to a cordoned VM
+ * that still has tasks, and moves on later: the wait for room elsewhere may
+ * have no end, since cordoned VMs keep the tasks that fit nowhere else. */
 
 enum {
     /* addend of placement_cost() for each task of the same perpetual step in
@@ -36,12 +38,16 @@
 fits_on(const Vm *vm, const AqStepSpec *spec)
 {
     int64_t cpu = spec->is_filler ? 0 : spec->cpu_millis;
-    return vm->used_cpu + vm->foreign_cpu + cpu <= vm->report.cpu_millis &&
-           vm->used_memory + vm->foreign_memory + spec->memory_mb <=
+    return vm->used_cpu + vm->reserved_cpu + vm->foreign_cpu + cpu <=
+               vm->report.cpu_millis &&
+           vm->used_memory + vm->reserved_memory + vm->foreign_memory +
+                   spec->memory_mb <=
                vm->report.memory_mb &&
-           vm->used_gpus + spec->gpus <= vm->report.gpus;
+           vm->used_gpus + vm->reserved_gpus + spec->gpus <= vm->report.gpus;
 }
 
+/* Number of the step's tasks that are on the VM or have a reservation there.
+ */
 static uint32_t
 count_step_tasks(const Vm *vm, const Step *step)
 {
@@ -50,6 +56,10 @@
     {
         count += AqList_Entry(at, Task, link)->step == step;
     }
+    AqList_ForEach(at, &vm->reservations)
+    {
+        count += AqList_Entry(at, Task, reservation_link)->step == step;
+    }
     return count;
 }
 
@@ -94,13 +104,15 @@
     return queue != NULL && queue->needs_tickets;
 }
 
+/* Whether the VM, if it may get tasks, may run the task and has room for
+ * it. */
 static bool
 can_run_on(const AqScheduler *s, const Vm *vm, const Task *task, bool tickets)
 {
     const Step *step = task->step;
     const AqStepSpec *spec = step->spec;
-    return vms_is_usable(s, vm) && vm->blocked_until <= s->now &&
-           fits_on(vm, spec) && has_label(vm, spec->required_label) &&
+    return vm->blocked_until <= s->now && fits_on(vm, spec) &&
+           has_label(vm, spec->required_label) &&
            (spec->max_per_vm == 0 ||
             (vm->foreign_cpu == 0 &&
              count_step_tasks(vm, step) < spec->max_per_vm)) &&
@@ -129,19 +141,21 @@
     return cost;
 }
 
+/* Chooses among the VMs for which "may_use" is true; NULL: none has room. With
+ * "tickets" the VM needs a ticket for the task's step. */
 static Vm *
-choose_vm(const AqScheduler *s, const Task *task, const char *rack)
+choose_vm(const AqScheduler *s, const Task *task, const char *rack,
+          bool tickets, bool (*may_use)(const AqScheduler *s, const Vm *vm))
 {
     Vm *best = NULL;
     int64_t best_cost = INT64_MAX;
-    bool tickets = needs_ticket(s, task->step);
     AqList_ForEach(at, &s->vms)
     {
         Vm *vm = AqList_Entry(at, Vm, link);
         if (rack != NULL && strcmp(vm->report.rack, rack) != 0) {
             continue;
         }
-        if (can_run_on(s, vm, task, tickets)) {
+        if (may_use(s, vm) && can_run_on(s, vm, task, tickets)) {
             int64_t cost = placement_cost(s, vm, task);
             if (cost < best_cost) {
                 best = vm;
@@ -152,6 +166,13 @@
     return best;
 }
 
+Vm *
+placement_find_move_target(const AqScheduler *s, const Task *task)
+{
+    /* Tickets are requested once the task is ready. */
+    return choose_vm(s, task, NULL, false, vms_is_usable);
+}
+
 void
 placement_send_start(AqScheduler *s, Task *task)
 {
@@ -248,11 +269,28 @@
     }
 }
 
+/* Chooses the VM for a run of the task, which no longer needs the room that
+ * was reserved for it.  NULL: no VM has room. */
+static Vm *
+choose_vm_for_run(const AqScheduler *s, Task *task)
+{
+    bool tickets = needs_ticket(s, task->step);
+    vms_end_reservation(task);
+    Vm *vm = choose_vm(s, task, NULL, tickets, vms_is_usable);
+    if (vm == NULL && task->step->spec->is_perpetual) {
+        vm = choose_vm(s, task, NULL, tickets, vms_is_being_emptied);
+    }
+    return vm;
+}
+
 static void
 place_tasks(AqScheduler *s, Step *step)
 {
     bool has_placed = false;
-    if (!step->spec->is_filler &&
+    /* No VM has room for a task of the step.  Each of them needs the same, so
+     * only those with a reservation are tried after that. */
+    bool is_full = false;
+    if (!step->spec->is_filler && !step->spec->is_perpetual &&
         step->spec->cpu_millis > s->largest_free_cpu_millis) {
         /* no usable VM has enough free CPU for a task of the step; checked
          * before the single VMs to save time, since many jobs wait in a full
@@ -261,17 +299,16 @@
     }
     for (uint32_t i = 0; i < step->spec->task_count && step->ready > 0; i++) {
         Task *task = &step->tasks[i];
-        if (!is_startable(s, task)) {
+        if (!is_startable(s, task) || (is_full && task->reserved_vm == NULL)) {
             continue;
         }
         if (!start_window_is_open(&s->start_window)) {
             break;
         }
-        Vm *vm = choose_vm(s, task, NULL);
+        Vm *vm = choose_vm_for_run(s, task);
         if (vm == NULL) {
-            /* no VM has room for the step's other tasks either, since each of
-             * them needs the same resources */
-            break;
+            is_full = true;
+            continue;
         }
         assign_task(s, vm, task, next_run(s, task->run));
         placement_send_start(s, task);
@@ -297,7 +334,9 @@
     int64_t *earlier = calloc(count + 1, sizeof(*earlier));
     for (; placed < count; placed++) {
         Task *task = &step->tasks[placed];
-        Vm *vm = choose_vm(s, task, rack);
+        vms_end_reservation(task);
+        Vm *vm =
+            choose_vm(s, task, rack, needs_ticket(s, step), vms_is_usable);
         if (vm == NULL) {
             break;
         }
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -67,6 +67,7 @@
     vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
     vm->used_since_version = ++s->used_vms_version;
     AqList_Init(&vm->tasks);
+    AqList_Init(&vm->reservations);
     AqList_Append(&s->vms, &vm->link);
     g_hash_table_insert(s->vms_by_id, vm->report.id, vm);
     return vm;
@@ -94,10 +95,38 @@
     vm->used_gpus += sign * spec->gpus;
 }
 
+static void
+add_reserved(Vm *vm, const AqStepSpec *spec, int sign)
+{
+    vm->reserved_cpu += sign * (spec->is_filler ? 0 : spec->cpu_millis);
+    vm->reserved_memory += sign * spec->memory_mb;
+    vm->reserved_gpus += sign * spec->gpus;
+}
+
+void
+vms_reserve(Vm *vm, Task *task)
+{
+    vms_end_reservation(task);
+    task->reserved_vm = vm;
+    AqList_Append(&vm->reservations, &task->reservation_link);
+    add_reserved(vm, task->step->spec, 1);
+}
+
+void
+vms_end_reservation(Task *task)
+{
+    if (task->reserved_vm != NULL) {
+        add_reserved(task->reserved_vm, task->step->spec, -1);
+        AqList_Remove(&task->reservation_link);
+        task->reserved_vm = NULL;
+    }
+}
+
 void
 vms_attach(AqScheduler *s, Vm *vm, Task *task)
 {
     vms_detach(s, task);
+    vms_end_reservation(task);
     task->vm = vm;
     AqList_Append(&vm->tasks, &task->link);
     vm->task_count++;
@@ -117,20 +146,34 @@
     task->vm = NULL;
     if (--vm->task_count == 0) {
         vm->idle_since = s->now;
+        vm->is_vacated = vm->is_cordoned;
     }
 }
 
-bool
-vms_is_usable(const AqScheduler *s, const Vm *vm)
+/* Whether the VM may run tasks, cordoned or not. */
+static bool
+is_in_service(const AqScheduler *s, const Vm *vm)
 {
     bool is_present =
         vm->is_listed || s->now - vm->unlisted_at < UNLISTED_GRACE_MS;
     return is_present && !vm->has_ended && vm->has_replied &&
-           vm->is_use_recorded && !vm->is_cordoned &&
-           !vm->report.is_draining && vm->silent_since == AQ_TIME_NEVER &&
+           vm->is_use_recorded && !vm->report.is_draining &&
+           vm->silent_since == AQ_TIME_NEVER &&
            vm->quarantined_until <= s->now;
 }
 
+bool
+vms_is_usable(const AqScheduler *s, const Vm *vm)
+{
+    return !vm->is_cordoned && is_in_service(s, vm);
+}
+
+bool
+vms_is_being_emptied(const AqScheduler *s, const Vm *vm)
+{
+    return vm->is_cordoned && !vm->is_vacated && is_in_service(s, vm);
+}
+
 /* ---- Replies and leases ------------------------------------------------- */
 
 void
@@ -222,6 +265,10 @@
 vms_remove(AqScheduler *s, Vm *vm)
 {
     requeue_lost_tasks(s, vm, "other_life");
+    AqList_ForEachSafe(at, after, &vm->reservations)
+    {
+        vms_end_reservation(AqList_Entry(at, Task, reservation_link));
+    }
     g_hash_table_remove(s->vms_by_id, vm->report.id);
     s->used_vms_version++;
     s->placement_due = true;
@@ -421,6 +468,7 @@
     Vm *vm = vms_find(s, id);
     if (vm != NULL && vm->is_cordoned != is_cordoned) {
         vm->is_cordoned = is_cordoned;
+        vm->is_vacated = is_cordoned && vm->task_count == 0;
         s->placement_due = true;
     }
 }
@@ -446,8 +494,9 @@
 AqScheduler_IsIdle(const AqScheduler *s, const char *id)
 {
     const Vm *vm = vms_find(s, id);
-    return vm == NULL || (vm->task_count == 0 && vm->foreign_cpu == 0 &&
-                          vm->pending_ends->len == 0);
+    return vm == NULL ||
+           (vm->task_count == 0 && vm->foreign_cpu == 0 &&
+            vm->pending_ends->len == 0 && AqList_IsEmpty(&vm->reservations));
 }
 
 /* Returns AqScheduledVm.silent_since of the VM.  A VM that an earlier pool
