Pool: name what a node remembers of submissions after its content

Cause: open_writes also held submissions that are stored.

Change: recent_submissions.c, RecentSubmissions, recent_submissions_*; names only.

Result: pool, forwarder and job_api pass.

--- a/packages/pool/caller_responses.c
+++ b/packages/pool/caller_responses.c
@@ -32,8 +32,8 @@
     if (!is_refusal(response->status) || !is_submission(exchange)) {
         return;
     }
-    switch (
-        open_writes_state(&node->open_writes, path, AqLoop_Now(node->loop))) {
+    switch (recent_submissions_state(&node->recent_submissions, path,
+                                     AqLoop_Now(node->loop))) {
     case SUBMISSION_NOT_STORED:
         return;
     case SUBMISSION_OPEN:
@@ -57,9 +57,9 @@
                               {"Retry-After", seconds}};
     bool may_retry = is_refusal(status);
     if (is_submission(exchange)) {
-        open_writes_note_response(&node->open_writes,
-                                  AqExchange_Path(exchange), status,
-                                  AqLoop_Now(node->loop));
+        recent_submissions_note_response(&node->recent_submissions,
+                                         AqExchange_Path(exchange), status,
+                                         AqLoop_Now(node->loop));
     }
     if (may_retry) {
         AqTime now = AqLoop_Now(node->loop);
--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -248,10 +248,10 @@
 {
     Request *request = context;
     record_store_status(request, reply);
-    open_writes_end(&request->job_api->node->open_writes,
-                    AqExchange_Path(request->exchange),
-                    reply->status == AQ_STORE_UNKNOWN,
-                    now_of(request->job_api));
+    recent_submissions_end_write(&request->job_api->node->recent_submissions,
+                                 AqExchange_Path(request->exchange),
+                                 reply->status == AQ_STORE_UNKNOWN,
+                                 now_of(request->job_api));
     switch (reply->status) {
     case AQ_STORE_OK:
         finish_request(request, 200, "{}", "stored");
@@ -296,9 +296,9 @@
     AqStoreCommit commit = {
         .expects = expects, .expect_count = 2, .puts = &put, .put_count = 1};
     request->attempts++;
-    open_writes_begin(&request->job_api->node->open_writes,
-                      AqExchange_Path(request->exchange),
-                      now_of(request->job_api));
+    recent_submissions_begin_write(&request->job_api->node->recent_submissions,
+                                   AqExchange_Path(request->exchange),
+                                   now_of(request->job_api));
     store->ops->commit(store, &commit, on_submitted, request);
 }
 
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -514,7 +514,7 @@
     AqMetrics_Destroy(context->metrics.all);
     AqSiteConfig_Clear(&context->site);
     store_health_clear(&context->store_health);
-    open_writes_clear(&context->open_writes);
+    recent_submissions_clear(&context->recent_submissions);
     g_hash_table_destroy(node->owners);
     AqLoop_Destroy(context->loop);
     free(node);
--- a/packages/pool/node.h
+++ b/packages/pool/node.h
@@ -12,7 +12,7 @@
 #include "aq_site_config.h"
 #include "aq_store.h"
 #include "aq_worker_client.h"
-#include "open_writes.h"
+#include "recent_submissions.h"
 #include "store_health.h"
 
 /* State that the components of a node share.  Each component gets its
@@ -62,7 +62,7 @@
     AqAdviceClient *advice; /* client of the advice service; NULL: none */
     NodeMetrics metrics;
     StoreHealth store_health;
-    OpenWrites open_writes;
+    RecentSubmissions recent_submissions;
     /* Configuration of the site, as last read; version 0: not read. */
     AqSiteConfig site;
     char incarnation[40]; /* random id of this process */
--- a/packages/pool/open_writes.c
+++ b/packages/pool/recent_submissions.c
@@ -1,4 +1,4 @@
-#include "open_writes.h"
+#include "recent_submissions.h"
 
 enum {
     /* A write without a reply may be carried out seconds later, and a caller
@@ -21,15 +21,15 @@
 }
 
 static void
-remove_expired(OpenWrites *writes, AqTime now)
+remove_expired(RecentSubmissions *recent, AqTime now)
 {
     GHashTableIter iter;
     gpointer value;
-    if (now < writes->next_removal_at) {
+    if (now < recent->next_removal_at) {
         return;
     }
-    writes->next_removal_at = now + REMOVAL_INTERVAL_MS;
-    g_hash_table_iter_init(&iter, writes->by_path);
+    recent->next_removal_at = now + REMOVAL_INTERVAL_MS;
+    g_hash_table_iter_init(&iter, recent->by_path);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         if (is_expired(value, now)) {
             g_hash_table_iter_remove(&iter);
@@ -38,34 +38,35 @@
 }
 
 static Submission *
-find_or_add(OpenWrites *writes, const char *path, AqTime now)
+find_or_add(RecentSubmissions *recent, const char *path, AqTime now)
 {
-    if (writes->by_path == NULL) {
-        writes->by_path =
+    if (recent->by_path == NULL) {
+        recent->by_path =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     }
-    remove_expired(writes, now);
-    Submission *submission = g_hash_table_lookup(writes->by_path, path);
+    remove_expired(recent, now);
+    Submission *submission = g_hash_table_lookup(recent->by_path, path);
     if (submission == NULL) {
         submission = g_new0(Submission, 1);
         submission->unknown_until = now;
         submission->stored_until = now;
-        g_hash_table_insert(writes->by_path, g_strdup(path), submission);
+        g_hash_table_insert(recent->by_path, g_strdup(path), submission);
     }
     return submission;
 }
 
 void
-open_writes_begin(OpenWrites *writes, const char *path, AqTime now)
+recent_submissions_begin_write(RecentSubmissions *recent, const char *path,
+                               AqTime now)
 {
-    find_or_add(writes, path, now)->in_flight++;
+    find_or_add(recent, path, now)->in_flight++;
 }
 
 void
-open_writes_end(OpenWrites *writes, const char *path, bool is_unknown,
-                AqTime now)
+recent_submissions_end_write(RecentSubmissions *recent, const char *path,
+                             bool is_unknown, AqTime now)
 {
-    Submission *submission = find_or_add(writes, path, now);
+    Submission *submission = find_or_add(recent, path, now);
     submission->in_flight -= submission->in_flight > 0;
     if (is_unknown) {
         submission->unknown_until = now + MEMORY_MS;
@@ -73,22 +74,23 @@
 }
 
 void
-open_writes_note_response(OpenWrites *writes, const char *path, int status,
-                          AqTime now)
+recent_submissions_note_response(RecentSubmissions *recent, const char *path,
+                                 int status, AqTime now)
 {
     if (status == 200) {
-        find_or_add(writes, path, now)->stored_until = now + MEMORY_MS;
+        find_or_add(recent, path, now)->stored_until = now + MEMORY_MS;
     }
     else if (status >= 500 && status != 503) {
-        find_or_add(writes, path, now)->unknown_until = now + MEMORY_MS;
+        find_or_add(recent, path, now)->unknown_until = now + MEMORY_MS;
     }
 }
 
 SubmissionState
-open_writes_state(const OpenWrites *writes, const char *path, AqTime now)
+recent_submissions_state(const RecentSubmissions *recent, const char *path,
+                         AqTime now)
 {
     const Submission *submission =
-        writes->by_path != NULL ? g_hash_table_lookup(writes->by_path, path)
+        recent->by_path != NULL ? g_hash_table_lookup(recent->by_path, path)
                                 : NULL;
     if (submission == NULL) {
         return SUBMISSION_NOT_STORED;
@@ -101,10 +103,10 @@
 }
 
 void
-open_writes_clear(OpenWrites *writes)
+recent_submissions_clear(RecentSubmissions *recent)
 {
-    if (writes->by_path != NULL) {
-        g_hash_table_destroy(writes->by_path);
-        writes->by_path = NULL;
+    if (recent->by_path != NULL) {
+        g_hash_table_destroy(recent->by_path);
+        recent->by_path = NULL;
     }
 }
--- a/packages/pool/open_writes.h
+++ b/packages/pool/recent_submissions.h
@@ -1,5 +1,5 @@
-#ifndef OPEN_WRITES_H
-#define OPEN_WRITES_H
+#ifndef RECENT_SUBMISSIONS_H
+#define RECENT_SUBMISSIONS_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -23,20 +23,22 @@
 typedef struct {
     GHashTable *by_path; /* path -> Submission; NULL: none */
     AqTime next_removal_at;
-} OpenWrites;
+} RecentSubmissions;
 
 /* Records that a write that stores the job is sent.  Each call is followed by
- * one of open_writes_end. */
-void open_writes_begin(OpenWrites *writes, const char *path, AqTime now);
+ * one of recent_submissions_end_write. */
+void recent_submissions_begin_write(RecentSubmissions *recent,
+                                    const char *path, AqTime now);
 /* Records that such a write has ended; "is_unknown": it had no reply, so that
  * it may still be carried out. */
-void open_writes_end(OpenWrites *writes, const char *path, bool is_unknown,
-                     AqTime now);
+void recent_submissions_end_write(RecentSubmissions *recent, const char *path,
+                                  bool is_unknown, AqTime now);
 /* Records the HTTP status of a response to a submission. */
-void open_writes_note_response(OpenWrites *writes, const char *path,
-                               int status, AqTime now);
-SubmissionState open_writes_state(const OpenWrites *writes, const char *path,
-                                  AqTime now);
-void open_writes_clear(OpenWrites *writes);
+void recent_submissions_note_response(RecentSubmissions *recent,
+                                      const char *path, int status,
+                                      AqTime now);
+SubmissionState recent_submissions_state(const RecentSubmissions *recent,
+                                         const char *path, AqTime now);
+void recent_submissions_clear(RecentSubmissions *recent);
 
 #endif
--- a/packages/pool/tests/test_forwarder.c
+++ b/packages/pool/tests/test_forwarder.c
@@ -207,7 +207,7 @@
     AqHttpClient_Destroy(fixture->node.http);
     forwarder_destroy(fixture->forwarder);
     store_health_clear(&fixture->node.store_health);
-    open_writes_clear(&fixture->node.open_writes);
+    recent_submissions_clear(&fixture->node.recent_submissions);
     AqLoop_Destroy(fixture->node.loop);
 }
 
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -114,7 +114,7 @@
     job_api_destroy(fixture->job_api);
     AqMetrics_Destroy(fixture->node.metrics.all);
     fake_store_destroy(fixture->fake);
-    open_writes_clear(&fixture->node.open_writes);
+    recent_submissions_clear(&fixture->node.recent_submissions);
     AqLoop_Destroy(fixture->node.loop);
 }
 
