--- a/packages/testkit/Include/aq_test_process.h
+++ b/packages/testkit/Include/aq_test_process.h
@@ -15,6 +15,10 @@
  * standard error.  Returns NULL on error. */
 AqProcess *AqProcess_Spawn(const char *const *argv, const char *log,
                            AqError *error);
+/* Like AqProcess_Spawn, but appends the child's standard output to the file
+ * "log" too, so that AqProcess_WaitReady does not see it. */
+AqProcess *AqProcess_SpawnLogged(const char *const *argv, const char *log,
+                                 AqError *error);
 /* Kills the process when it is still running, reaps it and frees its
  * data.  Ignores NULL. */
 void AqProcess_Destroy(AqProcess *process);
--- a/packages/testkit/process.c
+++ b/packages/testkit/process.c
@@ -51,7 +51,8 @@
 /* Runs in the child after fork(): replaces the child by the program, or exits
  * with EXIT_NOT_STARTED. */
 static void
-run_child(const char *const *argv, const char *log, int output, pid_t parent)
+run_child(const char *const *argv, const char *log, bool is_output_logged,
+          int output, pid_t parent)
 {
     sigset_t none;
     sigemptyset(&none);
@@ -66,6 +67,9 @@
         int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         if (fd >= 0) {
             dup2(fd, STDERR_FILENO);
+            if (is_output_logged) {
+                dup2(fd, STDOUT_FILENO);
+            }
             close(fd);
         }
     }
@@ -73,8 +77,9 @@
     _exit(EXIT_NOT_STARTED);
 }
 
-AqProcess *
-AqProcess_Spawn(const char *const *argv, const char *log, AqError *error)
+static AqProcess *
+spawn(const char *const *argv, const char *log, bool is_output_logged,
+      AqError *error)
 {
     int pipe_fds[2];
     pid_t parent = getpid();
@@ -94,7 +99,7 @@
     process->output = pipe_fds[0];
     process->pid = fork();
     if (process->pid == 0) {
-        run_child(argv, log, pipe_fds[1], parent);
+        run_child(argv, log, is_output_logged, pipe_fds[1], parent);
     }
     close(pipe_fds[1]);
     process->pid_fd = process->pid > 0 ? pidfd_open(process->pid, 0) : -1;
@@ -108,6 +113,18 @@
     return process;
 }
 
+AqProcess *
+AqProcess_Spawn(const char *const *argv, const char *log, AqError *error)
+{
+    return spawn(argv, log, false, error);
+}
+
+AqProcess *
+AqProcess_SpawnLogged(const char *const *argv, const char *log, AqError *error)
+{
+    return spawn(argv, log, true, error);
+}
+
 /* Reaps the process when the process has ended, and records the exit status.
  * flags are those of waitpid(). */
 static void
