--- a/Makefile
+++ b/Makefile
@@ -28,13 +28,14 @@
 	@$(BUILD)/packages/testkit/aq-demo --bin $(BUILD)/packages \
 	    --directory $(BUILD)/demo
 
-# Real nodes under random faults: make soak SOAK_S=600 SEED=7
+# Real nodes under random faults: make soak SOAK_S=600 SEED=7 NODES=9
 SOAK_S ?= 120
 SEED ?= 1
+NODES ?= 3
 
 soak: build
 	@$(BUILD)/platform/tests/aq-soak $(BUILD)/platform/tests/aq-stand-in \
-	    $(BUILD)/packages/daemon/amaranthquayd $(SOAK_S) $(SEED)
+	    $(BUILD)/packages/daemon/amaranthquayd $(SOAK_S) $(SEED) $(NODES)
 
 format:
 	@git ls-files -co --exclude-standard 'packages/*.c' 'packages/*.h' 'platform/*.c' 'platform/*.h' \
