--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -73,9 +73,6 @@
         return;
     }
     if (reply->status != AQ_STORE_OK) {
-        if (member->joined_at == AQ_TIME_NEVER) {
-            member->lease = 0;
-        }
         schedule_renewal(member, LEASE_RETRY_MS);
         return;
     }
@@ -88,7 +85,9 @@
         member->joined_at = AqLoop_Now(member->node->loop);
     }
     record_lease_reply(member, member->renewal_sent_at);
-    schedule_renewal(member, RENEWAL_INTERVAL_MS);
+    AqTime now = AqLoop_Now(member->node->loop);
+    AqTime due = member->renewal_sent_at + RENEWAL_INTERVAL_MS;
+    schedule_renewal(member, due > now ? due - now : 0);
     member_claim_all_vacant(member);
 }
 
@@ -114,24 +113,9 @@
                               own_link_mbps(member));
 }
 
-static void
-on_granted(void *context, const AqStoreReply *reply)
-{
-    Member *member = context;
-    NodeContext *node = member->node;
-    store_health_note(&node->store_health, reply->status,
-                      AqLoop_Now(node->loop));
-    if (reply->status != AQ_STORE_OK || reply->lease == 0) {
-        schedule_renewal(member, LEASE_RETRY_MS);
-        return;
-    }
-    member->lease = reply->lease;
-    write_entry(member);
-}
-
-/* Writes this node's membership entry under its lease.  The condition keeps an
- * earlier write without a reply from replacing the entry later: the entry
- * would then end with the lease of that write. */
+/* Writes this node's membership entry under its lease.  An earlier write
+ * without a reply may be carried out later.  The condition keeps it from
+ * replacing the entry, which would then end with the lease of that write. */
 static void
 write_entry(Member *member)
 {
@@ -159,6 +143,20 @@
     node->store->ops->commit(node->store, &commit, on_registered, member);
 }
 
+static void
+on_granted(void *context, const AqStoreReply *reply)
+{
+    Member *member = context;
+    store_health_note(&member->node->store_health, reply->status,
+                      AqLoop_Now(member->node->loop));
+    if (reply->status != AQ_STORE_OK || reply->lease == 0) {
+        schedule_renewal(member, LEASE_RETRY_MS);
+        return;
+    }
+    member->lease = reply->lease;
+    write_entry(member);
+}
+
 static void
 on_renewed(void *context, const AqStoreReply *reply)
 {
@@ -190,6 +188,11 @@
     if (member->is_leaving) {
         return;
     }
+    if (member->lease != 0 && member->joined_at == AQ_TIME_NEVER) {
+        /* The lease's term still runs from the call that granted it. */
+        write_entry(member);
+        return;
+    }
     member->renewal_sent_at = AqLoop_Now(node->loop);
     if (member->lease == 0) {
         node->store->ops->lease_grant(node->store, MEMBER_LEASE_MS, on_granted,
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -62,8 +62,8 @@
 } AqSchedulerConfig;
 
 /* Calls by which the scheduler sends its orders.  The caller reports the reply
- * to each order with the AqScheduler_On* function of that order.  "pace" limits
- * the speed of a run. */
+ * to each order with the AqScheduler_On* function of that order.  "pace"
+ * limits the speed of a run. */
 typedef struct {
     void (*start)(void *context, const AqOrderTarget *target,
                   const AqStartOrder *order);
