Member: no claim wait from the time of joining while not joined

Cause: when a member leaves, the waits of all claims are computed again, also while this node's lease has ended and it has not joined again; the time of joining is AQ_TIME_NEVER then, and adding the wait to it overflows.

Change: the waits are left as they are then; on_claim_due gives such a claim up, and joining again starts it anew.

--- a/packages/pool/member_claims.c
+++ b/packages/pool/member_claims.c
@@ -478,6 +478,10 @@
 {
     GHashTableIter iter;
     gpointer value;
+    if (member->joined_at == AQ_TIME_NEVER) {
+        /* on_claim_due gives each claim up until this node joins again. */
+        return;
+    }
     g_hash_table_iter_init(&iter, member->claims);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         PoolClaim *claim = value;
--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -684,6 +684,43 @@
     tear_down_owner(&self);
 }
 
+/* Guards against a wait that is computed from the time at which this node
+ * joined while it has not joined again: its lease has ended while it waits to
+ * claim a pool, and a member with a greater CPU share leaves. */
+static void
+test_member_leaves_without_lease(void)
+{
+    enum {
+        RUN_MS = 700,         /* within the wait of a smaller CPU share */
+        CLAIM_LIMIT_MS = 4000 /* for a new lease and the claim */
+    };
+    Fixture fixture;
+    OwnerFixture self;
+    set_up(&fixture);
+    fake_store_put(fixture.fake, key_of(KEY_MEMBER, "n-9"),
+                   "strong 127.0.0.1:1 1000");
+    set_up_member(&self, &fixture);
+    AqTime begin = AqLoop_Now(fixture.node.loop);
+    while (AqLoop_Now(fixture.node.loop) - begin < RUN_MS) {
+        run_member(&self);
+    }
+    CU_ASSERT_PTR_NULL(self.owner);
+    fake_store_end_lease(fixture.fake);
+    while (member_lease(self.member) != 0) {
+        AqLoop_RunOnce(fixture.node.loop, 10);
+        if (fake_store_pending_count(fixture.fake) > 0) {
+            fake_store_reply(fixture.fake);
+        }
+    }
+    fake_store_remove(fixture.fake, key_of(KEY_MEMBER, "n-9"));
+    begin = AqLoop_Now(fixture.node.loop);
+    while (AqLoop_Now(fixture.node.loop) - begin < CLAIM_LIMIT_MS) {
+        run_member(&self);
+    }
+    CU_ASSERT_PTR_NOT_NULL(self.owner);
+    tear_down_owner(&self);
+}
+
 /* Ends the ownership as a crash does: the lease ends, and the node that gets a
  * new one finds the pool without an owner. */
 static void
@@ -1278,6 +1315,7 @@
         {"report_ends_with_lease", test_report_ends_with_lease},
         {"report_ends_with_release", test_report_ends_with_release},
         {"weak_node_defers_claim", test_weak_node_defers_claim},
+        {"member_leaves_without_lease", test_member_leaves_without_lease},
         {"removed_pool_is_given_up", test_removed_pool_is_given_up},
         {"unreadable_owner_is_unknown", test_unreadable_owner_is_unknown},
         {"replaced_vm_has_ended", test_replaced_vm_has_ended},
