Scheduler: a list of used VMs hands over only after all progress

Cause: an owner that stops has 600 ms to store its jobs' progress. Its list of used VMs, which it stored meanwhile, said that the pool is handed over and named only the VMs with live runs. With the end of a run heard and not stored, the next owner found neither the run nor its end, and started the task without waiting for that VM.

Change: the list hands over only if nothing is unsaved, else it names all used VMs, for whose replies the next owner waits. A stopping owner writes it after its progress, and releases the pool after that or when its time is up.

--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -392,8 +392,18 @@
 
 /* ---- Rounds ------------------------------------------------------------- */
 
-/* Calls the callback of pool_owner_finish() if the progress of all jobs is
- * stored, the jobs aren't loaded, or 600 ms have passed since
+/* Whether all progress and, after it, the list of used VMs is stored, so that
+ * the next owner can rely on them. */
+static bool
+is_all_stored(const PoolOwner *owner)
+{
+    return !AqScheduler_HasUnsaved(owner->scheduler) &&
+           owner->used_vms_written ==
+               AqScheduler_UsedVmsVersion(owner->scheduler);
+}
+
+/* Calls the callback of pool_owner_finish() if all that the next owner needs
+ * is stored, the jobs aren't loaded, or 600 ms have passed since
  * pool_owner_finish().  The callback may free the owner. */
 static void
 check_finished(PoolOwner *owner)
@@ -401,8 +411,7 @@
     if (owner->finish_done == NULL) {
         return;
     }
-    bool is_saved = owner->load_state != LOADED ||
-                    !AqScheduler_HasUnsaved(owner->scheduler);
+    bool is_saved = owner->load_state != LOADED || is_all_stored(owner);
     if (is_saved || pool_owner_now(owner) >= owner->finish_deadline) {
         void (*done)(void *context) = owner->finish_done;
         owner->finish_done = NULL;
@@ -435,10 +444,14 @@
     AqTime due =
         AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(), may_order);
     save_progress(owner);
-    write_used_vms(owner);
     if (!owner->is_finishing) {
+        write_used_vms(owner);
         write_report(owner);
     }
+    else if (!AqScheduler_HasUnsaved(owner->scheduler)) {
+        /* Only a list that is written after all progress hands over. */
+        write_used_vms(owner);
+    }
     if (AqScheduler_HasUnsaved(owner->scheduler) && !owner->is_saving &&
         owner->save_due < due) {
         due = owner->save_due;
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -1218,6 +1218,16 @@
     sim_start_owner(sim, false);
 }
 
+void
+sim_hand_over_unsaved(Sim *sim)
+{
+    AqScheduler_Close(sim->owner->scheduler);
+    AqBuffer_Clear(&sim->used_vms);
+    AqScheduler_EncodeUsedVms(sim->owner->scheduler, &sim->used_vms);
+    sim_kill_owner(sim);
+    sim_start_owner(sim, false);
+}
+
 void
 sim_hand_over_cancelling(Sim *sim, const char *id)
 {
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -79,6 +79,9 @@
  * jobs, stores its live runs with the list of used VMs and exits; then the
  * next pool owner starts. */
 void sim_hand_over(Sim *sim);
+/* Like sim_hand_over, but the changed records are not stored, as when the time
+ * for a hand-over is up. */
+void sim_hand_over_unsaved(Sim *sim);
 /* Hands the pool over like sim_hand_over().  The job is cancelled after the
  * current pool owner has stored its runs; the next one reads the cancelling
  * with the jobs. */
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -304,6 +304,30 @@
     sim_destroy(sim);
 }
 
+/* Guards against a task that runs twice because a hand-over ended before the
+ * end of its first run was stored: the next owner finds neither the run on a
+ * VM nor its end. */
+static void
+test_hand_over_with_unsaved_end(void)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        Sim *sim = sim_create(seed);
+        sim_add_chain(sim, "a1", 1, 8, 1000, 500);
+        sim_run(sim, 300);
+        while (!AqScheduler_HasUnsaved(sim_scheduler(sim))) {
+            sim_run(sim, 10);
+        }
+        for (unsigned vm = 0; vm < SIM_VMS; vm += 2) {
+            sim_silence_vm(sim, vm, 400);
+        }
+        sim_hand_over_unsaved(sim);
+        CU_ASSERT_TRUE(sim_run_until_finished(sim, 20000));
+        CU_ASSERT_EQUAL(sim_count_starts(sim, "a1"), 8);
+        expect_no_violation(sim);
+        sim_destroy(sim);
+    }
+}
+
 /* Guards against runs that go on after a hand-over although their job was
  * cancelled during it, before the next pool owner took the runs over. */
 static void
@@ -684,6 +708,7 @@
         {"new_jobs_start_at_once", test_new_jobs_start_at_once},
         {"replaced_vm_is_not_awaited", test_replaced_vm_is_not_awaited},
         {"hand_over_passes_on_runs", test_hand_over_passes_on_runs},
+        {"hand_over_with_unsaved_end", test_hand_over_with_unsaved_end},
         {"hand_over_stops_cancelled_runs",
          test_hand_over_stops_cancelled_runs},
         {"cancel_stops", test_cancel_stops},
--- a/packages/scheduler/used_vms.c
+++ b/packages/scheduler/used_vms.c
@@ -24,15 +24,25 @@
     return s->used_vms_version;
 }
 
+/* Whether the list of used VMs hands the pool over: the next owner then relies
+ * on the runs in the list and on the stored records.  With an end that is not
+ * stored, it would find neither the run nor its end, and start the task
+ * again. */
+static bool
+is_hand_over(const AqScheduler *s)
+{
+    return s->is_closed && s->is_recovered && !AqScheduler_HasUnsaved(s);
+}
+
 /* Whether the VM belongs in the list of used VMs, to which a pool owner may
- * have sent orders, so that a later pool owner waits for the VM's reply.
- * After AqScheduler_Close() only VMs that have runs, or that come from an
- * earlier pool owner's list, belong in the list. */
+ * have sent orders, so that a later pool owner waits for the VM's reply.  In a
+ * hand-over only VMs that have runs, or that come from an earlier pool owner's
+ * list, belong in the list. */
 static bool
 is_in_used_vms(const AqScheduler *s, const Vm *vm)
 {
     return !vm->has_ended &&
-           (!s->is_closed || vm->task_count > 0 || vm->foreign_cpu > 0 ||
+           (!is_hand_over(s) || vm->task_count > 0 || vm->foreign_cpu > 0 ||
             vm->used_by_earlier_owner);
 }
 
@@ -76,7 +86,7 @@
         count += is_in_used_vms(s, AqList_Entry(at, Vm, link));
     }
     msgpack_pack_array(&packer, 2);
-    msgpack_pack_int(&packer, s->is_closed && s->is_recovered);
+    msgpack_pack_int(&packer, is_hand_over(s));
     msgpack_pack_array(&packer, count);
     AqList_ForEach(at, &s->vms)
     {
