--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -74,6 +74,13 @@
     bool is_draining;
     /* ms that pass on the VM's clock for each ms of Sim.now; 0.98 to 1 */
     double clock_rate;
+    /* Only orders with a fencing number from first_reach to last_reach reach
+     * the VM. */
+    uint64_t first_reach;
+    uint64_t last_reach;
+    /* number of next orders of the current pool owner that the VM refuses with
+     * AQ_ORDER_UNHEALTHY */
+    unsigned refused_order_count;
     /* highest fencing number of all orders that the VM has received; 0: none
      * received */
     uint64_t fence;
@@ -161,6 +168,10 @@
      * AQ_TIME_NEVER: none of these has happened. */
     AqTime lease_end;
     bool has_exited;
+    /* by how many ms the owner's wall clock is ahead of Sim.now */
+    AqTime wall_ahead;
+    /* the owner is not told of jobs that are added */
+    bool is_untold;
     /* the save_count job records that the save under way writes */
     AqJobSave saves[16];
     /* number of job records in the save under way; 0: none is */
@@ -207,6 +218,8 @@
 struct Sim {
     /* Number of next pace orders that are lost. */
     unsigned lost_pace_count;
+    /* Number of next stop orders that are lost. */
+    unsigned lost_stop_count;
     /* Bandwidth of the link that the orders of all owners share; 0: orders
      * take no time there. */
     unsigned link_bytes_per_s;
@@ -323,6 +336,7 @@
     vm->is_alive = true;
     vm->is_listed = true;
     vm->silent_since = AQ_TIME_NEVER;
+    vm->last_reach = UINT64_MAX;
     vm->clock_rate = 0.98 + AqRandom_Unit(&sim->random) * 0.02;
     vm->runs = g_array_new(FALSE, FALSE, sizeof(Run));
     vm->ends = g_array_new(FALSE, FALSE, sizeof(RunEnd));
@@ -824,11 +838,18 @@
                     sim->now + REPLY_DELAY_MS);
         return;
     }
-    if (vm->silent_until > sim->now) {
+    if (vm->silent_until > sim->now || event->fence < vm->first_reach ||
+        event->fence > vm->last_reach) {
         queue_reply(sim, event, NULL, AQ_ORDER_UNKNOWN,
                     sim->now + REPLY_TIMEOUT_MS);
         return;
     }
+    if (vm->refused_order_count > 0 && event->fence == sim->fence) {
+        vm->refused_order_count--;
+        queue_reply(sim, event, vm, AQ_ORDER_UNHEALTHY,
+                    sim->now + REPLY_DELAY_MS);
+        return;
+    }
     bool is_waiting = event->kind == ORDER_RENEWAL &&
                       event->wait_until > sim->now && vm->ends->len == 0;
     if (is_waiting && event->renewal.wait_ms > 0) {
@@ -995,10 +1016,18 @@
 on_stop(void *context, const AqOrderTarget *target, const AqTaskName *task,
         int64_t run)
 {
-    Event *event = new_order(context, ORDER_STOP, target);
+    SimOwner *owner = context;
+    Event *event = new_order(owner, ORDER_STOP, target);
     event->name = *task;
     event->run = run;
-    send_order(context, event);
+    if (owner->sim->lost_stop_count > 0) {
+        owner->sim->lost_stop_count--;
+        queue_reply(owner->sim, event, NULL, AQ_ORDER_UNKNOWN,
+                    owner->sim->now + REPLY_TIMEOUT_MS);
+        free_event(event);
+        return;
+    }
+    send_order(owner, event);
 }
 
 static void
@@ -1110,7 +1139,8 @@
     AqError error;
     bool may_order = (owner == sim->owner ? sim->is_lease_certain
                                           : sim->now < owner->lease_end);
-    AqScheduler_Tick(owner->scheduler, sim->now, sim->now, may_order);
+    AqScheduler_Tick(owner->scheduler, sim->now, sim->now + owner->wall_ahead,
+                     may_order);
     save(owner);
     if (!AqScheduler_CheckConsistency(owner->scheduler, &error)) {
         report_violation(sim, "%s", error.message);
@@ -1248,6 +1278,24 @@
     sim->is_lease_certain = is_lease_certain;
 }
 
+void
+sim_set_wall_ahead(Sim *sim, AqTime ms)
+{
+    sim->owner->wall_ahead = ms;
+}
+
+void
+sim_set_told_of_jobs(Sim *sim, bool is_told)
+{
+    GHashTableIter iter;
+    gpointer value;
+    sim->owner->is_untold = !is_told;
+    g_hash_table_iter_init(&iter, sim->jobs);
+    while (is_told && g_hash_table_iter_next(&iter, NULL, &value)) {
+        load_job(sim->owner, value);
+    }
+}
+
 /* ---- Time --------------------------------------------------------------- */
 
 /* Removes the VM's entry from the store when the VM has been silent for
@@ -1336,6 +1384,25 @@
     sim->vms[vm]->silent_until = sim->now + ms;
 }
 
+void
+sim_limit_reach(Sim *sim, unsigned vm, uint64_t first, uint64_t last)
+{
+    sim->vms[vm]->first_reach = first;
+    sim->vms[vm]->last_reach = last;
+}
+
+void
+sim_refuse_orders(Sim *sim, unsigned vm, unsigned count)
+{
+    sim->vms[vm]->refused_order_count = count;
+}
+
+void
+sim_lose_stops(Sim *sim, unsigned count)
+{
+    sim->lost_stop_count = count;
+}
+
 void
 sim_crash_vm(Sim *sim, unsigned vm)
 {
@@ -1418,7 +1485,8 @@
     AqJobSpec_Clear(spec);
     for (guint i = 0; i < sim->owners->len; i++) {
         SimOwner *owner = g_ptr_array_index(sim->owners, i);
-        if (!owner->has_exited && sim->now < owner->lease_end) {
+        if (!owner->has_exited && !owner->is_untold &&
+            sim->now < owner->lease_end) {
             load_job(owner, stored);
         }
     }
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -91,12 +91,28 @@
 /* Sets whether the current pool owner is certain to hold its lease on the
  * pool; a pool owner that is not certain sends no orders. */
 void sim_set_lease_certain(Sim *sim, bool is_lease_certain);
+/* Sets by how many ms the wall clock of the current pool owner is ahead of
+ * sim_now(); 0 at the owner's start. */
+void sim_set_wall_ahead(Sim *sim, AqTime ms);
+/* Sets whether the current pool owner is told of jobs that are added from now
+ * on; once it is told again, it gets those that it has missed. */
+void sim_set_told_of_jobs(Sim *sim, bool is_told);
 
 /* ---- VMs ---------------------------------------------------------------- */
 
 /* Makes the VM drop all orders for "ms" of the virtual clock; the VM's runs
  * continue while the VM's lease lasts. */
 void sim_silence_vm(Sim *sim, unsigned vm, AqTime ms);
+/* Lets only the orders of the owners from number "first" to number "last"
+ * reach the VM, as when the network is partitioned; the first owner of the
+ * pool has the number 1.  The VM's next incarnation is reached by all. */
+void sim_limit_reach(Sim *sim, unsigned vm, uint64_t first, uint64_t last);
+/* Makes the VM answer the next "count" orders of the current pool owner with
+ * AQ_ORDER_UNHEALTHY; these orders have no effect. */
+void sim_refuse_orders(Sim *sim, unsigned vm, unsigned count);
+/* Loses the next "count" orders that stop a run: the VM does not execute them
+ * and does not reply. */
+void sim_lose_stops(Sim *sim, unsigned count);
 /* Ends the VM's current incarnation with all runs on it, and starts a new
  * incarnation of the VM without runs under another id. */
 void sim_crash_vm(Sim *sim, unsigned vm);
