--- a/packages/pool/tests/fake_store.c
+++ b/packages/pool/tests/fake_store.c
@@ -38,6 +38,14 @@
     void *context;
 } Call;
 
+/* A reply that was not delivered yet. */
+typedef struct {
+    Call *call; /* NULL: none */
+    AqStoreReply reply;
+    GArray *items;      /* of AqStoreItem */
+    GPtrArray *records; /* of Record: copies of what "items" point to */
+} HeldReply;
+
 struct FakeStore {
     AqStore store; /* first, so that AqStore * can be cast to FakeStore * */
     GPtrArray *records; /* of Record; removed keys stay, marked as removed */
@@ -45,6 +53,7 @@
     /* Of Call: ended by fake_store_lose_call() and not executed since, oldest
      * first. */
     GQueue *lost;
+    HeldReply held;
     uint64_t index; /* store revision: increased by 1 with each write */
     /* A watch for the changes after a store revision smaller than this ends
      * with AQ_STORE_COMPACTED. */
@@ -313,6 +322,42 @@
     free_call(call);
 }
 
+void
+fake_store_hold_reply(FakeStore *fake)
+{
+    HeldReply *held = &fake->held;
+    held->call = g_queue_pop_head(fake->calls);
+    held->items = g_array_new(FALSE, FALSE, sizeof(AqStoreItem));
+    held->records = g_ptr_array_new_with_free_func(free_record);
+    held->reply =
+        (AqStoreReply){.status = execute(fake, held->call, held->items),
+                       .index = fake->index,
+                       .lease = fake->lease,
+                       .is_complete = true};
+    for (guint i = 0; i < held->items->len; i++) {
+        AqStoreItem *item = &g_array_index(held->items, AqStoreItem, i);
+        Record *copy = g_new0(Record, 1);
+        copy->key = g_strdup(item->key);
+        copy->value = copy_bytes(item->value, item->size);
+        item->key = copy->key;
+        item->value = copy->value;
+        g_ptr_array_add(held->records, copy);
+    }
+    held->reply.items = (const AqStoreItem *)(void *)held->items->data;
+    held->reply.count = held->items->len;
+}
+
+void
+fake_store_release_reply(FakeStore *fake)
+{
+    HeldReply held = fake->held;
+    fake->held.call = NULL;
+    held.call->done(held.call->context, &held.reply);
+    g_array_free(held.items, TRUE);
+    g_ptr_array_free(held.records, TRUE);
+    free_call(held.call);
+}
+
 size_t
 fake_store_pending_count(const FakeStore *fake)
 {
@@ -325,6 +370,19 @@
     reply_to(fake, g_queue_pop_head(fake->calls));
 }
 
+void
+fake_store_reply_newest(FakeStore *fake)
+{
+    for (guint i = g_queue_get_length(fake->calls); i-- > 0;) {
+        Call *call = g_queue_peek_nth(fake->calls, i);
+        if (call->kind != CALL_CHANGES) {
+            g_queue_pop_nth(fake->calls, i);
+            reply_to(fake, call);
+            return;
+        }
+    }
+}
+
 static bool
 is_put_of(const Call *call, const char *key)
 {
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -16,6 +16,9 @@
 size_t fake_store_pending_count(const FakeStore *fake);
 /* Executes the oldest queued call and replies to it. */
 void fake_store_reply(FakeStore *fake);
+/* Executes the newest queued call that is no watch and replies to it; no
+ * effect if there is none. */
+void fake_store_reply_newest(FakeStore *fake);
 /* Executes all queued calls and those that their replies cause, but for
  * watches without a change, which stay queued.  Stops after 100 calls, of
  * which each watch left queued counts as one; the others stay queued. */
@@ -36,6 +39,11 @@
 /* Ends the oldest queued call with "status"; the call is not executed, unless
  * fake_store_execute_lost() does so later. */
 void fake_store_end_call(FakeStore *fake, AqStoreStatus status);
+/* Executes the oldest queued call, a commit or a get, and holds its reply
+ * until fake_store_release_reply(): replies on different connections may
+ * overtake each other.  One reply is held at a time. */
+void fake_store_hold_reply(FakeStore *fake);
+void fake_store_release_reply(FakeStore *fake);
 /* Drops the history of changes, so that the next watch ends with
  * AQ_STORE_COMPACTED. */
 void fake_store_compact(FakeStore *fake);
