--- /dev/null
+++ b/packages/pool/tests/site_sim.h
@@ -0,0 +1,170 @@
+#ifndef SITE_SIM_H
+#define SITE_SIM_H
+
+#include <glib.h>
+
+#include "aq_list.h"
+#include "aq_node.h"
+#include "aq_random.h"
+#include "aq_store.h"
+#include "aq_worker_client.h"
+
+/* Simulation of a site on a virtual clock: several real nodes (AqNode) in one
+ * process, the platform's store that they share, and VMs that run tasks.  The
+ * seed determines the whole simulation.  Only the nodes' clock and their
+ * clients of the store and of the VMs are replaced, by symbols that the linker
+ * wraps (see CMakeLists.txt).
+ *
+ * site_sim.c        the clock, events, nodes, checks
+ * site_sim_store.c  the store
+ * site_sim_vms.c    the VMs
+ * site_faults.c     random jobs and faults
+ *
+ * Times are ms of the virtual clock. */
+
+enum {
+    SIM_NODES = 3,
+    SIM_POOLS = 2,
+    SIM_VMS = 6, /* VM i is in pool i % SIM_POOLS */
+    SIM_STEP_MS = 10
+};
+
+typedef struct Sim Sim;
+typedef struct SimNode SimNode;
+typedef struct SimCall SimCall;
+typedef struct SimStore SimStore;
+typedef struct SimVm SimVm;
+
+typedef void (*SimEventFn)(Sim *sim, void *context);
+
+/* A call of a node to the store or to a VM; freed with the simulation, since
+ * it may be carried out long after it has ended for the node. */
+struct SimCall {
+    AqLink link; /* in the node's list of calls until the call has ended */
+    Sim *sim;
+    SimNode *node;
+    bool has_ended; /* its node has got a reply or a failure, or is gone */
+    AqTime ends_by; /* when the call ends without a reply */
+    /* Calls the "done" function, with a reply or as a call without one. */
+    void (*end)(SimCall *call, bool is_answered);
+    void (*free)(SimCall *call);
+};
+
+struct SimNode {
+    Sim *sim;
+    unsigned number;
+    AqSettings settings;
+    char id[16];
+    AqNode *node; /* NULL while the node is down */
+    AqLink calls; /* of SimCall */
+    /* Of SimCall: replies and timeouts that have arrived and are not yet
+     * processed, oldest first. */
+    GQueue inbox;
+    AqTimer inbox_timer;
+    AqTime frozen_until;
+    /* After a freeze, replies count although their call's time has passed, as
+     * when the host was suspended. */
+    bool was_suspended;
+    AqTime starts_at; /* of a node that is down */
+    AqTime ends_at;   /* of a node that stops; AQ_TIME_NEVER: it does not */
+    /* Faults of the path to the store. */
+    AqTime store_cut_until;
+    unsigned store_cut_calls; /* bits of the kinds of calls that fail */
+    int store_cut_mode;       /* SimCutMode */
+    AqTime vm_cut_until[SIM_VMS];
+    AqStore store;
+    AqWorkerClient workers;
+};
+
+typedef enum {
+    SIM_CUT_REFUSED, /* 503 at once: nothing was done */
+    SIM_CUT_SILENT,  /* not carried out, no reply */
+    SIM_CUT_ANSWERS, /* carried out, the answer is lost */
+    SIM_CUT_MODES
+} SimCutMode;
+
+struct Sim {
+    AqRandom random;
+    AqTime now;
+    uint64_t sequence;
+    GSequence *events;
+    GPtrArray *calls; /* of SimCall: all calls so far; owned */
+    SimNode nodes[SIM_NODES];
+    SimStore *store;
+    SimVm *vms[SIM_VMS];
+    unsigned incarnation_count; /* of all VMs */
+    GHashTable *task_states;    /* name of a task -> state */
+    unsigned job_count;
+    unsigned start_count;
+    unsigned done_count;
+    char violation[300]; /* the first one; "": none */
+};
+
+/* ---- site_sim.c */
+
+/* Log lines and a line for each event of the simulation go to stderr. */
+void sim_set_trace(bool is_traced);
+void sim_trace(const Sim *sim, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+void sim_violation(Sim *sim, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+Sim *sim_create(uint64_t seed);
+void sim_destroy(Sim *sim);
+/* Advances the simulation by "ms", or to the first violation. */
+void sim_run(Sim *sim, AqTime ms);
+bool sim_draw(Sim *sim, unsigned permille);
+AqTime sim_between(Sim *sim, AqTime least, AqTime most);
+void sim_at(Sim *sim, AqTime time, SimEventFn fn, void *context);
+
+/* Registers a call of the node that ends without a reply after timeout_ms. */
+void sim_begin_call(SimNode *node, SimCall *call, AqTime timeout_ms);
+/* Lets the call's reply arrive at its node, or its failure. */
+void sim_reply(SimCall *call, AqTime at);
+void sim_fail(SimCall *call, AqTime at);
+
+void sim_kill_node(Sim *sim, unsigned node, AqTime down_ms);
+void sim_stop_node(Sim *sim, unsigned node, AqTime down_ms);
+void sim_freeze_node(Sim *sim, unsigned node, AqTime ms, bool is_suspended);
+/* Number of the node that owns the pool by the store; -1: none. */
+int sim_owner(const Sim *sim, unsigned pool);
+
+/* ---- site_sim_store.c */
+SimStore *sim_store_create(Sim *sim);
+void sim_store_destroy(SimStore *store);
+const AqStoreOps *sim_store_ops(void);
+void sim_store_step(Sim *sim);
+void sim_store_put(Sim *sim, const char *key, const char *value, size_t size);
+void sim_store_remove(Sim *sim, const char *key);
+/* Value of the key as text; NULL: none.  Borrowed. */
+const char *sim_store_value(const Sim *sim, const char *key);
+/* Removes the keys that the node's leases hold; the leases go on. */
+void sim_store_revoke(Sim *sim, unsigned node);
+void sim_store_compact(Sim *sim);
+/* The next calls until the time are answered late, lose their answers, or are
+ * carried out 1 to 6 s later. */
+void sim_store_slow(Sim *sim, AqTime until);
+void sim_store_lose(Sim *sim, AqTime until, unsigned permille);
+void sim_store_delay(Sim *sim, AqTime until, unsigned permille);
+/* Turns all nodes away; leases pause or run on meanwhile. */
+void sim_store_down(Sim *sim, AqTime until, bool do_leases_pause);
+
+/* ---- site_sim_vms.c */
+SimVm *sim_vm_create(Sim *sim, unsigned number);
+void sim_vm_destroy(SimVm *vm);
+const AqWorkerClientOps *sim_worker_ops(void);
+void sim_vms_step(Sim *sim);
+void sim_crash_vm(Sim *sim, unsigned vm, AqTime down_ms);
+void sim_silence_vm(Sim *sim, unsigned vm, AqTime until);
+void sim_unlist_vm(Sim *sim, unsigned vm, AqTime until);
+/* Until the time, orders are refused with 503, lose their replies, or are
+ * carried out 2 to 12 s later without a reply. */
+void sim_vm_refuse(Sim *sim, unsigned vm, AqTime until, unsigned permille);
+void sim_vm_lose(Sim *sim, unsigned vm, AqTime until, unsigned permille);
+void sim_vm_delay(Sim *sim, unsigned vm, AqTime until, unsigned permille);
+
+/* ---- site_faults.c */
+void sim_add_job(Sim *sim);
+void sim_random_fault(Sim *sim);
+
+#endif
