Test: an owner whose key was removed orders beside its successor (known red)

Four cases of two live runs of one task, found by test_live_owners and by reading: the store removes an owner's key while the lease of its node goes on, and the owner hears of it late.

--- a/packages/pool/tests/site_sim.c
+++ b/packages/pool/tests/site_sim.c
@@ -348,6 +348,30 @@
     }
 }
 
+void
+sim_cut_store(Sim *sim, unsigned number, AqTime ms, SimCutMode mode,
+              unsigned calls)
+{
+    SimNode *node = &sim->nodes[number];
+    node->store_cut_until = sim->now + ms;
+    node->store_cut_mode = mode;
+    node->store_cut_calls = calls;
+    sim_trace(sim, "%s loses store calls %u, mode %d, for %lld ms", node->id,
+              calls, (int)mode, (long long)ms);
+}
+
+void
+sim_cut_vms(Sim *sim, unsigned node, AqTime ms, unsigned vms)
+{
+    for (unsigned i = 0; i < SIM_VMS; i++) {
+        if ((vms & (1U << i)) != 0) {
+            sim_trace(sim, "n-%u does not reach vm-%u for %lld ms", node, i,
+                      (long long)ms);
+            sim->nodes[node].vm_cut_until[i] = sim->now + ms;
+        }
+    }
+}
+
 int
 sim_owner(const Sim *sim, unsigned pool)
 {
@@ -426,6 +450,7 @@
         "\"services\":[{\"name\":\"p0\"},{\"name\":\"p1\"}]}";
     Sim *sim = g_new0(Sim, 1);
     AqRandom_Seed(&sim->random, seed);
+    AqRandom_Seed(&sim->fault_random, seed * 7919 + 1);
     sim->now = FIRST_TIME_MS;
     sim->events = g_sequence_new(g_free);
     sim->calls = g_ptr_array_new_with_free_func(free_call);
--- a/packages/pool/tests/site_sim.h
+++ b/packages/pool/tests/site_sim.h
@@ -50,6 +50,25 @@
     void (*free)(SimCall *call);
 };
 
+typedef enum {
+    SIM_CUT_REFUSED, /* 503 at once: nothing was done */
+    SIM_CUT_SILENT,  /* not carried out, no reply */
+    SIM_CUT_ANSWERS, /* carried out, the answer is lost */
+    SIM_CUT_MODES
+} SimCutMode;
+
+/* Kinds of calls to the store, as bits. */
+enum {
+    SIM_CALL_GET = 1,
+    SIM_CALL_LIST = 2,
+    SIM_CALL_CHANGES = 4,
+    SIM_CALL_COMMIT = 8,
+    SIM_CALL_GRANT = 16,
+    SIM_CALL_KEEP = 32,
+    SIM_CALL_END = 64,
+    SIM_CALL_ANY = 127
+};
+
 struct SimNode {
     Sim *sim;
     unsigned number;
@@ -70,21 +89,41 @@
     /* Faults of the path to the store. */
     AqTime store_cut_until;
     unsigned store_cut_calls; /* bits of the kinds of calls that fail */
-    int store_cut_mode;       /* SimCutMode */
+    SimCutMode store_cut_mode;
     AqTime vm_cut_until[SIM_VMS];
     AqStore store;
     AqWorkerClient workers;
 };
 
 typedef enum {
-    SIM_CUT_REFUSED, /* 503 at once: nothing was done */
-    SIM_CUT_SILENT,  /* not carried out, no reply */
-    SIM_CUT_ANSWERS, /* carried out, the answer is lost */
-    SIM_CUT_MODES
-} SimCutMode;
+    SIM_FAULT_KILL,
+    SIM_FAULT_STOP,
+    SIM_FAULT_FREEZE,
+    SIM_FAULT_REVOKE, /* a node's keys go while its lease goes on */
+    SIM_FAULT_CUT_STORE,
+    SIM_FAULT_CUT_VMS, /* a node does not reach some VMs */
+    SIM_FAULT_STORE_SLOW,
+    SIM_FAULT_STORE_LOSE,
+    SIM_FAULT_STORE_DELAY,
+    SIM_FAULT_COMPACT,
+    SIM_FAULT_STORE_DOWN,
+    SIM_FAULT_VM_CRASH,
+    SIM_FAULT_VM_SILENT,
+    SIM_FAULT_VM_UNLISTED,
+    SIM_FAULT_VM_REFUSES,
+    SIM_FAULT_VM_LOSES,
+    SIM_FAULT_VM_DELAYS,
+    SIM_FAULT_KINDS
+} SimFault;
 
 struct Sim {
     AqRandom random;
+    /* Of the choice of jobs and faults, so that it does not depend on what
+     * nodes do. */
+    AqRandom fault_random;
+    unsigned without; /* bits of the kinds of faults that are left out */
+    uint64_t skipped; /* bits of the numbers of faults left out */
+    unsigned fault_count;
     AqTime now;
     uint64_t sequence;
     GSequence *events;
@@ -128,6 +167,11 @@
 void sim_freeze_node(Sim *sim, unsigned node, AqTime ms, bool is_suspended);
 /* Number of the node that owns the pool by the store; -1: none. */
 int sim_owner(const Sim *sim, unsigned pool);
+/* The kinds of calls to the store in the bits of "calls" fail for the node. */
+void sim_cut_store(Sim *sim, unsigned node, AqTime ms, SimCutMode mode,
+                   unsigned calls);
+/* The node does not reach the VMs in the bits of "vms". */
+void sim_cut_vms(Sim *sim, unsigned node, AqTime ms, unsigned vms);
 
 /* ---- site_sim_store.c */
 SimStore *sim_store_create(Sim *sim);
@@ -154,6 +198,8 @@
 void sim_vm_destroy(SimVm *vm);
 const AqWorkerClientOps *sim_worker_ops(void);
 void sim_vms_step(Sim *sim);
+/* Number of a VM that has a run of the pool; -1: none. */
+int sim_find_run(const Sim *sim, unsigned pool);
 void sim_crash_vm(Sim *sim, unsigned vm, AqTime down_ms);
 void sim_silence_vm(Sim *sim, unsigned vm, AqTime until);
 void sim_unlist_vm(Sim *sim, unsigned vm, AqTime until);
@@ -165,6 +211,10 @@
 
 /* ---- site_faults.c */
 void sim_add_job(Sim *sim);
-void sim_random_fault(Sim *sim);
+/* Adds a job of one task to pool 0. */
+void sim_add_task(Sim *sim, AqTime duration_ms);
+/* Adds random jobs and injects random faults until "end"; 20 s later the
+ * simulation ends. */
+void sim_play(Sim *sim);
 
 #endif
--- a/packages/pool/tests/site_sim_store.c
+++ b/packages/pool/tests/site_sim_store.c
@@ -9,16 +9,6 @@
     MAX_SLOW_MS = 700
 };
 
-typedef enum {
-    CALL_GET = 1,
-    CALL_LIST = 2,
-    CALL_CHANGES = 4,
-    CALL_COMMIT = 8,
-    CALL_GRANT = 16,
-    CALL_KEEP = 32,
-    CALL_END = 64
-} CallKind;
-
 /* A key's value, or one change of a key. */
 typedef struct {
     char *key;
@@ -56,7 +46,7 @@
 
 typedef struct {
     SimCall base; /* first, so that SimCall * can be cast */
-    CallKind kind;
+    unsigned kind;
     char *key; /* or prefix */
     char *after;
     uint64_t index; /* of a watch; or the id of a lease */
@@ -114,8 +104,9 @@
     AqStoreReply reply = {.status = call->status};
     GArray *items = g_array_new(FALSE, TRUE, sizeof(AqStoreItem));
     if (!is_answered) {
-        bool is_write = call->kind != CALL_GET && call->kind != CALL_LIST &&
-                        call->kind != CALL_CHANGES;
+        bool is_write = call->kind != SIM_CALL_GET &&
+                        call->kind != SIM_CALL_LIST &&
+                        call->kind != SIM_CALL_CHANGES;
         reply.status = is_write && !call->is_refused ? AQ_STORE_UNKNOWN
                                                      : AQ_STORE_UNAVAILABLE;
     }
@@ -339,33 +330,33 @@
     const Item *item;
     Lease *lease;
     switch (call->kind) {
-    case CALL_GET:
+    case SIM_CALL_GET:
         item = g_tree_lookup(store->items, call->key);
         if (item == NULL) {
             return AQ_STORE_ABSENT;
         }
         g_ptr_array_add(call->found, copy_item(item));
         return AQ_STORE_OK;
-    case CALL_LIST:
+    case SIM_CALL_LIST:
         g_tree_foreach(store->items, collect_listed, call);
         return AQ_STORE_OK;
-    case CALL_COMMIT:
+    case SIM_CALL_COMMIT:
         return commit(sim, call);
-    case CALL_GRANT: {
+    case SIM_CALL_GRANT: {
         Lease granted = {++store->lease_count, call->base.node->number,
                          (AqTime)call->index, sim->now + (AqTime)call->index};
         g_array_append_val(store->leases, granted);
         call->reply_lease = granted.id;
         return AQ_STORE_OK;
     }
-    case CALL_KEEP:
+    case SIM_CALL_KEEP:
         lease = find_lease(store, call->index);
         if (lease == NULL) {
             return AQ_STORE_ABSENT;
         }
         lease->ends_at = sim->now + lease->ttl_ms;
         return AQ_STORE_OK;
-    case CALL_END:
+    case SIM_CALL_END:
         lease = find_lease(store, call->index);
         if (lease == NULL) {
             return AQ_STORE_ABSENT;
@@ -424,16 +415,16 @@
             sim_fail(&call->base, sim->now + 1);
         }
         else if (node->store_cut_mode == SIM_CUT_ANSWERS &&
-                 call->kind != CALL_CHANGES) {
+                 call->kind != SIM_CALL_CHANGES) {
             execute(sim, call);
         }
         return;
     }
-    if (call->kind == CALL_CHANGES) {
+    if (call->kind == SIM_CALL_CHANGES) {
         watch(store, call);
         return;
     }
-    if (call->kind == CALL_COMMIT && sim->now < store->delay_until &&
+    if (call->kind == SIM_CALL_COMMIT && sim->now < store->delay_until &&
         sim_draw(sim, store->delay_permille)) {
         sim_at(sim, sim->now + sim_between(sim, 1000, 6000), on_late_call,
                call);
@@ -445,7 +436,7 @@
 /* ---- Operations --------------------------------------------------------- */
 
 static StoreCall *
-add_call(AqStore *ops, CallKind kind, const char *key, AqTime wait_ms,
+add_call(AqStore *ops, unsigned kind, const char *key, AqTime wait_ms,
          AqStoreDone done, void *context)
 {
     SimNode *node =
@@ -470,14 +461,14 @@
 static void
 store_get(AqStore *store, const char *key, AqStoreDone done, void *context)
 {
-    add_call(store, CALL_GET, key, 0, done, context);
+    add_call(store, SIM_CALL_GET, key, 0, done, context);
 }
 
 static void
 store_list(AqStore *store, const char *prefix, const char *after, bool stale,
            AqStoreDone done, void *context)
 {
-    StoreCall *call = add_call(store, CALL_LIST, prefix, 0, done, context);
+    StoreCall *call = add_call(store, SIM_CALL_LIST, prefix, 0, done, context);
     (void)stale;
     g_free(call->after);
     call->after = g_strdup(after);
@@ -487,7 +478,7 @@
 store_changes(AqStore *store, const char *prefix, uint64_t index,
               int64_t wait_ms, AqStoreDone done, void *context)
 {
-    add_call(store, CALL_CHANGES, prefix, wait_ms, done, context)->index =
+    add_call(store, SIM_CALL_CHANGES, prefix, wait_ms, done, context)->index =
         index;
 }
 
@@ -495,7 +486,7 @@
 store_commit(AqStore *store, const AqStoreCommit *request, AqStoreDone done,
              void *context)
 {
-    StoreCall *call = add_call(store, CALL_COMMIT, "", 0, done, context);
+    StoreCall *call = add_call(store, SIM_CALL_COMMIT, "", 0, done, context);
     for (size_t i = 0; i < request->expect_count; i++) {
         g_ptr_array_add(call->expects, new_item(request->expects[i].key, NULL,
                                                 0, request->expects[i].index));
@@ -516,20 +507,20 @@
 static void
 store_grant(AqStore *store, int64_t ttl_ms, AqStoreDone done, void *context)
 {
-    add_call(store, CALL_GRANT, "", 0, done, context)->index =
+    add_call(store, SIM_CALL_GRANT, "", 0, done, context)->index =
         (uint64_t)ttl_ms;
 }
 
 static void
 store_keep(AqStore *store, uint64_t lease, AqStoreDone done, void *context)
 {
-    add_call(store, CALL_KEEP, "", 0, done, context)->index = lease;
+    add_call(store, SIM_CALL_KEEP, "", 0, done, context)->index = lease;
 }
 
 static void
 store_end(AqStore *store, uint64_t lease, AqStoreDone done, void *context)
 {
-    add_call(store, CALL_END, "", 0, done, context)->index = lease;
+    add_call(store, SIM_CALL_END, "", 0, done, context)->index = lease;
 }
 
 static void
--- a/packages/pool/tests/site_sim_vms.c
+++ b/packages/pool/tests/site_sim_vms.c
@@ -623,6 +623,17 @@
     }
 }
 
+int
+sim_find_run(const Sim *sim, unsigned pool)
+{
+    for (unsigned i = pool; i < SIM_VMS; i += SIM_POOLS) {
+        if (sim->vms[i]->runs->len > 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
 void
 sim_crash_vm(Sim *sim, unsigned number, AqTime down_ms)
 {
--- a/packages/pool/tests/test_live_owners.c
+++ b/packages/pool/tests/test_live_owners.c
@@ -12,35 +12,35 @@
  * which two runs are alive at once, and against a start after an end that was
  * confirmed.
  *
- * "test_live_owners FIRST_SEED COUNT [trace]" runs other seeds. */
+ * "test_live_owners FIRST_SEED COUNT [WITHOUT [SKIPPED]]" runs other seeds,
+ * without the kinds of faults (SimFault) in the bits of WITHOUT and the faults
+ * whose numbers are in the bits of SKIPPED.  With one seed it prints a trace
+ * if SKIPPED is given. */
+
+static uint64_t first_seed = 1;
+static uint64_t seed_count = 100;
+static unsigned without;
+static uint64_t skipped;
 
 static bool
 run_seed(uint64_t seed)
 {
     Sim *sim = sim_create(seed);
-    unsigned faults = 5 + (unsigned)AqRandom_Below(&sim->random, 15);
-    sim_run(sim, 2500);
-    for (unsigned i = 0; i < faults && sim->violation[0] == '\0'; i++) {
-        for (uint64_t j = AqRandom_Below(&sim->random, 4); j > 0; j--) {
-            sim_add_job(sim);
-        }
-        sim_random_fault(sim);
-        sim_run(sim, sim_between(sim, 50, 4000));
-    }
-    sim_run(sim, 15000);
+    sim->without = without;
+    sim->skipped = skipped;
+    sim_play(sim);
     bool is_clean = sim->violation[0] == '\0';
     if (!is_clean) {
-        printf("seed %llu: %s\n", (unsigned long long)seed, sim->violation);
+        printf("seed %llu: %u faults, %s\n", (unsigned long long)seed,
+               sim->fault_count, sim->violation);
         fflush(stdout);
     }
-    sim_trace(sim, "%u starts, %u done", sim->start_count, sim->done_count);
+    sim_trace(sim, "%u faults, %u starts, %u done", sim->fault_count,
+              sim->start_count, sim->done_count);
     sim_destroy(sim);
     return is_clean;
 }
 
-static uint64_t first_seed = 1;
-static uint64_t seed_count = 100;
-
 static void
 test_random_faults(void)
 {
@@ -56,7 +56,9 @@
         first_seed = strtoull(argv[1], NULL, 10);
         seed_count = strtoull(argv[2], NULL, 10);
     }
-    sim_set_trace(argc > 3);
+    without = argc > 3 ? (unsigned)strtoul(argv[3], NULL, 0) : 0;
+    skipped = argc > 4 ? strtoull(argv[4], NULL, 0) : 0;
+    sim_set_trace(argc > 4 && getenv("QUIET") == NULL);
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("live_owners", NULL, NULL);
     CU_add_test(suite, "random_faults", test_random_faults);
