Scheduler: a refusal does not show that a VM has seen the fence

Cause: vms_on_reply() took the first reply of any kind as proof that the VM refuses earlier owners from then on, and counted their leases from its clock. A VM that answers 429, 503 or 400 has done nothing, so that it has not recorded the fence either and still takes orders of the earlier owner.

Change: has_seen_fence is set by replies that carry out an order or refuse it by its content; until then the VM's lease also counts from the time until which an earlier owner may be active.

--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -250,6 +250,9 @@
     /* the VM has replied to a lease renewal that this owner of the pool
      * sent */
     bool has_replied;
+    /* a reply of the VM shows that it has seen this owner's fence, so that it
+     * refuses the orders of earlier owners */
+    bool has_seen_fence;
     /* the VM comes from the list of used VMs that an earlier owner of the pool
      * stored, since that owner may have sent the VM orders; false again once
      * the VM has been silent until its lease expired */
@@ -447,7 +450,8 @@
  * since it was cordoned, so that nobody has ordered its move or
  * maintenance. */
 bool vms_is_being_emptied(const AqScheduler *s, const Vm *vm);
-/* Records that the VM replied, and the VM's clock from the reply. */
+/* Records that the VM replied, the VM's clock from the reply, and whether the
+ * reply shows that the VM has seen this owner's fence. */
 void vms_on_reply(AqScheduler *s, Vm *vm, const AqOrderReply *reply);
 /* Records that an order to the VM ended without a reply. */
 void vms_on_no_reply(AqScheduler *s, Vm *vm);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -176,18 +176,28 @@
 
 /* ---- Replies and leases ------------------------------------------------- */
 
+/* Whether the reply shows that the VM has recorded the order's fence.  A VM
+ * that refuses an order as unhealthy or malformed has done nothing. */
+static bool
+shows_fence(AqOrderResult result)
+{
+    return result != AQ_ORDER_UNHEALTHY && result != AQ_ORDER_INVALID;
+}
+
 void
 vms_on_reply(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
 {
     if (reply->clock_ms < 0) {
         return;
     }
-    if (vm->clock_ms < 0) {
+    if (!vm->has_seen_fence && shows_fence(reply->result)) {
         /* An earlier pool owner may have granted the VM a lease of lease_ms
          * just before the VM received this pool owner's first order, whose
          * higher fence makes the VM refuse later orders of earlier pool
          * owners. */
-        vm->deadline_ms = reply->clock_ms + s->config.lease_ms;
+        AqTime latest = reply->clock_ms + s->config.lease_ms;
+        vm->has_seen_fence = true;
+        vm->deadline_ms = latest > vm->deadline_ms ? latest : vm->deadline_ms;
     }
     vm->clock_ms = reply->clock_ms;
     vm->clock_at = s->now;
@@ -281,13 +291,16 @@
 static bool
 has_lease_expired(const AqScheduler *s, const Vm *vm)
 {
-    if (vm->clock_ms < 0) {
-        /* The VM has not replied to this pool owner, so only an earlier pool
-         * owner can have granted the VM a lease. */
+    if (!vm->has_seen_fence) {
+        /* The VM may still carry out orders of an earlier pool owner. */
         AqTime most =
             (AqTime)((double)s->config.lease_ms / slowest_clock_rate);
-        return s->now - s->created_at >
-               s->config.earlier_owner_ms + most + LEASE_EXPIRY_MARGIN_MS;
+        bool is_over = s->now - s->created_at > s->config.earlier_owner_ms +
+                                                    most +
+                                                    LEASE_EXPIRY_MARGIN_MS;
+        if (!is_over || vm->clock_ms < 0) {
+            return is_over;
+        }
     }
     double passed = (double)(s->now - vm->clock_at) * slowest_clock_rate;
     return (double)vm->clock_ms + passed >
