Scheduler: runs that were listed before their task was known

Cause: a VM may list a run, or its end, of a job or occurrence that this owner has not read yet. The owner only counted the VM as full; when the job came it was new, and its tasks started elsewhere at once.

Change: the scheduler keeps such runs by name, as of each VM's last list, and makes them the current runs of their tasks when these become known.

--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -334,6 +334,25 @@
     }
 }
 
+static void
+add_unknown_run(AqScheduler *s, const Vm *vm, const AqTaskName *task,
+                int64_t run)
+{
+    NamedRun unknown = {.task = *task, .run = run};
+    g_strlcpy(unknown.vm, vm->report.id, sizeof(unknown.vm));
+    g_array_append_val(s->unknown_runs, unknown);
+}
+
+static void
+clear_unknown_runs(AqScheduler *s, const char *vm)
+{
+    for (guint i = s->unknown_runs->len; i-- > 0;) {
+        if (strcmp(g_array_index(s->unknown_runs, NamedRun, i).vm, vm) == 0) {
+            g_array_remove_index_fast(s->unknown_runs, i);
+        }
+    }
+}
+
 /* Applies the ends of runs that the reply lists, in order, and stops at the
  * first end of a run whose job this scheduler does not know yet.  Returns
  * whether all ends were applied. */
@@ -351,6 +370,12 @@
             if (vm->foreign_since == 0) {
                 vm->foreign_since = s->now;
             }
+            for (; i < reply->ended_count; i++) {
+                if (scheduler_find_job(s, reply->ended[i].task.job) == NULL) {
+                    add_unknown_run(s, vm, &reply->ended[i].task,
+                                    reply->ended[i].run);
+                }
+            }
             return false;
         }
         if (task != NULL) {
@@ -469,6 +494,9 @@
             return;
         }
         add_foreign_usage(vm, job, row->task.step);
+        if (task == NULL) {
+            add_unknown_run(s, vm, &row->task, row->run);
+        }
         if (job != NULL || vms_is_foreign_run_overdue(s, vm)) {
             stop_unknown_run(s, vm, &row->task, row->run);
         }
@@ -490,6 +518,27 @@
     stop_if_stalled(s, vm, task, row);
 }
 
+void
+replies_adopt_unknown_runs(AqScheduler *s, const Job *job)
+{
+    for (guint i = s->unknown_runs->len; i-- > 0;) {
+        NamedRun unknown = g_array_index(s->unknown_runs, NamedRun, i);
+        AqRunningTask row = {
+            .task = unknown.task, .run = unknown.run, .checkpoint = ""};
+        Task *task = scheduler_find_task(s, &unknown.task);
+        Vm *vm = vms_find(s, unknown.vm);
+        if (strcmp(unknown.task.job, job->spec.id) != 0 || task == NULL) {
+            continue;
+        }
+        g_array_remove_index_fast(s->unknown_runs, i);
+        if (vm != NULL && task->state != TASK_DONE && row.run >= task->run) {
+            log_task(AQ_LOG_INFO, "run_adopted", task, vm, s, "listed_before");
+            adopt_run(s, vm, task, &row);
+            task->last_listed_renewal = vm->renewal_count;
+        }
+    }
+}
+
 /* Makes those of the VM's tasks ready for new runs whose runs are missing from
  * the VM's reply to a renewal order, which extends the VM's lease.  The
  * renewal order was sent at "sent_at". */
@@ -542,6 +591,7 @@
     vm->renewal_count++;
     vm->foreign_cpu = 0;
     vm->foreign_memory = 0;
+    clear_unknown_runs(s, id);
     bool are_known = process_ends(s, vm, reply);
     for (size_t i = 0; i < reply->running_count; i++) {
         process_running_task(s, vm, &reply->running[i]);
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -198,6 +198,7 @@
         scheduler_unlock(
             s, scheduler_add_occurrence(s, job, job->next_occurrence));
         job->next_occurrence++;
+        replies_adopt_unknown_runs(s, job);
         scheduler_changed(s, job);
     }
 }
@@ -303,6 +304,7 @@
         scheduler_unlock(s, scheduler_add_occurrence(s, job, 0));
         job->next_occurrence = 1;
     }
+    replies_adopt_unknown_runs(s, job);
     finish_if_done(s, job);
     s->placement_due = true;
     return true;
@@ -550,7 +552,8 @@
     s->mean_actual_ms = 1000.0;
     s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     s->vms_by_id = g_hash_table_new(g_str_hash, g_str_equal);
-    s->inherited_runs = g_array_new(FALSE, FALSE, sizeof(InheritedRun));
+    s->inherited_runs = g_array_new(FALSE, FALSE, sizeof(NamedRun));
+    s->unknown_runs = g_array_new(FALSE, FALSE, sizeof(NamedRun));
     AqList_Init(&s->active);
     AqList_Init(&s->dirty);
     AqList_Init(&s->vms);
@@ -576,6 +579,7 @@
     }
     g_hash_table_destroy(s->vms_by_id);
     g_array_free(s->inherited_runs, TRUE);
+    g_array_free(s->unknown_runs, TRUE);
     free(s);
 }
 
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -208,13 +208,14 @@
     AqTime slack;
 };
 
-/* A run that the previous owner of the pool stored with the list of used VMs
- * when that pool owner handed the pool over. */
+/* A run on a VM, named by ids: one that the previous owner of the pool stored
+ * with the list of used VMs when it handed the pool over, or one that a VM has
+ * listed before the scheduler knew the run's task. */
 typedef struct {
     char vm[AQ_VM_ID_SIZE];
     AqTaskName task;
     int64_t run;
-} InheritedRun;
+} NamedRun;
 
 /* The end of one run, which a VM has listed in a reply to a lease renewal.
  * "number" is the AqEndedTask.number of the end, which may be confirmed to
@@ -332,6 +333,10 @@
     bool may_order;
     /* array of InheritedRun; emptied by AqScheduler_SetLoaded() */
     GArray *inherited_runs;
+    /* array of NamedRun: runs, and ends of runs that were not applied, in the
+     * last reply of each VM to a lease renewal, of tasks that the scheduler
+     * did not know */
+    GArray *unknown_runs;
     /* all stored jobs have been added, and all VMs from the stored list of
      * used VMs, to which an earlier pool owner may have sent orders */
     bool is_loaded;
@@ -501,6 +506,9 @@
  * an end of that run. */
 void replies_log_lost(const AqScheduler *s, const Task *task,
                       const char *reason);
+/* Makes the runs that VMs have listed before the scheduler knew their tasks
+ * the current runs of those of the job's tasks that are known now. */
+void replies_adopt_unknown_runs(AqScheduler *s, const Job *job);
 /* Sends again each start order that had no reply, once the VM replies to other
  * orders, and each stop order that the VM has not confirmed; both not before
  * the task's resend_at. */
--- a/packages/scheduler/used_vms.c
+++ b/packages/scheduler/used_vms.c
@@ -123,7 +123,7 @@
 static bool
 add_inherited_run(AqScheduler *s, const Vm *vm, const msgpack_object *row)
 {
-    InheritedRun inherited = {0};
+    NamedRun inherited = {0};
     char *job = NULL;
     int64_t numbers[TASK_FIELDS];
     bool ok = row->type == MSGPACK_OBJECT_ARRAY &&
@@ -219,8 +219,8 @@
 adopt_inherited_runs(AqScheduler *s)
 {
     for (guint i = 0; i < s->inherited_runs->len && s->is_handed_over; i++) {
-        const InheritedRun *inherited =
-            &g_array_index(s->inherited_runs, InheritedRun, i);
+        const NamedRun *inherited =
+            &g_array_index(s->inherited_runs, NamedRun, i);
         Task *task = scheduler_find_task(s, &inherited->task);
         Vm *vm = vms_find(s, inherited->vm);
         if (task != NULL && vm != NULL && task->state == TASK_READY) {
