Member: a late reply to a claim does not make its node the owner

Cause: the reply to a claim, or the read after a claim without a reply, set the pool as owned whatever had been heard meanwhile: the end of the lease under which the owner key was written, the removal of that key, or another node's key. With its next lease the node was free to send orders as the owner of a pool that another node had.

Change: a claim remembers its lease and what the view has shown since it was sent; if it is over, it is tried again (claim_outdated in the log).

--- a/packages/pool/member_claims.c
+++ b/packages/pool/member_claims.c
@@ -73,10 +73,33 @@
                   AqLoop_Now(claim->member->node->loop) + CLAIM_RETRY_MS);
 }
 
+/* Whether the owner key that this node wrote at store revision "index" is gone
+ * already: its lease has ended, or the view has shown a later change. */
+static bool
+is_claim_over(const PoolClaim *claim, uint64_t index)
+{
+    return claim->lease != claim->member->lease || claim->was_removed ||
+           claim->seen_index > index;
+}
+
+/* Takes the pool over after the store has shown, by the reply to a call sent
+ * at "confirmed_at", that this node wrote the owner key at revision
+ * "fence". */
 static void
 set_owned(PoolClaim *claim, uint64_t fence)
 {
     Member *member = claim->member;
+    if (is_claim_over(claim, fence)) {
+        AqLog_Event(AQ_LOG_WARNING, "claim_outdated",
+                    "pool=%s fence=%llu lease=%llu own_lease=%llu seen=%llu "
+                    "removed=%d",
+                    claim->pool, (unsigned long long)fence,
+                    (unsigned long long)claim->lease,
+                    (unsigned long long)member->lease,
+                    (unsigned long long)claim->seen_index, claim->was_removed);
+        retry_claim(claim);
+        return;
+    }
     Ownership ownership = {
         .fence = fence,
         .generation = claim->generation,
@@ -215,6 +238,10 @@
     AqStoreCommit commit = {
         .expects = expects, .expect_count = 2, .puts = puts, .put_count = 2};
     claim->state = CLAIM_WRITING;
+    claim->lease = member->lease;
+    claim->sent_at = AqLoop_Now(node->loop);
+    claim->seen_index = 0;
+    claim->was_removed = false;
     node->store->ops->commit(node->store, &commit, on_claimed, claim);
 }
 
@@ -354,6 +381,9 @@
         find_or_add_claim(member, item->key + strlen(KEYS_OWNERS));
     char text[120];
     key_text(item, text, sizeof(text));
+    if (claim->state == CLAIM_WRITING && item->index > claim->seen_index) {
+        claim->seen_index = item->index;
+    }
     if (claim->state == CLAIM_OWNED) {
         if (item->index > claim->fence) {
             member_superseded(member, claim->pool, "other_owner_seen");
@@ -381,6 +411,7 @@
     Member *member = context;
     PoolClaim *claim = find_or_add_claim(member, key + strlen(KEYS_OWNERS));
     claim->owner_index = 0;
+    claim->was_removed = claim->was_removed || claim->state == CLAIM_WRITING;
     if (claim->state == CLAIM_OWNED) {
         member_superseded(member, claim->pool, "owner_key_removed");
     }
--- a/packages/pool/member_private.h
+++ b/packages/pool/member_private.h
@@ -36,6 +36,11 @@
     uint64_t owner_index;
     char owner_node[64];
     char owner_incarnation[40];
+    /* Set while a claim is being written: the highest revision of the owner
+     * key that the view has reported since, and whether it has reported the
+     * removal of the key. */
+    uint64_t seen_index;
+    bool was_removed;
     /* The pool's term record as last read: store revision (0: there is no
      * record), number of ownerships so far, whether the last owner released
      * the pool, and that owner's node id and incarnation. */
@@ -47,8 +52,21 @@
     /* Store revision of the owner key that this node wrote; valid in
      * CLAIM_OWNED. */
     uint64_t fence;
-    /* The pool's previous owner may still send orders: it neither released the
-     * pool nor was replaced by a new incarnation of its node. */
+    /* Lease under which this node last wrote the owner key, and when it sent
+     * that write. */
+    uint64_t lease;
+    AqTime sent_at;
+    /* Store revision of the owner key as found after a claim without a clear
+     * reply. */
+    uint64_t found_index;
+    /* When this node learned that it owns the pool, and when it sent the last
+     * call whose reply shows that the owner key was still its own; valid in
+     * CLAIM_OWNED. */
+    AqTime owned_at;
+    AqTime confirmed_at;
+    /* An earlier owner of the pool may still send orders: the last one neither
+     * released the pool nor was replaced by a new incarnation of its node, or
+     * the one before it may not know that it was replaced. */
     bool previous_owner_may_be_active;
 } PoolClaim;
 
