Member: an ownership has the generation that its term holds

Cause: after a claim without a reply the generation came from the term as read before the last claim, but an earlier claim may be the one that took effect; the term was then one behind its owner.

Evidence: test late_claim_keeps_generation, failing before and passing now.

Change: a claim that the owner key shows to have taken effect reads the term again.

--- a/packages/pool/member_claims.c
+++ b/packages/pool/member_claims.c
@@ -121,6 +121,31 @@
     member->ops.gained(member->context, &ownership);
 }
 
+static void read_term(PoolClaim *claim, const AqStoreReply *reply);
+
+/* Handles the read of the term after the owner key has shown that a claim
+ * without a clear reply took effect: it may be another one than the last, and
+ * only the term shows which generation it wrote. */
+static void
+on_claimed_term_read(void *context, const AqStoreReply *reply)
+{
+    PoolClaim *claim = context;
+    const NodeContext *node = claim->member->node;
+    if (claim->state != CLAIM_WRITING) {
+        return;
+    }
+    if (reply->status == AQ_STORE_OK) {
+        read_term(claim, reply);
+    }
+    if (reply->status != AQ_STORE_OK || claim->generation == 0 ||
+        strcmp(claim->term_incarnation, node->incarnation) != 0) {
+        retry_claim(claim);
+        return;
+    }
+    claim->generation--;
+    set_owned(claim, claim->found_index);
+}
+
 static void
 on_claim_read(void *context, const AqStoreReply *reply)
 {
@@ -132,7 +157,9 @@
     if (reply->status == AQ_STORE_OK && reply->count == 1 &&
         g_strstr_len(reply->items[0].value, (gssize)reply->items[0].size,
                      node->incarnation) != NULL) {
-        set_owned(claim, reply->items[0].index);
+        claim->found_index = reply->items[0].index;
+        node->store->ops->get(node->store, key_of(KEY_TERM, claim->pool),
+                              on_claimed_term_read, claim);
         return;
     }
     retry_claim(claim);
