Member: an owner waits for all owners before it, not for the last one

Cause: an owner waits, before it relies on leases and new jobs, for the time in which its predecessor may still send orders, and not at all where that one released the pool or was replaced. The owner before the predecessor may be active too when takeovers follow one another within two seconds; nothing waited for it.

The simulator gives its owners their waiting time itself, so it follows the rule of Member now; its checks are the same.

Change: the term record says whether an earlier owner may be active. An owner writes so with its claim or, having had to wait, once its wait is over. Records of earlier versions do not say it: their successors wait.

--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -28,8 +28,9 @@
     /* How often any node gained the pool before this ownership; a node that
      * has owned the pool repeatedly counts each time. */
     int64_t generation;
-    /* The pool's previous owner may still send orders: it neither released the
-     * pool nor was replaced by a new incarnation of its node. */
+    /* An earlier owner of the pool may still send orders: the last one neither
+     * released the pool nor was replaced by a new incarnation of its node, or
+     * the one before it may not know that it was replaced. */
     bool previous_owner_may_be_active;
 } Ownership;
 
--- a/packages/pool/member_claims.c
+++ b/packages/pool/member_claims.c
@@ -22,7 +22,9 @@
      * in between.  This exceeds the wait of a node with a greater share that
      * owns all pools of a site. */
     CLAIM_LOW_CPU_WAIT_MS = 2000,
-    CLAIM_RETRY_MS = 100
+    CLAIM_RETRY_MS = 100,
+    /* Wait before a failed write of a settled term record is repeated. */
+    SETTLE_RETRY_MS = 300
 };
 
 static size_t
@@ -109,6 +111,12 @@
     claim->has_had_owner = true;
     claim->fence = fence;
     claim->owner_index = fence;
+    claim->owned_at = AqLoop_Now(member->node->loop);
+    claim->is_settled = !claim->previous_owner_may_be_active;
+    if (!claim->is_settled) {
+        AqTimer_Start(member->node->loop, &claim->timer,
+                      claim->owned_at + MEMBER_LEASE_MS);
+    }
     g_strlcpy(claim->owner_node, member->node->settings->node_id,
               sizeof(claim->owner_node));
     g_strlcpy(claim->owner_incarnation, member->node->incarnation,
@@ -195,9 +203,11 @@
     char text[200];
     long long generation = 0;
     int released = 0;
+    int settled = 0;
     claim->term_index = 0;
     claim->generation = 0;
     claim->was_released = true;
+    claim->was_settled = true;
     claim->term_node[0] = '\0';
     claim->term_incarnation[0] = '\0';
     if (reply->status != AQ_STORE_OK || reply->count != 1) {
@@ -206,21 +216,29 @@
     const AqStoreItem *item = &reply->items[0];
     key_text(item, text, sizeof(text));
     claim->term_index = item->index;
-    if (sscanf(text, "%lld %63s %39s %d", &generation, claim->term_node,
-               claim->term_incarnation, &released) == 4) {
+    /* Earlier versions write no fifth field. */
+    if (sscanf(text, "%lld %63s %39s %d %d", &generation, claim->term_node,
+               claim->term_incarnation, &released, &settled) >= 4) {
         claim->generation = generation;
         claim->was_released = released != 0;
+        claim->was_settled = settled != 0;
+    }
+    else {
+        AqLog_Event(AQ_LOG_WARNING, "term_unreadable", "pool=%s index=%llu",
+                    claim->pool, (unsigned long long)item->index);
+        claim->was_released = false;
+        claim->was_settled = false;
     }
 }
 
 static size_t
-format_term(char *out, size_t size, const PoolClaim *claim, int64_t generation,
-            bool is_released)
+format_term(char *out, size_t size, const PoolClaim *claim, bool is_released,
+            bool is_settled)
 {
     const NodeContext *node = claim->member->node;
-    return (size_t)snprintf(out, size, "%lld %s %s %d", (long long)generation,
-                            node->settings->node_id, node->incarnation,
-                            is_released);
+    return (size_t)snprintf(
+        out, size, "%lld %s %s %d %d", (long long)claim->generation + 1,
+        node->settings->node_id, node->incarnation, is_released, is_settled);
 }
 
 static void
@@ -248,12 +266,13 @@
         return;
     }
     claim->previous_owner_may_be_active =
-        !claim->was_released &&
-        !is_replaced(member, claim->term_node, claim->term_incarnation);
+        !claim->was_settled ||
+        (!claim->was_released &&
+         !is_replaced(member, claim->term_node, claim->term_incarnation));
     snprintf(owner, sizeof(owner), "%s %s", node->settings->node_id,
              node->incarnation);
-    size_t term_size =
-        format_term(term, sizeof(term), claim, claim->generation + 1, false);
+    size_t term_size = format_term(term, sizeof(term), claim, false,
+                                   !claim->previous_owner_may_be_active);
     AqStoreExpect expects[] = {
         {key_of(KEY_OWNER, claim->pool), claim->owner_index},
         {key_of(KEY_TERM, claim->pool), claim->term_index},
@@ -318,12 +337,46 @@
     return claim->is_configured || claim->has_had_owner;
 }
 
+static void
+on_settled(void *context, const AqStoreReply *reply)
+{
+    PoolClaim *claim = context;
+    const NodeContext *node = claim->member->node;
+    if (claim->state != CLAIM_OWNED || claim->is_settled) {
+        return;
+    }
+    claim->is_settled = reply->status == AQ_STORE_OK;
+    if (!claim->is_settled && reply->status != AQ_STORE_CONFLICT) {
+        AqTimer_Start(node->loop, &claim->timer,
+                      AqLoop_Now(node->loop) + SETTLE_RETRY_MS);
+    }
+}
+
+/* Notes in the term record that owners before this node can no longer be
+ * active, so that the next owner has to wait for this node alone. */
+static void
+settle_term(PoolClaim *claim)
+{
+    NodeContext *node = claim->member->node;
+    char term[200];
+    size_t size = format_term(term, sizeof(term), claim, false, true);
+    AqStoreExpect expect = {key_of(KEY_OWNER, claim->pool), claim->fence};
+    AqStorePut put = {key_of(KEY_TERM, claim->pool), term, size, 0};
+    AqStoreCommit commit = {
+        .expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
+    node->store->ops->commit(node->store, &commit, on_settled, claim);
+}
+
 static void
 on_claim_due(void *context)
 {
     PoolClaim *claim = context;
     Member *member = claim->member;
     NodeContext *node = member->node;
+    if (claim->state == CLAIM_OWNED && !claim->is_settled) {
+        settle_term(claim);
+        return;
+    }
     if (claim->state != CLAIM_WAITING) {
         return;
     }
@@ -516,8 +569,10 @@
         return;
     }
     claim->state = CLAIM_NONE;
-    size_t size =
-        format_term(term, sizeof(term), claim, claim->generation + 1, true);
+    bool is_settled =
+        claim->is_settled ||
+        AqLoop_Now(node->loop) - claim->owned_at >= MEMBER_LEASE_MS;
+    size_t size = format_term(term, sizeof(term), claim, true, is_settled);
     const char *deletes[] = {key_of(KEY_OWNER, pool),
                              key_of(KEY_REPORT, pool)};
     AqStoreExpect expect = {deletes[0], claim->fence};
--- a/packages/pool/member_private.h
+++ b/packages/pool/member_private.h
@@ -43,10 +43,12 @@
     bool was_removed;
     /* The pool's term record as last read: store revision (0: there is no
      * record), number of ownerships so far, whether the last owner released
-     * the pool, and that owner's node id and incarnation. */
+     * the pool, whether no owner before the last one can have been active when
+     * the record was written, and the last owner's node id and incarnation. */
     uint64_t term_index;
     int64_t generation;
     bool was_released;
+    bool was_settled;
     char term_node[64];
     char term_incarnation[40];
     /* Store revision of the owner key that this node wrote; valid in
@@ -68,6 +70,9 @@
      * released the pool nor was replaced by a new incarnation of its node, or
      * the one before it may not know that it was replaced. */
     bool previous_owner_may_be_active;
+    /* The pool's term record says that no earlier owner can be active; valid
+     * in CLAIM_OWNED. */
+    bool is_settled;
 } PoolClaim;
 
 /* A member's entry in the store. */
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -257,6 +257,8 @@
     /* stored list of used VMs, to which an owner of the pool may have sent
      * orders; empty: none is stored */
     AqBuffer used_vms;
+    /* from this time on no owner before the current one is active */
+    AqTime settled_at;
     AqSiteConfig site;
     AqQueueConfig queue;
     char violation[256]; /* first violated invariant; "" for none */
@@ -1185,8 +1187,13 @@
         .fence = ++sim->fence,
         .generation = sim->generation++,
         .lease_ms = SIM_LEASE_MS,
-        .earlier_owner_ms = previous_may_be_active ? SIM_OWNER_LEASE_MS : 0,
     };
+    /* As Member does: an owner that follows within the time in which another
+     * may be active waits too, whatever became of its predecessor. */
+    if (previous_may_be_active || sim->now < sim->settled_at) {
+        config.earlier_owner_ms = SIM_OWNER_LEASE_MS;
+        sim->settled_at = sim->now + SIM_OWNER_LEASE_MS;
+    }
     if (sim->owner != NULL) {
         sim->owner->lease_end =
             previous_may_be_active ? sim->now + SIM_OWNER_LEASE_MS : sim->now;
