Owner: the right to order rests on the owner key, not on the lease alone

Cause: an owner sent orders, and took the runs of silent VMs as ended with their leases, as long as renewals of its node's lease were answered. The owner key can be gone before that: removed while the lease goes on, or written by a claim that counted as owned too late. A successor may then extend the lease of a VM that only it reaches, while the old owner starts the VM's tasks elsewhere, or the other way round.

A VM's lease counts as expired only once a read that was sent after the expiry shows the key, so that no other owner can have extended it; such a read is sent at once.

--- a/packages/pool/member.c
+++ b/packages/pool/member.c
@@ -165,6 +165,7 @@
                       AqLoop_Now(member->node->loop));
     if (reply->status == AQ_STORE_OK) {
         record_lease_reply(member, member->renewal_sent_at);
+        member_confirm_pools(member);
         if (member->is_entry_due) {
             write_entry(member);
         }
@@ -226,6 +227,15 @@
            REPLY_MAX_AGE_MS;
 }
 
+bool
+member_may_order_for(const Member *member, const char *pool)
+{
+    AqTime confirmed_at = member_confirmed_at(member, pool);
+    return confirmed_at != AQ_TIME_NEVER && member_may_order(member) &&
+           AqClock_ReadMonotonic() + ORDER_DELIVERY_MS <
+               confirmed_at + MEMBER_LEASE_MS - LEASE_MARGIN_MS;
+}
+
 /* ---- Views -------------------------------------------------------------- */
 
 static void
--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -50,6 +50,17 @@
 /* Returns whether this node's lease in the store is certain to hold for long
  * enough that an order sent now is carried out before the lease ends. */
 bool member_may_order(const Member *member);
+/* Returns whether this node may send orders as the owner of the pool:
+ * member_may_order(), and the store has shown recently enough that the pool's
+ * owner key is this node's.  The lease alone does not show that, since a key
+ * may be removed before its lease ends. */
+bool member_may_order_for(const Member *member, const char *pool);
+/* Returns when the last call was sent whose reply shows that this node owned
+ * the pool; AQ_TIME_NEVER: this node does not own it. */
+AqTime member_confirmed_at(const Member *member, const char *pool);
+/* Reads the owner keys, unless that is in progress, so that
+ * member_confirmed_at() advances. */
+void member_confirm_pools(Member *member);
 /* Returns the id of this node's lease in the store, for keys that are to be
  * removed when the lease ends; 0: the node has no lease. */
 uint64_t member_lease(const Member *member);
--- a/packages/pool/member_private.h
+++ b/packages/pool/member_private.h
@@ -106,6 +106,9 @@
      * after the next renewal. */
     bool is_entry_due;
     AqTime renewal_sent_at;
+    /* The owner keys are being read; when that call was sent. */
+    bool is_confirming;
+    AqTime confirmation_sent_at;
     /* This node's lease is certain to hold until this time. */
     AqTime lease_valid_until;
     AqTime last_reply_at;
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -358,8 +358,9 @@
     }
     g_list_free_full(pools, g_free);
     if (node->coordinator != NULL) {
-        machine_coordinator_round(node->coordinator,
-                                  member_may_order(node->member));
+        machine_coordinator_round(
+            node->coordinator,
+            member_may_order_for(node->member, MEMBER_MACHINE_COORDINATOR));
     }
     return due;
 }
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -422,7 +422,8 @@
 bool
 pool_owner_may_order(const PoolOwner *owner)
 {
-    return !owner->is_finishing && member_may_order(owner->member);
+    return !owner->is_finishing &&
+           member_may_order_for(owner->member, owner->ownership.pool);
 }
 
 AqTime
@@ -441,8 +442,16 @@
                     (unsigned long long)owner->ownership.fence,
                     owner->calls_in_flight);
     }
+    AqTime confirmed_at =
+        member_confirmed_at(owner->member, owner->ownership.pool);
+    if (confirmed_at != AQ_TIME_NEVER) {
+        AqScheduler_ConfirmOwnership(owner->scheduler, confirmed_at);
+    }
     AqTime due =
         AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(), may_order);
+    if (AqScheduler_AwaitsConfirmation(owner->scheduler)) {
+        member_confirm_pools(owner->member);
+    }
     save_progress(owner);
     if (!owner->is_finishing) {
         write_used_vms(owner);
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -241,6 +241,14 @@
 
 /* ---- Time --------------------------------------------------------------- */
 
+/* Tells the scheduler that the store's reply to a call sent at "sent_at" shows
+ * that this owner still had the pool.  A run on a silent VM counts as lost
+ * only once the ownership is confirmed after the VM's lease has expired: a
+ * later owner may have extended the lease. */
+void AqScheduler_ConfirmOwnership(AqScheduler *scheduler, AqTime sent_at);
+/* Whether the scheduler waits for a confirmation. */
+bool AqScheduler_AwaitsConfirmation(const AqScheduler *scheduler);
+
 /* Sends the orders that are due.  "wall" is Unix ms.  While "may_order" is
  * false no order is sent, since the pool may have another owner.  Returns the
  * time, on the clock of "now", by which the caller must call the function
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -546,6 +546,7 @@
     s->actions = *actions;
     s->context = context;
     s->created_at = now;
+    s->confirmed_at = now;
     s->now = now;
     start_window_init(&s->start_window);
     s->mean_declared_ms = 1000.0;
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -271,6 +271,9 @@
     /* end of the VM's lease, on the VM's clock: until then the VM runs tasks
      * without a renewal; not valid while clock_ms is -1 */
     AqTime deadline_ms;
+    /* when the scheduler first found that the VM's lease has expired;
+     * AQ_TIME_NEVER while it has not */
+    AqTime lapsed_at;
     /* a lease renewal sent to the VM has had no reply yet */
     bool is_renewal_pending;
     /* earliest time to send the VM the next renewal order, which extends the
@@ -331,7 +334,12 @@
     /* "wall" of the last AqScheduler_Tick(), Unix ms */
     int64_t wall;
     bool may_order;
-    /* array of InheritedRun; emptied by AqScheduler_SetLoaded() */
+    /* when the last call was sent whose reply shows that this owner still had
+     * the pool */
+    AqTime confirmed_at;
+    /* the lease of a VM has expired since confirmed_at */
+    bool awaits_confirmation;
+    /* array of NamedRun; emptied by AqScheduler_SetLoaded() */
     GArray *inherited_runs;
     /* array of NamedRun: runs, and ends of runs that were not applied, in the
      * last reply of each VM to a lease renewal, of tasks that the scheduler
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -1141,6 +1141,9 @@
     AqError error;
     bool may_order = (owner == sim->owner ? sim->is_lease_certain
                                           : sim->now < owner->lease_end);
+    if (owner == sim->owner && sim->is_lease_certain) {
+        AqScheduler_ConfirmOwnership(owner->scheduler, sim->now);
+    }
     AqScheduler_Tick(owner->scheduler, sim->now, sim->now + owner->wall_ahead,
                      may_order);
     save(owner);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -63,6 +63,7 @@
     vm->silent_since = AQ_TIME_NEVER;
     vm->idle_since = s->now;
     vm->clock_ms = -1;
+    vm->lapsed_at = AQ_TIME_NEVER;
     vm->renewal_due = s->now;
     vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
     vm->used_since_version = ++s->used_vms_version;
@@ -307,6 +308,40 @@
            (double)(vm->deadline_ms + LEASE_EXPIRY_MARGIN_MS);
 }
 
+/* Whether the VM's lease has expired while this owner certainly had the pool.
+ * The expiry alone does not show that the VM's runs have ended: a later owner
+ * that this one does not know of may have extended the lease. */
+static bool
+is_lapse_confirmed(AqScheduler *s, Vm *vm)
+{
+    if (!has_lease_expired(s, vm)) {
+        vm->lapsed_at = AQ_TIME_NEVER;
+        return false;
+    }
+    if (vm->lapsed_at == AQ_TIME_NEVER) {
+        vm->lapsed_at = s->now;
+    }
+    if (s->confirmed_at < vm->lapsed_at) {
+        s->awaits_confirmation = true;
+        return false;
+    }
+    return true;
+}
+
+void
+AqScheduler_ConfirmOwnership(AqScheduler *s, AqTime sent_at)
+{
+    if (sent_at > s->confirmed_at) {
+        s->confirmed_at = sent_at;
+    }
+}
+
+bool
+AqScheduler_AwaitsConfirmation(const AqScheduler *s)
+{
+    return s->awaits_confirmation;
+}
+
 /* If the VM does not reply, makes those of the VM's tasks whose steps allow
  * copies ready for new runs.  Once the VM's lease has expired, makes all tasks
  * of the VM ready and, if the store has no entry of the VM, removes the VM
@@ -320,7 +355,7 @@
     if (s->now - vm->silent_since > COPY_AFTER_SILENCE_MS) {
         copy_tasks(s, vm);
     }
-    if (!has_lease_expired(s, vm)) {
+    if (!is_lapse_confirmed(s, vm)) {
         return;
     }
     vm->used_by_earlier_owner = false;
@@ -390,9 +425,9 @@
     }
     AqList_ForEach(at, &s->vms)
     {
-        const Vm *vm = AqList_Entry(at, Vm, link);
+        Vm *vm = AqList_Entry(at, Vm, link);
         if (vm->used_by_earlier_owner && !vm->has_replied && !vm->has_ended &&
-            !has_lease_expired(s, vm)) {
+            !is_lapse_confirmed(s, vm)) {
             return;
         }
     }
@@ -426,6 +461,7 @@
 vms_tick(AqScheduler *s)
 {
     AqTime due = AQ_TIME_NEVER;
+    s->awaits_confirmation = false;
     AqList_ForEachSafe(at, after, &s->vms)
     {
         AqTime next = tick_vm(s, AqList_Entry(at, Vm, link));
