--- a/packages/pool/tests/site_faults.c
+++ b/packages/pool/tests/site_faults.c
@@ -98,14 +98,15 @@
                            fault == SIM_FAULT_VM_CRASH
                        ? 0
                        : 100;
-    AqTime most = fault == SIM_FAULT_CUT_VMS ? 15000 : 6000;
+    AqTime most = fault == SIM_FAULT_CUT_VMS || fault >= SIM_FAULT_VM_SILENT
+                      ? 15000
+                      : 6000;
     AqTime ms = between(sim, least, most);
     unsigned permille = 50 + pick(sim, 950);
     SimCutMode mode = pick(sim, SIM_CUT_MODES);
     unsigned some = 1 + pick(sim, 126);
     bool is_all = chance(sim, 400);
     bool is_watch = chance(sim, 400);
-    AqTime until = sim->now + ms;
     unsigned number = sim->fault_count++;
     if ((sim->without & (1U << fault)) != 0 ||
         (number < 64 && (sim->skipped >> number & 1) != 0)) {
@@ -122,6 +123,9 @@
     case SIM_FAULT_FREEZE:
         sim_freeze_node(sim, target, ms, is_all);
         break;
+    case SIM_FAULT_FREEZE_SENDING:
+        sim->nodes[target].freezes_sending_ms = ms;
+        break;
     case SIM_FAULT_REVOKE:
         sim_store_revoke(sim, target);
         break;
@@ -135,37 +139,24 @@
         sim_cut_vms(sim, target, ms, is_all ? 63U : some);
         break;
     case SIM_FAULT_STORE_SLOW:
-        sim_store_slow(sim, until);
-        break;
     case SIM_FAULT_STORE_LOSE:
-        sim_store_lose(sim, until, permille / 2);
-        break;
     case SIM_FAULT_STORE_DELAY:
-        sim_store_delay(sim, until, permille / 2);
+        sim_store_trouble(sim, (SimStoreTrouble)(fault - SIM_FAULT_STORE_SLOW),
+                          ms, permille);
         break;
     case SIM_FAULT_COMPACT:
         sim_store_compact(sim);
         break;
     case SIM_FAULT_STORE_DOWN:
-        sim_store_down(sim, until, is_all);
+        sim_store_down(sim, ms, is_all);
         break;
     case SIM_FAULT_VM_CRASH:
         sim_crash_vm(sim, target, ms / 2);
         break;
-    case SIM_FAULT_VM_SILENT:
-        sim_silence_vm(sim, target, until);
-        break;
-    case SIM_FAULT_VM_UNLISTED:
-        sim_unlist_vm(sim, target, until);
-        break;
-    case SIM_FAULT_VM_REFUSES:
-        sim_vm_refuse(sim, target, until, permille);
-        break;
-    case SIM_FAULT_VM_LOSES:
-        sim_vm_lose(sim, target, until, permille / 2);
-        break;
     default:
-        sim_vm_delay(sim, target, until, permille / 2);
+        sim_vm_trouble(sim, target,
+                       (SimVmTrouble)(fault - SIM_FAULT_VM_SILENT), ms,
+                       permille);
         break;
     }
 }
@@ -174,9 +165,9 @@
 pick_node_fault(Sim *sim)
 {
     static const SimFault faults[] = {
-        SIM_FAULT_KILL,      SIM_FAULT_STOP,      SIM_FAULT_FREEZE,
-        SIM_FAULT_FREEZE,    SIM_FAULT_REVOKE,    SIM_FAULT_REVOKE,
-        SIM_FAULT_CUT_STORE, SIM_FAULT_CUT_STORE,
+        SIM_FAULT_KILL,           SIM_FAULT_STOP,      SIM_FAULT_FREEZE,
+        SIM_FAULT_FREEZE_SENDING, SIM_FAULT_REVOKE,    SIM_FAULT_REVOKE,
+        SIM_FAULT_CUT_STORE,      SIM_FAULT_CUT_STORE,
     };
     return faults[pick(sim, G_N_ELEMENTS(faults))];
 }
@@ -224,7 +215,7 @@
         break;
     case 1:
     case 2:
-        inject(sim, SIM_FAULT_VM_CRASH + pick(sim, 6), pick(sim, SIM_VMS));
+        inject(sim, SIM_FAULT_VM_CRASH + pick(sim, 7), pick(sim, SIM_VMS));
         break;
     case 3:
         inject(sim, pick_node_fault(sim), pick(sim, SIM_NODES));
--- a/packages/pool/tests/site_sim.c
+++ b/packages/pool/tests/site_sim.c
@@ -254,6 +254,13 @@
     sim_fail(call, call->ends_by);
 }
 
+AqTime
+sim_departure(const SimNode *node)
+{
+    AqTime now = node->sim->now;
+    return node->frozen_until > now ? node->frozen_until : now;
+}
+
 void
 sim_reply(SimCall *call, AqTime at)
 {
@@ -288,6 +295,7 @@
     }
     node->ends_at = AQ_TIME_NEVER;
     node->frozen_until = 0;
+    node->freezes_sending_ms = 0;
     current_node = NULL;
 }
 
--- a/packages/pool/tests/site_sim.h
+++ b/packages/pool/tests/site_sim.h
@@ -81,6 +81,8 @@
     GQueue inbox;
     AqTimer inbox_timer;
     AqTime frozen_until;
+    /* The node freezes for this long when it next sends an order; 0: not. */
+    AqTime freezes_sending_ms;
     /* After a freeze, replies count although their call's time has passed, as
      * when the host was suspended. */
     bool was_suspended;
@@ -99,6 +101,7 @@
     SIM_FAULT_KILL,
     SIM_FAULT_STOP,
     SIM_FAULT_FREEZE,
+    SIM_FAULT_FREEZE_SENDING,
     SIM_FAULT_REVOKE, /* a node's keys go while its lease goes on */
     SIM_FAULT_CUT_STORE,
     SIM_FAULT_CUT_VMS, /* a node does not reach some VMs */
@@ -113,6 +116,7 @@
     SIM_FAULT_VM_REFUSES,
     SIM_FAULT_VM_LOSES,
     SIM_FAULT_VM_DELAYS,
+    SIM_FAULT_VM_STALLS,
     SIM_FAULT_KINDS
 } SimFault;
 
@@ -158,6 +162,8 @@
 
 /* Registers a call of the node that ends without a reply after timeout_ms. */
 void sim_begin_call(SimNode *node, SimCall *call, AqTime timeout_ms);
+/* When a call that the node makes now leaves it. */
+AqTime sim_departure(const SimNode *node);
 /* Lets the call's reply arrive at its node, or its failure. */
 void sim_reply(SimCall *call, AqTime at);
 void sim_fail(SimCall *call, AqTime at);
@@ -185,13 +191,16 @@
 /* Removes the keys that the node's leases hold; the leases go on. */
 void sim_store_revoke(Sim *sim, unsigned node);
 void sim_store_compact(Sim *sim);
-/* The next calls until the time are answered late, lose their answers, or are
- * carried out 1 to 6 s later. */
-void sim_store_slow(Sim *sim, AqTime until);
-void sim_store_lose(Sim *sim, AqTime until, unsigned permille);
-void sim_store_delay(Sim *sim, AqTime until, unsigned permille);
+typedef enum {
+    SIM_STORE_IS_SLOW,
+    SIM_STORE_LOSES,  /* answers */
+    SIM_STORE_DELAYS, /* carries writes out 1 to 6 s later */
+    SIM_STORE_TROUBLES
+} SimStoreTrouble;
+void sim_store_trouble(Sim *sim, SimStoreTrouble trouble, AqTime ms,
+                       unsigned permille);
 /* Turns all nodes away; leases pause or run on meanwhile. */
-void sim_store_down(Sim *sim, AqTime until, bool do_leases_pause);
+void sim_store_down(Sim *sim, AqTime ms, bool do_leases_pause);
 
 /* ---- site_sim_vms.c */
 SimVm *sim_vm_create(Sim *sim, unsigned number);
@@ -201,13 +210,17 @@
 /* Number of a VM that has a run of the pool; -1: none. */
 int sim_find_run(const Sim *sim, unsigned pool);
 void sim_crash_vm(Sim *sim, unsigned vm, AqTime down_ms);
-void sim_silence_vm(Sim *sim, unsigned vm, AqTime until);
-void sim_unlist_vm(Sim *sim, unsigned vm, AqTime until);
-/* Until the time, orders are refused with 503, lose their replies, or are
- * carried out 2 to 12 s later without a reply. */
-void sim_vm_refuse(Sim *sim, unsigned vm, AqTime until, unsigned permille);
-void sim_vm_lose(Sim *sim, unsigned vm, AqTime until, unsigned permille);
-void sim_vm_delay(Sim *sim, unsigned vm, AqTime until, unsigned permille);
+typedef enum {
+    SIM_VM_IS_SILENT,
+    SIM_VM_IS_UNLISTED,
+    SIM_VM_REFUSES, /* orders, with 503 */
+    SIM_VM_LOSES,   /* replies */
+    SIM_VM_DELAYS,  /* carries orders out 2 to 12 s later, without a reply */
+    SIM_VM_STALLS,  /* its runs report no progress */
+    SIM_VM_TROUBLES
+} SimVmTrouble;
+void sim_vm_trouble(Sim *sim, unsigned vm, SimVmTrouble trouble, AqTime ms,
+                    unsigned permille);
 
 /* ---- site_faults.c */
 void sim_add_job(Sim *sim);
--- a/packages/pool/tests/site_sim_store.c
+++ b/packages/pool/tests/site_sim_store.c
@@ -35,11 +35,8 @@
     uint64_t index;
     uint64_t compacted_index; /* changes up to this one are forgotten */
     uint64_t lease_count;
-    AqTime slow_until;
-    AqTime lose_until;
-    unsigned lose_permille;
-    AqTime delay_until;
-    unsigned delay_permille;
+    AqTime trouble_until[SIM_STORE_TROUBLES];
+    unsigned trouble_permille[SIM_STORE_TROUBLES];
     AqTime down_until;
     bool do_leases_pause;
 };
@@ -139,10 +136,17 @@
     g_free(call);
 }
 
+static bool
+is_in_trouble(Sim *sim, SimStoreTrouble trouble)
+{
+    return sim->now < sim->store->trouble_until[trouble] &&
+           sim_draw(sim, sim->store->trouble_permille[trouble]);
+}
+
 static AqTime
 latency(Sim *sim)
 {
-    return sim->now < sim->store->slow_until
+    return is_in_trouble(sim, SIM_STORE_IS_SLOW)
                ? sim_between(sim, 50, MAX_SLOW_MS)
                : sim_between(sim, 1, 5);
 }
@@ -165,7 +169,7 @@
     if (is_cut(call)) {
         return;
     }
-    if (sim->now < store->lose_until && sim_draw(sim, store->lose_permille)) {
+    if (is_in_trouble(sim, SIM_STORE_LOSES)) {
         if (sim_draw(sim, 500)) {
             sim_fail(&call->base, sim->now + 5);
         }
@@ -424,8 +428,8 @@
         watch(store, call);
         return;
     }
-    if (call->kind == SIM_CALL_COMMIT && sim->now < store->delay_until &&
-        sim_draw(sim, store->delay_permille)) {
+    if (call->kind == SIM_CALL_COMMIT &&
+        is_in_trouble(sim, SIM_STORE_DELAYS)) {
         sim_at(sim, sim->now + sim_between(sim, 1000, 6000), on_late_call,
                call);
         return;
@@ -454,7 +458,7 @@
     call->base.free = free_call;
     sim_begin_call(node, &call->base, wait_ms + TIMEOUT_MS);
     call->wait_until = node->sim->now + wait_ms;
-    sim_at(node->sim, node->sim->now + latency(node->sim), on_call, call);
+    sim_at(node->sim, sim_departure(node) + latency(node->sim), on_call, call);
     return call;
 }
 
@@ -618,30 +622,18 @@
 }
 
 void
-sim_store_slow(Sim *sim, AqTime until)
-{
-    sim->store->slow_until = until;
-}
-
-void
-sim_store_lose(Sim *sim, AqTime until, unsigned permille)
-{
-    sim->store->lose_until = until;
-    sim->store->lose_permille = permille;
-}
-
-void
-sim_store_delay(Sim *sim, AqTime until, unsigned permille)
+sim_store_trouble(Sim *sim, SimStoreTrouble trouble, AqTime ms,
+                  unsigned permille)
 {
-    sim->store->delay_until = until;
-    sim->store->delay_permille = permille;
+    sim->store->trouble_until[trouble] = sim->now + ms;
+    sim->store->trouble_permille[trouble] = permille;
 }
 
 void
-sim_store_down(Sim *sim, AqTime until, bool do_leases_pause)
+sim_store_down(Sim *sim, AqTime ms, bool do_leases_pause)
 {
     sim_trace(sim, "store: down");
-    sim->store->down_until = until;
+    sim->store->down_until = sim->now + ms;
     sim->store->do_leases_pause = do_leases_pause;
 }
 
--- a/packages/pool/tests/site_sim_vms.c
+++ b/packages/pool/tests/site_sim_vms.c
@@ -56,14 +56,8 @@
     GPtrArray *held;  /* of OrderCall: renewals that wait; borrowed */
     AqTime listed_at; /* of its last entry; 0: it has none */
     /* Faults. */
-    AqTime silent_until;
-    AqTime unlisted_until;
-    AqTime refuse_until;
-    unsigned refuse_permille;
-    AqTime lose_until;
-    unsigned lose_permille;
-    AqTime delay_until;
-    unsigned delay_permille;
+    AqTime trouble_until[SIM_VM_TROUBLES];
+    unsigned trouble_permille[SIM_VM_TROUBLES];
 };
 
 struct OrderCall {
@@ -154,6 +148,13 @@
     }
 }
 
+static bool
+is_in_trouble(Sim *sim, const SimVm *vm, SimVmTrouble trouble)
+{
+    return sim->now < vm->trouble_until[trouble] &&
+           sim_draw(sim, vm->trouble_permille[trouble]);
+}
+
 /* ---- Runs --------------------------------------------------------------- */
 
 static AqTime
@@ -328,12 +329,13 @@
 static void
 list_runs(const Sim *sim, const SimVm *vm, OrderCall *call)
 {
+    bool is_stalled = sim->now < vm->trouble_until[SIM_VM_STALLS];
     for (guint i = 0; i < vm->runs->len; i++) {
         const Run *run = &g_array_index(vm->runs, Run, i);
         AqRunningTask row = {.task = run->name,
                              .run = run->run,
                              .checkpoint = "",
-                             .percent = (sim->now / 100) % 97,
+                             .percent = is_stalled ? 5 : sim->now / 100 % 97,
                              .usage = 100};
         g_array_append_val(call->running, row);
     }
@@ -369,8 +371,7 @@
     if (is_path_cut(sim, call)) {
         return;
     }
-    if (vm != NULL && sim->now < vm->lose_until &&
-        sim_draw(sim, vm->lose_permille)) {
+    if (vm != NULL && is_in_trouble(sim, vm, SIM_VM_LOSES)) {
         if (sim_draw(sim, 300)) {
             sim_fail(&call->base, sim->now + 2); /* the connection ends */
         }
@@ -407,7 +408,8 @@
 {
     OrderCall *call = context;
     SimVm *vm = sim->vms[call->slot];
-    if (sim->now < vm->up_at || sim->now < vm->silent_until ||
+    if (sim->now < vm->up_at ||
+        sim->now < vm->trouble_until[SIM_VM_IS_SILENT] ||
         is_path_cut(sim, call)) {
         call->is_sent = sim_draw(sim, 700);
         if (!call->is_sent && sim_draw(sim, 300)) {
@@ -424,11 +426,11 @@
         answer(sim, NULL, call, AQ_ORDER_OTHER_LIFE);
         return;
     }
-    if (sim->now < vm->refuse_until && sim_draw(sim, vm->refuse_permille)) {
+    if (is_in_trouble(sim, vm, SIM_VM_REFUSES)) {
         answer(sim, vm, call, AQ_ORDER_UNHEALTHY);
         return;
     }
-    if (sim->now < vm->delay_until && sim_draw(sim, vm->delay_permille)) {
+    if (is_in_trouble(sim, vm, SIM_VM_DELAYS)) {
         sim_at(sim, sim->now + sim_between(sim, 2000, 12000), on_late_order,
                call);
         return;
@@ -507,8 +509,13 @@
     call->base.free = free_call;
     sim_begin_call(node, &call->base, wait_ms + TIMEOUT_MS);
     call->wait_until = node->sim->now + wait_ms;
-    sim_at(node->sim, node->sim->now + sim_between(node->sim, 1, 4), on_order,
-           call);
+    if (node->freezes_sending_ms > 0) {
+        sim_freeze_node(node->sim, node->number, node->freezes_sending_ms,
+                        false);
+        node->freezes_sending_ms = 0;
+    }
+    sim_at(node->sim, sim_departure(node) + sim_between(node->sim, 1, 4),
+           on_order, call);
     return call;
 }
 
@@ -587,10 +594,11 @@
 {
     char key[AQ_VM_ID_SIZE + 16];
     char value[300];
-    bool is_heard = sim->now >= vm->silent_until &&
-                    sim->now >= vm->unlisted_until && sim->now >= vm->up_at;
+    bool is_heard = sim->now >= vm->trouble_until[SIM_VM_IS_SILENT] &&
+                    sim->now >= vm->trouble_until[SIM_VM_IS_UNLISTED] &&
+                    sim->now >= vm->up_at;
     if (!is_heard && vm->listed_at != 0 &&
-        (sim->now < vm->unlisted_until ||
+        (sim->now < vm->trouble_until[SIM_VM_IS_UNLISTED] ||
          sim->now - vm->listed_at > LISTING_TTL_MS)) {
         remove_entry(sim, vm);
     }
@@ -650,38 +658,14 @@
 }
 
 void
-sim_silence_vm(Sim *sim, unsigned number, AqTime until)
-{
-    sim_trace(sim, "%s is cut off", sim->vms[number]->id);
-    sim->vms[number]->silent_until = until;
-}
-
-void
-sim_unlist_vm(Sim *sim, unsigned number, AqTime until)
-{
-    sim_trace(sim, "%s vanishes from the list", sim->vms[number]->id);
-    sim->vms[number]->unlisted_until = until;
-}
-
-void
-sim_vm_refuse(Sim *sim, unsigned number, AqTime until, unsigned permille)
-{
-    sim->vms[number]->refuse_until = until;
-    sim->vms[number]->refuse_permille = permille;
-}
-
-void
-sim_vm_lose(Sim *sim, unsigned number, AqTime until, unsigned permille)
+sim_vm_trouble(Sim *sim, unsigned number, SimVmTrouble trouble, AqTime ms,
+               unsigned permille)
 {
-    sim->vms[number]->lose_until = until;
-    sim->vms[number]->lose_permille = permille;
-}
-
-void
-sim_vm_delay(Sim *sim, unsigned number, AqTime until, unsigned permille)
-{
-    sim->vms[number]->delay_until = until;
-    sim->vms[number]->delay_permille = permille;
+    SimVm *vm = sim->vms[number];
+    sim_trace(sim, "%s: trouble %d for %lld ms", vm->id, (int)trouble,
+              (long long)ms);
+    vm->trouble_until[trouble] = sim->now + ms;
+    vm->trouble_permille[trouble] = permille;
 }
 
 SimVm *
--- a/packages/pool/tests/test_revoked_owner.c
+++ b/packages/pool/tests/test_revoked_owner.c
@@ -148,6 +148,28 @@
     check_and_tear_down(&fixture);
 }
 
+/* Guards against an owner that takes a VM's refusal for a proof that the VM
+ * refuses the orders of its predecessor: the refused order had no effect, and
+ * the predecessor, which is active for a while, extends the VM's lease. */
+static void
+test_refusal_soon_after_takeover(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    Sim *sim = fixture.sim;
+    sim_cut_vms(sim, fixture.owner, LONG_MS, POOL_VMS & ~(1U << fixture.vm));
+    sim_cut_store(sim, fixture.owner, LONG_MS, SIM_CUT_SILENT,
+                  SIM_CALL_CHANGES);
+    sim_vm_trouble(sim, fixture.vm, SIM_VM_REFUSES, OWNER_MS / 2, 1000);
+    sim_store_revoke(sim, fixture.owner);
+    sim_run(sim, OWNER_MS / 2 - 50);
+    cut_others(&fixture, 1U << fixture.vm);
+    sim_run(sim, OWNER_MS / 2 - 50);
+    sim_kill_node(sim, fixture.owner, LONG_MS);
+    sim_run(sim, 10000);
+    check_and_tear_down(&fixture);
+}
+
 static const struct {
     const char *name;
     CU_TestFunc fn;
@@ -156,6 +178,7 @@
     {"lapse_long_after_takeover", test_lapse_long_after_takeover},
     {"orders_begin_again", test_orders_begin_again},
     {"release_soon_after_takeover", test_release_soon_after_takeover},
+    {"refusal_soon_after_takeover", test_refusal_soon_after_takeover},
 };
 
 int
