--- a/packages/pool/tests/site_sim.c
+++ b/packages/pool/tests/site_sim.c
@@ -122,27 +122,28 @@
     if (!is_tracing) {
         return;
     }
-    fprintf(stderr, "%8lld    ", (long long)(sim->now - FIRST_TIME_MS));
     va_start(args, format);
-    vfprintf(stderr, format, args);
+    char *text = g_strdup_vprintf(format, args);
     va_end(args);
-    fputc('\n', stderr);
+    fprintf(stderr, "%8lld    %s\n", (long long)(sim->now - FIRST_TIME_MS),
+            text);
+    g_free(text);
 }
 
 void
 sim_violation(Sim *sim, const char *format, ...)
 {
-    char text[200];
     va_list args;
     if (sim->violation[0] != '\0') {
         return;
     }
     va_start(args, format);
-    vsnprintf(text, sizeof(text), format, args);
+    char *text = g_strdup_vprintf(format, args);
     va_end(args);
     snprintf(sim->violation, sizeof(sim->violation), "at %lld ms: %s",
              (long long)(sim->now - FIRST_TIME_MS), text);
     sim_trace(sim, "VIOLATION %s", text);
+    g_free(text);
 }
 
 /* ---- Events ------------------------------------------------------------- */
--- a/packages/pool/tests/site_sim.h
+++ b/packages/pool/tests/site_sim.h
@@ -169,12 +169,12 @@
 void sim_fail(SimCall *call, AqTime at);
 
 void sim_kill_node(Sim *sim, unsigned node, AqTime down_ms);
-void sim_stop_node(Sim *sim, unsigned node, AqTime down_ms);
-void sim_freeze_node(Sim *sim, unsigned node, AqTime ms, bool is_suspended);
+void sim_stop_node(Sim *sim, unsigned number, AqTime down_ms);
+void sim_freeze_node(Sim *sim, unsigned number, AqTime ms, bool is_suspended);
 /* Number of the node that owns the pool by the store; -1: none. */
 int sim_owner(const Sim *sim, unsigned pool);
 /* The kinds of calls to the store in the bits of "calls" fail for the node. */
-void sim_cut_store(Sim *sim, unsigned node, AqTime ms, SimCutMode mode,
+void sim_cut_store(Sim *sim, unsigned number, AqTime ms, SimCutMode mode,
                    unsigned calls);
 /* The node does not reach the VMs in the bits of "vms". */
 void sim_cut_vms(Sim *sim, unsigned node, AqTime ms, unsigned vms);
@@ -209,7 +209,7 @@
 void sim_vms_step(Sim *sim);
 /* Number of a VM that has a run of the pool; -1: none. */
 int sim_find_run(const Sim *sim, unsigned pool);
-void sim_crash_vm(Sim *sim, unsigned vm, AqTime down_ms);
+void sim_crash_vm(Sim *sim, unsigned number, AqTime down_ms);
 typedef enum {
     SIM_VM_IS_SILENT,
     SIM_VM_IS_UNLISTED,
@@ -219,7 +219,7 @@
     SIM_VM_STALLS,  /* its runs report no progress */
     SIM_VM_TROUBLES
 } SimVmTrouble;
-void sim_vm_trouble(Sim *sim, unsigned vm, SimVmTrouble trouble, AqTime ms,
+void sim_vm_trouble(Sim *sim, unsigned number, SimVmTrouble trouble, AqTime ms,
                     unsigned permille);
 
 /* ---- site_faults.c */
--- a/packages/pool/tests/test_live_owners.c
+++ b/packages/pool/tests/test_live_owners.c
@@ -12,13 +12,12 @@
  * which two runs are alive at once, and against a start after an end that was
  * confirmed.
  *
- * "test_live_owners FIRST_SEED COUNT [WITHOUT [SKIPPED]]" runs other seeds,
- * without the kinds of faults (SimFault) in the bits of WITHOUT and the faults
- * whose numbers are in the bits of SKIPPED.  With one seed it prints a trace
- * if SKIPPED is given. */
+ * "test_live_owners FIRST_SEED COUNT [WITHOUT [SKIPPED [trace]]]" runs other
+ * seeds, without the kinds of faults (SimFault) in the bits of WITHOUT and the
+ * faults whose numbers are in the bits of SKIPPED. */
 
 static uint64_t first_seed = 1;
-static uint64_t seed_count = 100;
+static uint64_t seed_count = 150;
 static unsigned without;
 static uint64_t skipped;
 
@@ -58,7 +57,7 @@
     }
     without = argc > 3 ? (unsigned)strtoul(argv[3], NULL, 0) : 0;
     skipped = argc > 4 ? strtoull(argv[4], NULL, 0) : 0;
-    sim_set_trace(argc > 4 && getenv("QUIET") == NULL);
+    sim_set_trace(argc > 5);
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("live_owners", NULL, NULL);
     CU_add_test(suite, "random_faults", test_random_faults);
