--- a/packages/pool/tests/test_revoked_owner.c
+++ b/packages/pool/tests/test_revoked_owner.c
@@ -62,6 +62,18 @@
     }
 }
 
+/* Returns the number of the pool's next owner. */
+static unsigned
+wait_for_owner(const Fixture *fixture, AqTime end)
+{
+    Sim *sim = fixture->sim;
+    while (sim_owner(sim, 0) < 0 && sim->now < end) {
+        sim_run(sim, SIM_STEP_MS);
+    }
+    CU_ASSERT_TRUE_FATAL(sim_owner(sim, 0) >= 0);
+    return (unsigned)sim_owner(sim, 0);
+}
+
 /* The owner reaches all VMs but the task's, the others only that one.  The
  * owner's key goes "active_ms" before the owner gives the task's run up. */
 static void
@@ -136,12 +148,9 @@
                   SIM_CALL_CHANGES);
     sim_store_revoke(sim, fixture.owner);
     AqTime end = sim->now + OWNER_MS - 100;
-    while (sim_owner(sim, 0) < 0 && sim->now < end) {
-        sim_run(sim, SIM_STEP_MS);
-    }
-    CU_ASSERT_TRUE_FATAL(sim_owner(sim, 0) >= 0);
+    unsigned next = wait_for_owner(&fixture, end);
     sim_run(sim, 100);
-    sim_stop_node(sim, (unsigned)sim_owner(sim, 0), LONG_MS);
+    sim_stop_node(sim, next, LONG_MS);
     sim_run(sim, end - sim->now);
     sim_kill_node(sim, fixture.owner, LONG_MS);
     sim_run(sim, 10000);
@@ -170,6 +179,34 @@
     check_and_tear_down(&fixture);
 }
 
+/* Guards against an owner that takes a job for one that its predecessor cannot
+ * have started, since it sees the job late: the job was stored while the
+ * predecessor was still active. */
+static void
+test_job_seen_late(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    Sim *sim = fixture.sim;
+    cut_others(&fixture, 1U << fixture.vm);
+    sim_cut_vms(sim, fixture.owner, LONG_MS, POOL_VMS & ~(1U << fixture.vm));
+    /* Only the watch of the owner keys is lost, since nothing else changes. */
+    sim_cut_store(sim, fixture.owner, SIM_STEP_MS, SIM_CUT_SILENT,
+                  SIM_CALL_CHANGES);
+    sim_store_revoke(sim, fixture.owner);
+    AqTime end = sim->now + OWNER_MS - 100;
+    unsigned next = wait_for_owner(&fixture, end);
+    sim_run(sim, OWNER_MS / 4);
+    sim_cut_store(sim, next, end + OWNER_MS / 4 - sim->now, SIM_CUT_SILENT,
+                  SIM_CALL_CHANGES);
+    sim_add_task(sim, LONG_MS);
+    sim_run(sim, end - sim->now);
+    CU_ASSERT_EQUAL(sim->start_count, 2);
+    sim_kill_node(sim, fixture.owner, LONG_MS);
+    sim_run(sim, 10000);
+    check_and_tear_down(&fixture);
+}
+
 static const struct {
     const char *name;
     CU_TestFunc fn;
@@ -179,6 +216,7 @@
     {"orders_begin_again", test_orders_begin_again},
     {"release_soon_after_takeover", test_release_soon_after_takeover},
     {"refusal_soon_after_takeover", test_refusal_soon_after_takeover},
+    {"job_seen_late", test_job_seen_late},
 };
 
 int
