Owner: a job is new by the time at which it was stored

The time of hearing says nothing of the time of storing: with a view that hears nothing for a while, the job may have been stored, and started, while an earlier owner was active.

Evidence: revoked_owner_job_seen_late (found by the search over live nodes) starts a task at 6131 ms beside its live run with the old rule and none with the new one. The test now also loses the old owner's reads of the owner keys, from which it would learn of its successor, so that it still starts the job as the test requires.

Change: a job is new if its store revision is above that of a reply which shows this owner's key after all earlier owners have stopped, or above the claim's if there is none to wait for.

--- a/packages/pool/member.h
+++ b/packages/pool/member.h
@@ -58,6 +58,9 @@
 /* Returns when the last call was sent whose reply shows that this node owned
  * the pool; AQ_TIME_NEVER: this node does not own it. */
 AqTime member_confirmed_at(const Member *member, const char *pool);
+/* Returns the store revision of that reply: what has a higher one was written
+ * later than member_confirmed_at(). */
+uint64_t member_confirmed_index(const Member *member, const char *pool);
 /* Reads the owner keys, unless that is in progress, so that
  * member_confirmed_at() advances. */
 void member_confirm_pools(Member *member);
--- a/packages/pool/member_claims.c
+++ b/packages/pool/member_claims.c
@@ -115,6 +115,7 @@
     claim->owner_index = fence;
     claim->owned_at = AqLoop_Now(member->node->loop);
     claim->confirmed_at = confirmed_at;
+    claim->confirmed_index = fence;
     claim->is_settled = !claim->previous_owner_may_be_active;
     if (!claim->is_settled) {
         AqTimer_Start(member->node->loop, &claim->timer,
@@ -628,6 +629,7 @@
     const AqStoreItem *item = find_owner(reply, claim->pool);
     if (item != NULL && item->index == claim->fence) {
         claim->confirmed_at = sent_at;
+        claim->confirmed_index = reply->index;
     }
     else if (item != NULL && item->index > claim->fence) {
         member_superseded(claim->member, claim->pool, "other_owner_read");
@@ -690,3 +692,10 @@
     return claim != NULL && claim->state == CLAIM_OWNED ? claim->confirmed_at
                                                         : AQ_TIME_NEVER;
 }
+
+uint64_t
+member_confirmed_index(const Member *member, const char *pool)
+{
+    const PoolClaim *claim = g_hash_table_lookup(member->claims, pool);
+    return claim != NULL ? claim->confirmed_index : 0;
+}
--- a/packages/pool/member_private.h
+++ b/packages/pool/member_private.h
@@ -66,6 +66,8 @@
      * CLAIM_OWNED. */
     AqTime owned_at;
     AqTime confirmed_at;
+    /* Store revision of that reply. */
+    uint64_t confirmed_index;
     /* An earlier owner of the pool may still send orders: the last one neither
      * released the pool nor was replaced by a new incarnation of its node, or
      * the one before it may not know that it was replaced. */
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -144,8 +144,8 @@
     GBytes *record = g_hash_table_lookup(owner->progress_records, id);
     const char *bytes =
         record != NULL ? g_bytes_get_data(record, &size) : NULL;
-    if (!AqScheduler_AddJob(owner->scheduler, &spec, bytes, size, now,
-                            &error)) {
+    if (!AqScheduler_AddJob(owner->scheduler, &spec, bytes, size,
+                            item->index > owner->quiet_index, now, &error)) {
         AqLog_Event(AQ_LOG_ERROR, "job_unreadable", "request=%s error=%s", id,
                     AqLog_Quote(error.message));
         return;
@@ -426,6 +426,16 @@
            member_may_order_for(owner->member, owner->ownership.pool);
 }
 
+static void
+update_quiet_index(PoolOwner *owner, AqTime confirmed_at)
+{
+    if (owner->quiet_index == UINT64_MAX &&
+        confirmed_at >= owner->gained_at + MEMBER_LEASE_MS) {
+        owner->quiet_index =
+            member_confirmed_index(owner->member, owner->ownership.pool);
+    }
+}
+
 AqTime
 pool_owner_round(PoolOwner *owner)
 {
@@ -446,6 +456,7 @@
         member_confirmed_at(owner->member, owner->ownership.pool);
     if (confirmed_at != AQ_TIME_NEVER) {
         AqScheduler_ConfirmOwnership(owner->scheduler, confirmed_at);
+        update_quiet_index(owner, confirmed_at);
     }
     AqTime due =
         AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(), may_order);
@@ -495,6 +506,9 @@
     owner->ownership = *ownership;
     owner->last_progress_key = strdup("");
     owner->gained_at = pool_owner_now(owner);
+    owner->quiet_index = ownership->previous_owner_may_be_active
+                             ? UINT64_MAX
+                             : ownership->fence;
     owner->progress_records = g_hash_table_new_full(
         g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
     owner->cancelled =
--- a/packages/pool/pool_owner_private.h
+++ b/packages/pool/pool_owner_private.h
@@ -42,6 +42,9 @@
     AqTime save_due;
     AqTime save_sent;
     AqTime gained_at;
+    /* Store revision at which no earlier owner of the pool could send orders
+     * any more; UINT64_MAX: not known yet. */
+    uint64_t quiet_index;
     uint64_t used_vms_written;
     uint64_t used_vms_sent_version;
     AqTime used_vms_due;
--- a/packages/pool/tests/test_revoked_owner.c
+++ b/packages/pool/tests/test_revoked_owner.c
@@ -195,6 +195,8 @@
                   SIM_CALL_CHANGES);
     sim_store_revoke(sim, fixture.owner);
     AqTime end = sim->now + OWNER_MS - 100;
+    /* The reads by which the owner would learn of its successor are lost. */
+    sim_cut_store(sim, fixture.owner, LONG_MS, SIM_CUT_SILENT, SIM_CALL_LIST);
     unsigned next = wait_for_owner(&fixture, end);
     sim_run(sim, OWNER_MS / 4);
     sim_cut_store(sim, next, end + OWNER_MS / 4 - sim->now, SIM_CUT_SILENT,
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -90,11 +90,13 @@
 void AqScheduler_SetSite(AqScheduler *scheduler, const AqSiteConfig *site);
 
 /* Adds a job and takes over what *spec owns.  "record" is the job's stored
- * progress of "size" bytes, or NULL.  A job that was added before stays
+ * progress of "size" bytes, or NULL.  "is_new" states that the job was stored
+ * when no earlier owner of the pool could send orders any more, so that its
+ * tasks need not wait for what VMs report.  A job that was added before stays
  * unchanged.  False with AQ_ERR_INVALID when the record is damaged. */
 bool AqScheduler_AddJob(AqScheduler *scheduler, AqJobSpec *spec,
-                        const char *record, size_t size, AqTime now,
-                        AqError *error);
+                        const char *record, size_t size, bool is_new,
+                        AqTime now, AqError *error);
 void AqScheduler_CancelJob(AqScheduler *scheduler, const char *id, AqTime now);
 /* Removes the job from the scheduler if the job is finished and its record is
  * stored; otherwise has no effect. */
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -264,7 +264,7 @@
 
 bool
 AqScheduler_AddJob(AqScheduler *s, AqJobSpec *spec, const char *record,
-                   size_t size, AqTime now, AqError *error)
+                   size_t size, bool is_new, AqTime now, AqError *error)
 {
     s->now = now;
     if (scheduler_find_job(s, spec->id) != NULL) {
@@ -293,8 +293,8 @@
     }
     if (s->is_loaded) {
         load_add_job(s, &job->spec);
-        job->is_new = now - s->created_at >= s->config.earlier_owner_ms;
     }
+    job->is_new = is_new;
     AqList_Append(&s->active, &job->link);
     AqList_ForEach(at, &job->occurrences)
     {
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -170,6 +170,8 @@
     bool has_exited;
     /* by how many ms the owner's wall clock is ahead of Sim.now */
     AqTime wall_ahead;
+    /* jobs that are stored after this time are unknown to earlier owners */
+    AqTime quiet_at;
     /* the owner is not told of jobs that are added */
     bool is_untold;
     /* the save_count job records that the save under way writes */
@@ -213,6 +215,7 @@
      * duration */
     int actual_duration_percent;
     unsigned started_run_count;
+    AqTime stored_at;
 } StoredJob;
 
 struct Sim {
@@ -1166,8 +1169,9 @@
     memcpy(id, spec.id, sizeof(id));
     const char *record =
         stored->has_record ? AqBuffer_Text(&stored->record) : NULL;
-    if (!AqScheduler_AddJob(owner->scheduler, &spec, record,
-                            stored->record.size, owner->sim->now, &error)) {
+    if (!AqScheduler_AddJob(
+            owner->scheduler, &spec, record, stored->record.size,
+            stored->stored_at > owner->quiet_at, owner->sim->now, &error)) {
         report_violation(owner->sim, "%s", error.message);
     }
     if (stored->is_cancelled) {
@@ -1204,6 +1208,7 @@
     owner->sim = sim;
     owner->fence = config.fence;
     owner->lease_end = AQ_TIME_NEVER;
+    owner->quiet_at = sim->now + config.earlier_owner_ms;
     owner->scheduler = AqScheduler_Create(&config, &actions, owner, sim->now);
     AqScheduler_SetSite(owner->scheduler, &sim->site);
     AqScheduler_Tick(owner->scheduler, sim->now, sim->now, false);
@@ -1488,6 +1493,7 @@
     spec->text = strdup("text");
     spec->submitted_ms = sim->now;
     stored->actual_duration_percent = 100;
+    stored->stored_at = sim->now;
     AqBuffer_Init(&stored->spec);
     AqBuffer_Init(&stored->record);
     AqJobSpec_Encode(spec, &stored->spec);
--- a/packages/scheduler/tests/test_scheduler.c
+++ b/packages/scheduler/tests/test_scheduler.c
@@ -653,7 +653,8 @@
         spec.steps = calloc(1, sizeof(*spec.steps));
         spec.steps[0] = (AqStepSpec){
             .task_count = 1, .cpu_millis = 1000, .estimate_ms = 100};
-        CU_ASSERT_TRUE(AqScheduler_AddJob(s, &spec, NULL, 0, now, &error));
+        CU_ASSERT_TRUE(
+            AqScheduler_AddJob(s, &spec, NULL, 0, true, now, &error));
     }
 }
 
