--- a/packages/pool/member_private.h
+++ b/packages/pool/member_private.h
@@ -6,7 +6,8 @@
 
 /* Shared by the files that implement Member:
  * member.c         this node's lease, the membership entries, peers
- * member_claims.c  ownership of pools: claims, losses, releases */
+ * member_claims.c  ownership of pools: claims, losses, releases
+ * member_confirm.c  reads of the owner keys that confirm the ownership */
 
 typedef enum {
     CLAIM_NONE,
