Scheduler: a replaced run keeps its room until it has ended

When a run turned out to be done, a second run of its task on another VM was stopped and its room there counted only until the VM's next reply. If the start order of that run had no reply yet, the reply did not list it, and other tasks took its room; then both ran.

Such a run now counts as foreign usage of its VM until the VM has confirmed the stop and a later reply does not list it, or its start order has expired.

--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -65,6 +65,7 @@
     vm->clock_ms = -1;
     vm->renewal_due = s->now;
     vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
+    vm->superseded = g_array_new(FALSE, FALSE, sizeof(SupersededRun));
     vm->used_since_version = ++s->used_vms_version;
     AqList_Init(&vm->tasks);
     AqList_Init(&vm->reservations);
@@ -78,6 +79,7 @@
 {
     AqList_Remove(&vm->link);
     g_array_free(vm->pending_ends, TRUE);
+    g_array_free(vm->superseded, TRUE);
     free(vm);
 }
 
@@ -309,6 +311,13 @@
            (double)(vm->deadline_ms + LEASE_EXPIRY_MARGIN_MS);
 }
 
+AqTime
+vms_start_expiry(const AqScheduler *s)
+{
+    return s->now + (AqTime)((double)s->config.lease_ms / slowest_clock_rate) +
+           LEASE_EXPIRY_MARGIN_MS;
+}
+
 /* If the VM does not reply, makes those of the VM's tasks whose steps allow
  * copies ready for new runs.  Once the VM's lease has expired, makes all tasks
  * of the VM ready and, if the store has no entry of the VM, removes the VM
