--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -258,6 +258,15 @@
 AqTime AqScheduler_Tick(AqScheduler *scheduler, AqTime now, int64_t wall,
                         bool may_order);
 
+/* Returns for how long, ms, no VM has confirmed a start although tasks were
+ * ready or starting; 0: no task waits for its start. */
+AqTime AqScheduler_StartWait(const AqScheduler *scheduler);
+/* Appends what the ready tasks of a scheduler that starts none wait for, as
+ * "reason=NAME" and further key=value pairs, separated by spaces.
+ * docs/OPERATIONS.md lists them. */
+void AqScheduler_DescribeStartWait(const AqScheduler *scheduler,
+                                   AqBuffer *out);
+
 typedef struct {
     /* CPU that the ready tasks need, in thousandths of a core */
     int64_t ready_cpu_millis;
@@ -274,6 +283,9 @@
     int64_t offered_cpu_millis;
     size_t ready_tasks;
     size_t jobs; /* number of unfinished jobs */
+    /* start orders without a reply yet, and most such orders at a time */
+    unsigned starts_in_flight;
+    unsigned start_window;
     /* how long the longest-waiting ready task has been ready to start */
     AqTime longest_wait_ms;
     /* largest number of VMs that any one perpetual step (its tasks run until
@@ -301,6 +313,8 @@
     uint64_t lost;
     /* runs that the scheduler stopped because they made no progress */
     uint64_t stalled;
+    /* how often a job with ready tasks was ranked, for a placement of tasks */
+    uint64_t ranked;
     /* tasks that were made ready again while their run on a silent VM may
      * continue */
     uint64_t copied;
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -92,21 +92,87 @@
 }
 
 /* Orders the stop of the task's current run because another run of the task
- * replaces the current one.  While the VM lists the stopped run, that run's
- * resources count as foreign usage of the VM: usage by runs that are not the
- * current run of any task of this scheduler. */
+ * replaces the current one.  Until the run has ended, its resources count as
+ * foreign usage of the VM: usage by runs that are not the current run of any
+ * task of this scheduler. */
 static void
 stop_superseded_run(AqScheduler *s, Task *task)
 {
     const AqStepSpec *spec = task->step->spec;
-    AqTaskName name;
-    scheduler_name_task(task, &name);
-    task->vm->foreign_cpu += spec->is_filler ? 0 : spec->cpu_millis;
-    task->vm->foreign_memory += spec->memory_mb;
-    stop_unknown_run(s, task->vm, &name, task->run);
+    Vm *vm = task->vm;
+    SupersededRun superseded = {.run = task->run,
+                                .cpu_millis =
+                                    spec->is_filler ? 1 : spec->cpu_millis + 1,
+                                .memory_mb = spec->memory_mb,
+                                .stopped_at = AQ_TIME_NEVER,
+                                .start_expires_at = vms_start_expiry(s)};
+    scheduler_name_task(task, &superseded.task);
+    g_array_append_val(vm->superseded, superseded);
+    vm->foreign_cpu += superseded.cpu_millis;
+    vm->foreign_memory += superseded.memory_mb;
+    stop_unknown_run(s, vm, &superseded.task, task->run);
     vms_detach(s, task);
 }
 
+static bool
+is_same_run(const SupersededRun *superseded, const AqTaskName *task,
+            int64_t run)
+{
+    return superseded->run == run &&
+           strcmp(superseded->task.job, task->job) == 0 &&
+           superseded->task.occurrence == task->occurrence &&
+           superseded->task.step == task->step &&
+           superseded->task.index == task->index;
+}
+
+static void
+note_superseded_stop(const AqScheduler *s, const Vm *vm,
+                     const AqTaskName *task, int64_t run)
+{
+    for (guint i = 0; i < vm->superseded->len; i++) {
+        SupersededRun *superseded =
+            &g_array_index(vm->superseded, SupersededRun, i);
+        if (is_same_run(superseded, task, run)) {
+            superseded->stopped_at = s->now;
+        }
+    }
+}
+
+static bool
+is_listed(const AqOrderReply *reply, const SupersededRun *superseded)
+{
+    for (size_t i = 0; i < reply->running_count; i++) {
+        if (is_same_run(superseded, &reply->running[i].task,
+                        reply->running[i].run)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adds the superseded runs that the VM does not list, but whose start orders
+ * it may still execute, to its foreign usage, and forgets the others.  The
+ * renewal order was sent at "sent_at". */
+static void
+add_superseded_usage(const AqScheduler *s, Vm *vm, AqTime sent_at,
+                     const AqOrderReply *reply)
+{
+    for (guint i = vm->superseded->len; i-- > 0;) {
+        const SupersededRun *superseded =
+            &g_array_index(vm->superseded, SupersededRun, i);
+        if (is_listed(reply, superseded)) {
+            continue;
+        }
+        if (superseded->stopped_at < sent_at ||
+            superseded->start_expires_at < s->now) {
+            g_array_remove_index_fast(vm->superseded, i);
+            continue;
+        }
+        vm->foreign_cpu += superseded->cpu_millis;
+        vm->foreign_memory += superseded->memory_mb;
+    }
+}
+
 /* Records what the reply to an order of any kind shows about the VM and this
  * owner of the pool.  Returns true when the caller has nothing more to do for
  * the reply: a later owner of the pool exists, or the VM was removed from the
@@ -162,6 +228,7 @@
     task->progress_at = s->now;
     task->listed_after = s->now;
     task->may_start_late = false;
+    s->no_start_since = s->now;
     s->counters.starts++;
     if (job->stage == AQ_STAGE_WAITING) {
         job->stage = AQ_STAGE_RUNNING;
@@ -274,11 +341,16 @@
         return;
     }
     Task *task = finish_order(s, vm, name, run);
+    bool is_confirmed =
+        reply->result == AQ_ORDER_DONE || reply->result == AQ_ORDER_OLD_RUN;
+    if (is_confirmed) {
+        note_superseded_stop(s, vm, name, run);
+    }
     if (handle_common_result(s, vm, reply) || task == NULL ||
         task->state != TASK_STOPPING) {
         return;
     }
-    if (reply->result == AQ_ORDER_DONE || reply->result == AQ_ORDER_OLD_RUN) {
+    if (is_confirmed) {
         task->is_stop_acked = true;
         task->listed_after = now;
     }
@@ -334,25 +406,6 @@
     }
 }
 
-static void
-add_unknown_run(AqScheduler *s, const Vm *vm, const AqTaskName *task,
-                int64_t run)
-{
-    NamedRun unknown = {.task = *task, .run = run};
-    g_strlcpy(unknown.vm, vm->report.id, sizeof(unknown.vm));
-    g_array_append_val(s->unknown_runs, unknown);
-}
-
-static void
-clear_unknown_runs(AqScheduler *s, const char *vm)
-{
-    for (guint i = s->unknown_runs->len; i-- > 0;) {
-        if (strcmp(g_array_index(s->unknown_runs, NamedRun, i).vm, vm) == 0) {
-            g_array_remove_index_fast(s->unknown_runs, i);
-        }
-    }
-}
-
 /* Applies the ends of runs that the reply lists, in order, and stops at the
  * first end of a run whose job this scheduler does not know yet.  Returns
  * whether all ends were applied. */
@@ -372,8 +425,8 @@
             }
             for (; i < reply->ended_count; i++) {
                 if (scheduler_find_job(s, reply->ended[i].task.job) == NULL) {
-                    add_unknown_run(s, vm, &reply->ended[i].task,
-                                    reply->ended[i].run);
+                    unknown_runs_add(s, vm, &reply->ended[i].task,
+                                     reply->ended[i].run);
                 }
             }
             return false;
@@ -433,11 +486,8 @@
     task->usage = row->usage;
 }
 
-/* Makes a run that the VM lists the task's current run.  The run was started
- * by an earlier pool owner, or by a start order of this pool owner that had no
- * reply. */
-static void
-adopt_run(AqScheduler *s, Vm *vm, Task *task, const AqRunningTask *row)
+void
+replies_adopt_run(AqScheduler *s, Vm *vm, Task *task, const AqRunningTask *row)
 {
     if (task->vm != NULL && task->vm != vm) {
         stop_superseded_run(s, task);
@@ -495,7 +545,7 @@
         }
         add_foreign_usage(vm, job, row->task.step);
         if (task == NULL) {
-            add_unknown_run(s, vm, &row->task, row->run);
+            unknown_runs_add(s, vm, &row->task, row->run);
         }
         if (job != NULL || vms_is_foreign_run_overdue(s, vm)) {
             stop_unknown_run(s, vm, &row->task, row->run);
@@ -507,7 +557,7 @@
     }
     if (task->vm != vm || task->run != row->run) {
         log_task(AQ_LOG_INFO, "run_adopted", task, vm, s, "running");
-        adopt_run(s, vm, task, row);
+        replies_adopt_run(s, vm, task, row);
     }
     else if (task->state == TASK_STARTING) {
         confirm_start(s, task);
@@ -518,27 +568,6 @@
     stop_if_stalled(s, vm, task, row);
 }
 
-void
-replies_adopt_unknown_runs(AqScheduler *s, const Job *job)
-{
-    for (guint i = s->unknown_runs->len; i-- > 0;) {
-        NamedRun unknown = g_array_index(s->unknown_runs, NamedRun, i);
-        AqRunningTask row = {
-            .task = unknown.task, .run = unknown.run, .checkpoint = ""};
-        Task *task = scheduler_find_task(s, &unknown.task);
-        Vm *vm = vms_find(s, unknown.vm);
-        if (strcmp(unknown.task.job, job->spec.id) != 0 || task == NULL) {
-            continue;
-        }
-        g_array_remove_index_fast(s->unknown_runs, i);
-        if (vm != NULL && task->state != TASK_DONE && row.run >= task->run) {
-            log_task(AQ_LOG_INFO, "run_adopted", task, vm, s, "listed_before");
-            adopt_run(s, vm, task, &row);
-            task->last_listed_renewal = vm->renewal_count;
-        }
-    }
-}
-
 /* Makes those of the VM's tasks ready for new runs whose runs are missing from
  * the VM's reply to a renewal order, which extends the VM's lease.  The
  * renewal order was sent at "sent_at". */
@@ -591,7 +620,7 @@
     vm->renewal_count++;
     vm->foreign_cpu = 0;
     vm->foreign_memory = 0;
-    clear_unknown_runs(s, id);
+    unknown_runs_clear(s, id);
     bool are_known = process_ends(s, vm, reply);
     for (size_t i = 0; i < reply->running_count; i++) {
         process_running_task(s, vm, &reply->running[i]);
@@ -599,6 +628,7 @@
     if (vm->foreign_cpu == 0 && are_known) {
         vm->foreign_since = 0;
     }
+    add_superseded_usage(s, vm, sent_at, reply);
     if (are_known) {
         requeue_missing_runs(s, vm, sent_at);
     }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -15,7 +15,9 @@
  * used_vms.c    stored list of the VMs that a later owner must wait for
  * replies.c     effects of the replies to orders on tasks
  * ranking.c     order in which jobs are placed
+ * unknown_runs.c  runs that VMs list before their tasks are known
  * start_window.c  limit of start orders in flight
+ * start_stall.c what a scheduler that starts no task waits for
  * placement.c   choice of a VM for each task
  * perpetual.c   moves of perpetual tasks off a VM, speed limits of fillers
  * progress.c    stored progress record of a job
@@ -225,6 +227,21 @@
     uint64_t seq;
 } PendingEnd;
 
+/* A run on a VM whose stop was ordered because another run of its task
+ * replaces it.  It keeps its room until it can neither be alive nor start
+ * late. */
+typedef struct {
+    AqTaskName task;
+    int64_t run;
+    int64_t cpu_millis; /* at least 1, so that the VM does not count as idle */
+    int64_t memory_mb;
+    /* when the VM confirmed the stop; AQ_TIME_NEVER: not yet */
+    AqTime stopped_at;
+    /* from when on the VM refuses the run's start order, whose lease has
+     * expired, on the scheduler's clock */
+    AqTime start_expires_at;
+} SupersededRun;
+
 struct Vm {
     AqVmReport report;
     AqLink link; /* links the VM into scheduler->vms */
@@ -302,6 +319,7 @@
      * current run of any task of this scheduler (foreign usage) */
     int64_t foreign_cpu;
     int64_t foreign_memory;
+    GArray *superseded; /* of SupersededRun; owned */
     /* since when the VM has listed runs, or ends of runs, of jobs that this
      * scheduler does not know; 0: it lists none */
     AqTime foreign_since;
@@ -322,6 +340,32 @@
     uint64_t renewal_count;
 };
 
+/* Why no task starts on a VM; the first reason that applies, in this order. */
+typedef enum {
+    VM_USABLE,
+    VM_UNLISTED,
+    VM_ENDED,
+    VM_NOT_HEARD, /* it has not replied to a renewal of this owner */
+    VM_SILENT,
+    VM_USE_UNRECORDED, /* the stored list of used VMs does not include it */
+    VM_DRAINING,
+    VM_QUARANTINED,
+    VM_CORDONED,
+    VM_STATES
+} VmState;
+
+/* Why a task does not start on a usable VM; the first reason that applies, in
+ * this order. */
+typedef enum {
+    PLACEMENT_POSSIBLE,
+    PLACEMENT_BLOCKED, /* the VM refused a start for want of room just now */
+    PLACEMENT_NO_ROOM,
+    PLACEMENT_OTHER_LABEL,
+    PLACEMENT_STEP_LIMIT, /* the VM has max_per_vm tasks of the step */
+    PLACEMENT_NO_TICKET,
+    PLACEMENT_RESULTS
+} PlacementResult;
+
 struct AqScheduler {
     AqSchedulerConfig config;
     AqSchedulerActions actions;
@@ -405,6 +449,11 @@
     double mean_declared_ms;
     double mean_actual_ms;
     StartWindow start_window;
+    /* when a VM last confirmed a start, or no task was ready or starting,
+     * whichever is later */
+    AqTime no_start_since;
+    /* when start_stall_tick() next looks for ready tasks */
+    AqTime next_stall_check_at;
     AqSchedulerCounters counters;
 };
 
@@ -456,6 +505,14 @@
 void vms_reserve(Vm *vm, Task *task);
 /* Ends the task's reservation; no effect on a task without one. */
 void vms_end_reservation(Task *task);
+VmState vms_state(const AqScheduler *s, const Vm *vm);
+/* Since when the VM has not replied; AQ_TIME_NEVER for a VM that replies or is
+ * known to have ended.  A VM that an earlier pool owner used counts as silent
+ * from the scheduler's creation until the VM replies. */
+AqTime vms_silent_since(const AqScheduler *s, const Vm *vm);
+/* Whether an earlier pool owner may have sent the VM orders, and the VM has
+ * neither replied to this one nor ended and may still have a valid lease. */
+bool vms_is_awaited(const AqScheduler *s, const Vm *vm);
 /* Whether tasks may be started on the VM, provided that its free resources
  * suffice for them. */
 bool vms_is_usable(const AqScheduler *s, const Vm *vm);
@@ -501,6 +558,9 @@
  * to read a new job from the store. */
 bool vms_is_foreign_run_overdue(const AqScheduler *s, const Vm *vm);
 
+/* Returns by when the VM refuses a start order that is sent now. */
+AqTime vms_start_expiry(const AqScheduler *s);
+
 /* ---- load.c */
 /* Adds the work of a new job to the offered load. */
 void load_add_job(AqScheduler *s, const AqJobSpec *spec);
@@ -514,14 +574,26 @@
  * an end of that run. */
 void replies_log_lost(const AqScheduler *s, const Task *task,
                       const char *reason);
-/* Makes the runs that VMs have listed before the scheduler knew their tasks
- * the current runs of those of the job's tasks that are known now. */
-void replies_adopt_unknown_runs(AqScheduler *s, const Job *job);
+/* Makes a run that the VM lists the task's current run.  The run was started
+ * by an earlier pool owner, or by a start order of this pool owner that had no
+ * reply. */
+void replies_adopt_run(AqScheduler *s, Vm *vm, Task *task,
+                       const AqRunningTask *row);
 /* Sends again each start order that had no reply, once the VM replies to other
  * orders, and each stop order that the VM has not confirmed; both not before
  * the task's resend_at. */
 void replies_tick(AqScheduler *s);
 
+/* ---- unknown_runs.c */
+/* Keeps a run of an unknown task until the VM's next list. */
+void unknown_runs_add(AqScheduler *s, const Vm *vm, const AqTaskName *task,
+                      int64_t run);
+/* Forgets what the VM has listed. */
+void unknown_runs_clear(AqScheduler *s, const char *vm);
+/* Makes the runs that VMs have listed before the scheduler knew their tasks
+ * the current runs of those of the job's tasks that are known now. */
+void unknown_runs_adopt(AqScheduler *s, const Job *job);
+
 /* ---- ranking.c */
 /* Sets "bucket", "remaining_work" and "slack" of the job.  Returns whether the
  * job has ready tasks. */
@@ -535,9 +607,17 @@
 /* Returns a usable VM with room for a task that is to move off its VM; NULL:
  * there is none. */
 Vm *placement_find_move_target(const AqScheduler *s, const Task *task);
+/* Whether the VM, if it may get tasks, may run the task and has room for
+ * it. */
+PlacementResult placement_check(const AqScheduler *s, const Vm *vm,
+                                const Task *task);
 /* Sends the start order of a task that is assigned to a VM. */
 void placement_send_start(AqScheduler *s, Task *task);
 
+/* ---- start_stall.c */
+/* Notes whether tasks wait for their start. */
+void start_stall_tick(AqScheduler *s);
+
 /* ---- perpetual.c */
 /* Repeats start and stop orders that had no reply, moves perpetual tasks off
  * cordoned and draining VMs, and changes the speed limits of fillers, which
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -66,6 +66,7 @@
     vm->lapsed_at = AQ_TIME_NEVER;
     vm->renewal_due = s->now;
     vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
+    vm->superseded = g_array_new(FALSE, FALSE, sizeof(SupersededRun));
     vm->used_since_version = ++s->used_vms_version;
     AqList_Init(&vm->tasks);
     AqList_Init(&vm->reservations);
@@ -79,6 +80,7 @@
 {
     AqList_Remove(&vm->link);
     g_array_free(vm->pending_ends, TRUE);
+    g_array_free(vm->superseded, TRUE);
     free(vm);
 }
 
@@ -151,28 +153,43 @@
     }
 }
 
-/* Whether the VM may run tasks, cordoned or not. */
-static bool
-is_in_service(const AqScheduler *s, const Vm *vm)
+VmState
+vms_state(const AqScheduler *s, const Vm *vm)
 {
-    bool is_present =
-        vm->is_listed || s->now - vm->unlisted_at < UNLISTED_GRACE_MS;
-    return is_present && !vm->has_ended && vm->has_replied &&
-           vm->is_use_recorded && !vm->report.is_draining &&
-           vm->silent_since == AQ_TIME_NEVER &&
-           vm->quarantined_until <= s->now;
+    if (!vm->is_listed && s->now - vm->unlisted_at >= UNLISTED_GRACE_MS) {
+        return VM_UNLISTED;
+    }
+    if (vm->has_ended) {
+        return VM_ENDED;
+    }
+    if (!vm->has_replied) {
+        return VM_NOT_HEARD;
+    }
+    if (vm->silent_since != AQ_TIME_NEVER) {
+        return VM_SILENT;
+    }
+    if (!vm->is_use_recorded) {
+        return VM_USE_UNRECORDED;
+    }
+    if (vm->report.is_draining) {
+        return VM_DRAINING;
+    }
+    if (vm->quarantined_until > s->now) {
+        return VM_QUARANTINED;
+    }
+    return vm->is_cordoned ? VM_CORDONED : VM_USABLE;
 }
 
 bool
 vms_is_usable(const AqScheduler *s, const Vm *vm)
 {
-    return !vm->is_cordoned && is_in_service(s, vm);
+    return vms_state(s, vm) == VM_USABLE;
 }
 
 bool
 vms_is_being_emptied(const AqScheduler *s, const Vm *vm)
 {
-    return vm->is_cordoned && !vm->is_vacated && is_in_service(s, vm);
+    return !vm->is_vacated && vms_state(s, vm) == VM_CORDONED;
 }
 
 /* ---- Replies and leases ------------------------------------------------- */
@@ -308,24 +325,25 @@
            (double)(vm->deadline_ms + LEASE_EXPIRY_MARGIN_MS);
 }
 
-/* Whether the VM's lease has expired while this owner certainly had the pool.
- * The expiry alone does not show that the VM's runs have ended: a later owner
- * that this one does not know of may have extended the lease. */
-static bool
-is_lapse_confirmed(AqScheduler *s, Vm *vm)
+/* Notes when the VM's lease has expired. */
+static void
+note_lapse(const AqScheduler *s, Vm *vm)
 {
     if (!has_lease_expired(s, vm)) {
         vm->lapsed_at = AQ_TIME_NEVER;
-        return false;
     }
-    if (vm->lapsed_at == AQ_TIME_NEVER) {
+    else if (vm->lapsed_at == AQ_TIME_NEVER) {
         vm->lapsed_at = s->now;
     }
-    if (s->confirmed_at < vm->lapsed_at) {
-        s->awaits_confirmation = true;
-        return false;
-    }
-    return true;
+}
+
+/* Whether the VM's lease has expired while this owner certainly had the pool.
+ * The expiry alone does not show that the VM's runs have ended: a later owner
+ * that this one does not know of may have extended the lease. */
+static bool
+is_lapse_confirmed(const AqScheduler *s, const Vm *vm)
+{
+    return vm->lapsed_at != AQ_TIME_NEVER && s->confirmed_at >= vm->lapsed_at;
 }
 
 void
@@ -342,6 +360,13 @@
     return s->awaits_confirmation;
 }
 
+AqTime
+vms_start_expiry(const AqScheduler *s)
+{
+    return s->now + (AqTime)((double)s->config.lease_ms / slowest_clock_rate) +
+           LEASE_EXPIRY_MARGIN_MS;
+}
+
 /* If the VM does not reply, makes those of the VM's tasks whose steps allow
  * copies ready for new runs.  Once the VM's lease has expired, makes all tasks
  * of the VM ready and, if the store has no entry of the VM, removes the VM
@@ -356,6 +381,7 @@
         copy_tasks(s, vm);
     }
     if (!is_lapse_confirmed(s, vm)) {
+        s->awaits_confirmation |= vm->lapsed_at != AQ_TIME_NEVER;
         return;
     }
     vm->used_by_earlier_owner = false;
@@ -415,8 +441,14 @@
 
 /* ---- Time --------------------------------------------------------------- */
 
-/* Sets is_recovered once each used VM, to which an earlier pool owner may have
- * sent orders, has replied, has ended or has no valid lease. */
+bool
+vms_is_awaited(const AqScheduler *s, const Vm *vm)
+{
+    return vm->used_by_earlier_owner && !vm->has_replied && !vm->has_ended &&
+           !is_lapse_confirmed(s, vm);
+}
+
+/* Sets is_recovered once no used VM is awaited any more. */
 static void
 update_recovered(AqScheduler *s)
 {
@@ -425,9 +457,9 @@
     }
     AqList_ForEach(at, &s->vms)
     {
-        Vm *vm = AqList_Entry(at, Vm, link);
-        if (vm->used_by_earlier_owner && !vm->has_replied && !vm->has_ended &&
-            !is_lapse_confirmed(s, vm)) {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        if (vms_is_awaited(s, vm)) {
+            s->awaits_confirmation |= vm->lapsed_at != AQ_TIME_NEVER;
             return;
         }
     }
@@ -443,6 +475,7 @@
 {
     AqTime forget =
         vm->has_ended ? UNLISTED_GRACE_MS : (AqTime)UNLISTED_FORGET_MS;
+    note_lapse(s, vm);
     if (!vm->is_listed && vm->task_count == 0 && !vm->used_by_earlier_owner &&
         s->now - vm->unlisted_at > forget) {
         vms_remove(s, vm);
@@ -548,11 +581,8 @@
             vm->pending_ends->len == 0 && AqList_IsEmpty(&vm->reservations));
 }
 
-/* Returns AqScheduledVm.silent_since of the VM.  A VM that an earlier pool
- * owner used counts as silent from the scheduler's creation until the VM
- * replies. */
-static AqTime
-silent_since(const AqScheduler *s, const Vm *vm)
+AqTime
+vms_silent_since(const AqScheduler *s, const Vm *vm)
 {
     if (vm->has_ended) {
         return AQ_TIME_NEVER;
@@ -575,7 +605,7 @@
             .is_usable = vms_is_usable(s, vm),
             .is_answering =
                 vm->has_replied && vm->silent_since == AQ_TIME_NEVER,
-            .silent_since = silent_since(s, vm),
+            .silent_since = vms_silent_since(s, vm),
             .tasks = vm->task_count,
             .cpu_millis = vm->report.cpu_millis,
             .idle_since = vm->idle_since,
