Scheduler: no lease is granted to a VM that has not seen the fence

Cause: renewals to a VM that answers 503 granted it a lease each, which the scheduler believed although such a VM has done nothing. A VM of an earlier owner that refuses every renewal never lapsed, and the pool waited for it.

Evidence: recovery_refused, failing before and passing now.

Change: a renewal extends the lease only once a reply has shown that the VM has recorded this owner's fence.

--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -408,7 +408,7 @@
 send_renewal(AqScheduler *s, Vm *vm)
 {
     AqOrderTarget target;
-    bool may_extend = vm->clock_ms >= 0 && vm->silent_since == AQ_TIME_NEVER;
+    bool may_extend = vm->has_seen_fence && vm->silent_since == AQ_TIME_NEVER;
     AqRenewalOrder order = {
         .deadline_ms = may_extend ? vms_grant_lease(s, vm) : -1,
         .fence = s->config.fence,
