--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 check: build
 	@Tools/check-format
+	@Tools/check-days
 	@Tools/check-lint $(BUILD)
 	@cmake -S . -B $(SANITIZED) -G Ninja -DAQ_SANITIZE=ON \
 	    -DCMAKE_BUILD_TYPE=Debug >/dev/null
