Scheduler: log and count the wait of a pool that starts no task

The scheduler now notes since when no start was confirmed while tasks were ready or starting, and describes what they wait for; the owner logs it as starts_wait after 1.5 s, and again each 2 s. The metric is aq_pool_start_wait_ms.

--- a/packages/pool/node_metrics.c
+++ b/packages/pool/node_metrics.c
@@ -35,6 +35,8 @@
                     load.ready_tasks);
     AqBuffer_Printf(out, "aq_pool_wait_ms{pool=\"%s\"} %lld\n", pool,
                     (long long)load.longest_wait_ms);
+    AqBuffer_Printf(out, "aq_pool_start_wait_ms{pool=\"%s\"} %lld\n", pool,
+                    (long long)AqScheduler_StartWait(s));
     AqBuffer_Printf(out, "aq_pool_used_cpu_millis{pool=\"%s\"} %lld\n", pool,
                     (long long)load.used_cpu_millis);
     AqBuffer_Printf(out, "aq_pool_room_cpu_millis{pool=\"%s\"} %lld\n", pool,
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -21,6 +21,10 @@
     /* Term of the lease under which a VM runs a task, unless the setting
      * limits.longest_lease_ms is shorter. */
     TASK_LEASE_MS = 5000,
+    /* A pool that starts no task for so long although tasks are ready is
+     * logged, again after each START_WAIT_LOG_MS. */
+    START_WAIT_MS = 1500,
+    START_WAIT_LOG_MS = 2000,
     /* Length in bytes of ".c", the end of the key of a cancellation mark. */
     CANCEL_SUFFIX_LENGTH = 2
 };
@@ -392,6 +396,35 @@
 
 /* ---- Rounds ------------------------------------------------------------- */
 
+/* Logs what the pool waits for while it starts no task. */
+static void
+log_start_wait(PoolOwner *owner, AqTime waited_ms)
+{
+    static const char *const stages[] = {"used_vms", "progress", "jobs"};
+    AqTime now = pool_owner_now(owner);
+    AqBuffer text;
+    if (waited_ms < START_WAIT_MS || now < owner->wait_log_due) {
+        return;
+    }
+    owner->wait_log_due = now + START_WAIT_LOG_MS;
+    AqBuffer_Init(&text);
+    if (owner->load_state == LOADED) {
+        AqScheduler_DescribeStartWait(owner->scheduler, &text);
+    }
+    else {
+        AqBuffer_Printf(&text, "reason=loading stage=%s",
+                        stages[owner->load_state]);
+    }
+    AqLog_Event(
+        AQ_LOG_WARNING, "starts_wait",
+        "pool=%s fence=%llu waited_ms=%lld %s calls=%d saving=%d "
+        "writing_used_vms=%d",
+        owner->ownership.pool, (unsigned long long)owner->ownership.fence,
+        (long long)waited_ms, AqBuffer_Text(&text), owner->calls_in_flight,
+        owner->is_saving, owner->is_writing_used_vms);
+    AqBuffer_Clear(&text);
+}
+
 /* Whether all progress and, after it, the list of used VMs is stored, so that
  * the next owner can rely on them. */
 static bool
@@ -431,6 +464,7 @@
 {
     AqTime now = pool_owner_now(owner);
     if (owner->load_state != LOADED) {
+        log_start_wait(owner, now - owner->gained_at);
         check_finished(owner);
         return now + LOAD_RETRY_MS;
     }
@@ -452,6 +486,7 @@
     if (AqScheduler_AwaitsConfirmation(owner->scheduler)) {
         member_confirm_pools(owner->member);
     }
+    log_start_wait(owner, AqScheduler_StartWait(owner->scheduler));
     save_progress(owner);
     if (!owner->is_finishing) {
         write_used_vms(owner);
--- a/packages/pool/pool_owner_private.h
+++ b/packages/pool/pool_owner_private.h
@@ -49,6 +49,7 @@
      * NULL: none. */
     char *last_report;
     AqTime report_due;
+    AqTime wait_log_due; /* earliest time of the next starts_wait line */
     /* Callback of pool_owner_finish(), its argument, and the time at which it
      * is called at the latest; finish_done is NULL before pool_owner_finish()
      * and after the callback. */
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -256,6 +256,15 @@
 AqTime AqScheduler_Tick(AqScheduler *scheduler, AqTime now, int64_t wall,
                         bool may_order);
 
+/* Returns for how long, ms, no VM has confirmed a start although tasks were
+ * ready or starting; 0: no task waits for its start. */
+AqTime AqScheduler_StartWait(const AqScheduler *scheduler);
+/* Appends what the ready tasks of a scheduler that starts none wait for, as
+ * "reason=NAME" and further key=value pairs, separated by spaces.
+ * docs/OPERATIONS.md lists them. */
+void AqScheduler_DescribeStartWait(const AqScheduler *scheduler,
+                                   AqBuffer *out);
+
 typedef struct {
     /* CPU that the ready tasks need, in thousandths of a core */
     int64_t ready_cpu_millis;
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -104,19 +104,37 @@
     return queue != NULL && queue->needs_tickets;
 }
 
-/* Whether the VM, if it may get tasks, may run the task and has room for
- * it. */
-static bool
-can_run_on(const AqScheduler *s, const Vm *vm, const Task *task, bool tickets)
+/* The same as placement_check(); "tickets": whether the VM needs a ticket for
+ * the task's step. */
+static PlacementResult
+check_vm(const AqScheduler *s, const Vm *vm, const Task *task, bool tickets)
 {
     const Step *step = task->step;
     const AqStepSpec *spec = step->spec;
-    return vm->blocked_until <= s->now && fits_on(vm, spec) &&
-           has_label(vm, spec->required_label) &&
-           (spec->max_per_vm == 0 ||
-            (vm->foreign_cpu == 0 &&
-             count_step_tasks(vm, step) < spec->max_per_vm)) &&
-           (!tickets || find_ticket(s, step, vm) != NULL);
+    if (vm->blocked_until > s->now) {
+        return PLACEMENT_BLOCKED;
+    }
+    if (!fits_on(vm, spec)) {
+        return PLACEMENT_NO_ROOM;
+    }
+    if (!has_label(vm, spec->required_label)) {
+        return PLACEMENT_OTHER_LABEL;
+    }
+    if (spec->max_per_vm > 0 &&
+        (vm->foreign_cpu > 0 ||
+         count_step_tasks(vm, step) >= spec->max_per_vm)) {
+        return PLACEMENT_STEP_LIMIT;
+    }
+    if (tickets && find_ticket(s, step, vm) == NULL) {
+        return PLACEMENT_NO_TICKET;
+    }
+    return PLACEMENT_POSSIBLE;
+}
+
+PlacementResult
+placement_check(const AqScheduler *s, const Vm *vm, const Task *task)
+{
+    return check_vm(s, vm, task, needs_ticket(s, task->step));
 }
 
 /* Returns the cost of running the task on the VM, in thousandths of a core:
@@ -155,7 +173,8 @@
         if (rack != NULL && strcmp(vm->report.rack, rack) != 0) {
             continue;
         }
-        if (may_use(s, vm) && can_run_on(s, vm, task, tickets)) {
+        if (may_use(s, vm) &&
+            check_vm(s, vm, task, tickets) == PLACEMENT_POSSIBLE) {
             int64_t cost = placement_cost(s, vm, task);
             if (cost < best_cost) {
                 best = vm;
@@ -190,7 +209,7 @@
     vms_target(task->vm, &target);
     task->is_order_pending = true;
     task->start_sent_at = s->now;
-    start_window_sent(&s->start_window);
+    start_window_sent(&s->start_window, s->now);
     AqLog_Event(AQ_LOG_INFO, "run_ordered",
                 "request=%s occurrence=%u step=%u task=%u run=%lld vm=%s "
                 "fence=%llu waited_ms=%lld",
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -162,6 +162,7 @@
     task->progress_at = s->now;
     task->listed_after = s->now;
     task->may_start_late = false;
+    s->no_start_since = s->now;
     s->counters.starts++;
     if (job->stage == AQ_STAGE_WAITING) {
         job->stage = AQ_STAGE_RUNNING;
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -523,6 +523,7 @@
         perpetual_tick(s);
         placement_run(s);
     }
+    start_stall_tick(s);
     AqTime latest = s->placement_due ? s->earliest_placement_at
                                      : now + MAX_TICK_INTERVAL_MS;
     return due < latest ? due : latest;
@@ -548,6 +549,7 @@
     s->created_at = now;
     s->confirmed_at = now;
     s->now = now;
+    s->no_start_since = now;
     start_window_init(&s->start_window);
     s->mean_declared_ms = 1000.0;
     s->mean_actual_ms = 1000.0;
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -16,6 +16,7 @@
  * replies.c     effects of the replies to orders on tasks
  * ranking.c     order in which jobs are placed
  * start_window.c  limit of start orders in flight
+ * start_stall.c what a scheduler that starts no task waits for
  * placement.c   choice of a VM for each task
  * perpetual.c   moves of perpetual tasks off a VM, speed limits of fillers
  * progress.c    stored progress record of a job
@@ -322,6 +323,32 @@
     uint64_t renewal_count;
 };
 
+/* Why no task starts on a VM; the first reason that applies, in this order. */
+typedef enum {
+    VM_USABLE,
+    VM_UNLISTED,
+    VM_ENDED,
+    VM_NOT_HEARD, /* it has not replied to a renewal of this owner */
+    VM_SILENT,
+    VM_USE_UNRECORDED, /* the stored list of used VMs does not include it */
+    VM_DRAINING,
+    VM_QUARANTINED,
+    VM_CORDONED,
+    VM_STATES
+} VmState;
+
+/* Why a task does not start on a usable VM; the first reason that applies, in
+ * this order. */
+typedef enum {
+    PLACEMENT_POSSIBLE,
+    PLACEMENT_BLOCKED, /* the VM refused a start for want of room just now */
+    PLACEMENT_NO_ROOM,
+    PLACEMENT_OTHER_LABEL,
+    PLACEMENT_STEP_LIMIT, /* the VM has max_per_vm tasks of the step */
+    PLACEMENT_NO_TICKET,
+    PLACEMENT_RESULTS
+} PlacementResult;
+
 struct AqScheduler {
     AqSchedulerConfig config;
     AqSchedulerActions actions;
@@ -405,6 +432,11 @@
     double mean_declared_ms;
     double mean_actual_ms;
     StartWindow start_window;
+    /* when a VM last confirmed a start, or no task was ready or starting,
+     * whichever is later */
+    AqTime no_start_since;
+    /* when start_stall_tick() next looks for ready tasks */
+    AqTime next_stall_check_at;
     AqSchedulerCounters counters;
 };
 
@@ -456,6 +488,14 @@
 void vms_reserve(Vm *vm, Task *task);
 /* Ends the task's reservation; no effect on a task without one. */
 void vms_end_reservation(Task *task);
+VmState vms_state(const AqScheduler *s, const Vm *vm);
+/* Since when the VM has not replied; AQ_TIME_NEVER for a VM that replies or is
+ * known to have ended.  A VM that an earlier pool owner used counts as silent
+ * from the scheduler's creation until the VM replies. */
+AqTime vms_silent_since(const AqScheduler *s, const Vm *vm);
+/* Whether an earlier pool owner may have sent the VM orders, and the VM has
+ * neither replied to this one nor ended and may still have a valid lease. */
+bool vms_is_awaited(const AqScheduler *s, const Vm *vm);
 /* Whether tasks may be started on the VM, provided that its free resources
  * suffice for them. */
 bool vms_is_usable(const AqScheduler *s, const Vm *vm);
@@ -535,9 +575,17 @@
 /* Returns a usable VM with room for a task that is to move off its VM; NULL:
  * there is none. */
 Vm *placement_find_move_target(const AqScheduler *s, const Task *task);
+/* Whether the VM, if it may get tasks, may run the task and has room for
+ * it. */
+PlacementResult placement_check(const AqScheduler *s, const Vm *vm,
+                                const Task *task);
 /* Sends the start order of a task that is assigned to a VM. */
 void placement_send_start(AqScheduler *s, Task *task);
 
+/* ---- start_stall.c */
+/* Notes whether tasks wait for their start. */
+void start_stall_tick(AqScheduler *s);
+
 /* ---- perpetual.c */
 /* Repeats start and stop orders that had no reply, moves perpetual tasks off
  * cordoned and draining VMs, and changes the speed limits of fillers, which
--- a/packages/scheduler/start_window.c
+++ b/packages/scheduler/start_window.c
@@ -17,7 +17,9 @@
 void
 start_window_init(StartWindow *window)
 {
-    *window = (StartWindow){.size = INITIAL_SIZE, .is_doubling = true};
+    *window = (StartWindow){.size = INITIAL_SIZE,
+                            .is_doubling = true,
+                            .closed_since = AQ_TIME_NEVER};
 }
 
 bool
@@ -26,23 +28,27 @@
     return window->in_flight < (unsigned)window->size;
 }
 
+static void
+note_closed(StartWindow *window, AqTime now)
+{
+    if (start_window_is_open(window)) {
+        window->closed_since = AQ_TIME_NEVER;
+    }
+    else if (window->closed_since == AQ_TIME_NEVER) {
+        window->closed_since = now;
+    }
+}
+
 void
-start_window_sent(StartWindow *window)
+start_window_sent(StartWindow *window, AqTime now)
 {
     window->in_flight++;
+    note_closed(window, now);
 }
 
-void
-start_window_ended(StartWindow *window, AqTime latency_ms, AqTime now)
+static void
+resize(StartWindow *window, AqTime latency_ms, AqTime now)
 {
-    /* A window that is not in use says nothing about a larger one. */
-    bool is_used = 2 * window->in_flight >= (unsigned)window->size;
-    if (window->in_flight > 0) {
-        window->in_flight--;
-    }
-    if (latency_ms < 0 || !is_used) {
-        return;
-    }
     if (latency_ms > SLOW_REPLY_MS) {
         /* The replies to orders that were sent before the window shrank still
          * take long. */
@@ -59,3 +65,17 @@
         window->size = window->size < MAX_SIZE ? window->size : MAX_SIZE;
     }
 }
+
+void
+start_window_ended(StartWindow *window, AqTime latency_ms, AqTime now)
+{
+    /* A window that is not in use says nothing about a larger one. */
+    bool is_used = 2 * window->in_flight >= (unsigned)window->size;
+    if (window->in_flight > 0) {
+        window->in_flight--;
+    }
+    if (latency_ms >= 0 && is_used) {
+        resize(window, latency_ms, now);
+    }
+    note_closed(window, now);
+}
--- a/packages/scheduler/start_window.h
+++ b/packages/scheduler/start_window.h
@@ -21,12 +21,14 @@
      */
     bool is_doubling;
     AqTime shrunk_at;
+    /* since when the window is closed; AQ_TIME_NEVER while it is open */
+    AqTime closed_since;
 } StartWindow;
 
 void start_window_init(StartWindow *window);
 bool start_window_is_open(const StartWindow *window);
 /* Counts an order as sent, also when the window is not open. */
-void start_window_sent(StartWindow *window);
+void start_window_sent(StartWindow *window, AqTime now);
 /* Counts an order as ended, latency_ms after it was sent; -1: without a reply
  * or of unknown latency. */
 void start_window_ended(StartWindow *window, AqTime latency_ms, AqTime now);
--- a/packages/scheduler/tests/test_start_window.c
+++ b/packages/scheduler/tests/test_start_window.c
@@ -17,7 +17,7 @@
     for (int round = 0; round < 20; round++) {
         unsigned sent = 0;
         while (start_window_is_open(&window) && sent < 500) {
-            start_window_sent(&window);
+            start_window_sent(&window, now);
             sent++;
         }
         now += 5;
@@ -27,7 +27,7 @@
     }
     unsigned fast = 0;
     while (start_window_is_open(&window) && fast < 500) {
-        start_window_sent(&window);
+        start_window_sent(&window, now);
         fast++;
     }
     CU_ASSERT_EQUAL(fast, 500);
@@ -38,7 +38,7 @@
         start_window_ended(&window, 5, now);
     }
     for (fast = 0; start_window_is_open(&window) && fast < 500; fast++) {
-        start_window_sent(&window);
+        start_window_sent(&window, now);
     }
     CU_ASSERT_EQUAL(fast, 500);
     /* The same link turns slow: the replies take 400 ms. */
@@ -49,7 +49,7 @@
             start_window_ended(&window, 400, now);
         }
         for (; start_window_is_open(&window) && slow < 500; slow++) {
-            start_window_sent(&window);
+            start_window_sent(&window, now);
         }
     }
     CU_ASSERT_TRUE(slow < 50);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -151,28 +151,43 @@
     }
 }
 
-/* Whether the VM may run tasks, cordoned or not. */
-static bool
-is_in_service(const AqScheduler *s, const Vm *vm)
+VmState
+vms_state(const AqScheduler *s, const Vm *vm)
 {
-    bool is_present =
-        vm->is_listed || s->now - vm->unlisted_at < UNLISTED_GRACE_MS;
-    return is_present && !vm->has_ended && vm->has_replied &&
-           vm->is_use_recorded && !vm->report.is_draining &&
-           vm->silent_since == AQ_TIME_NEVER &&
-           vm->quarantined_until <= s->now;
+    if (!vm->is_listed && s->now - vm->unlisted_at >= UNLISTED_GRACE_MS) {
+        return VM_UNLISTED;
+    }
+    if (vm->has_ended) {
+        return VM_ENDED;
+    }
+    if (!vm->has_replied) {
+        return VM_NOT_HEARD;
+    }
+    if (vm->silent_since != AQ_TIME_NEVER) {
+        return VM_SILENT;
+    }
+    if (!vm->is_use_recorded) {
+        return VM_USE_UNRECORDED;
+    }
+    if (vm->report.is_draining) {
+        return VM_DRAINING;
+    }
+    if (vm->quarantined_until > s->now) {
+        return VM_QUARANTINED;
+    }
+    return vm->is_cordoned ? VM_CORDONED : VM_USABLE;
 }
 
 bool
 vms_is_usable(const AqScheduler *s, const Vm *vm)
 {
-    return !vm->is_cordoned && is_in_service(s, vm);
+    return vms_state(s, vm) == VM_USABLE;
 }
 
 bool
 vms_is_being_emptied(const AqScheduler *s, const Vm *vm)
 {
-    return vm->is_cordoned && !vm->is_vacated && is_in_service(s, vm);
+    return !vm->is_vacated && vms_state(s, vm) == VM_CORDONED;
 }
 
 /* ---- Replies and leases ------------------------------------------------- */
@@ -415,6 +430,15 @@
 
 /* ---- Time --------------------------------------------------------------- */
 
+bool
+vms_is_awaited(const AqScheduler *s, const Vm *vm)
+{
+    bool is_lapsed =
+        vm->lapsed_at != AQ_TIME_NEVER && s->confirmed_at >= vm->lapsed_at;
+    return vm->used_by_earlier_owner && !vm->has_replied && !vm->has_ended &&
+           !is_lapsed;
+}
+
 /* Sets is_recovered once each used VM, to which an earlier pool owner may have
  * sent orders, has replied, has ended or has no valid lease. */
 static void
@@ -548,11 +572,8 @@
             vm->pending_ends->len == 0 && AqList_IsEmpty(&vm->reservations));
 }
 
-/* Returns AqScheduledVm.silent_since of the VM.  A VM that an earlier pool
- * owner used counts as silent from the scheduler's creation until the VM
- * replies. */
-static AqTime
-silent_since(const AqScheduler *s, const Vm *vm)
+AqTime
+vms_silent_since(const AqScheduler *s, const Vm *vm)
 {
     if (vm->has_ended) {
         return AQ_TIME_NEVER;
@@ -575,7 +596,7 @@
             .is_usable = vms_is_usable(s, vm),
             .is_answering =
                 vm->has_replied && vm->silent_since == AQ_TIME_NEVER,
-            .silent_since = silent_since(s, vm),
+            .silent_since = vms_silent_since(s, vm),
             .tasks = vm->task_count,
             .cpu_millis = vm->report.cpu_millis,
             .idle_since = vm->idle_since,
