Loop and pool_load: show when a node has too little processor

Nothing in its log told that its processor was the limit: loop_stalled left out the callbacks of the round, in which the schedulers run, and pool_load had neither the start window nor the load of the loop.

loop_stalled now counts them (round_ms), pool_load has starting, window and loop_busy, and aq_loop_busy_ms_total counts the busy time.

--- a/packages/io/Include/aq_loop.h
+++ b/packages/io/Include/aq_loop.h
@@ -73,6 +73,9 @@
 /* Returns the longest time, ms, that the callbacks of one round have taken;
  * the loop handles no other event meanwhile. */
 AqTime AqLoop_LongestStall(const AqLoop *loop);
+/* Returns the time, ms, that all rounds so far have spent in callbacks, with
+ * the time in which the process had to wait for a processor. */
+AqTime AqLoop_BusyTime(const AqLoop *loop);
 
 /* Runs rounds until AqLoop_Stop is called. */
 void AqLoop_Run(AqLoop *loop);
--- a/packages/io/loop.c
+++ b/packages/io/loop.c
@@ -33,6 +33,7 @@
     AqClock *clock;   /* virtual clock; NULL: the host's CLOCK_BOOTTIME */
     bool running;
     AqTime longest_stall_ms;
+    AqTime busy_ms;
     int round_callback_count;
     struct {
         AqRoundFn fn; /* NULL: the entry is free */
@@ -303,24 +304,41 @@
     }
 }
 
-/* Records how long the loop did not wait for events: since "begin", with the
- * callbacks of "events" descriptors and "timers" timers. */
+/* Times at which the stages of a round begin. */
+typedef struct {
+    AqTime round; /* the callbacks of AqLoop_OnRound */
+    AqTime poll;
+    AqTime events;
+    AqTime timers;
+    AqTime end;
+} RoundTimes;
+
+/* Records how long the loop did not wait for events. */
 static void
-note_stall(AqLoop *loop, AqTime begin, AqTime dispatched, int events)
+note_stall(AqLoop *loop, const RoundTimes *times, int events)
 {
-    AqTime now = read_time(loop);
-    AqTime taken = now - begin;
+    AqTime round_ms = times->poll - times->round;
+    AqTime taken = round_ms + times->end - times->events;
+    loop->busy_ms += taken;
     if (taken > loop->longest_stall_ms) {
         loop->longest_stall_ms = taken;
     }
     if (taken > STALL_LOG_MS) {
         AqLog_Event(AQ_LOG_WARNING, "loop_stalled",
-                    "took_ms=%lld events=%d events_ms=%lld timers_ms=%lld",
-                    (long long)taken, events, (long long)(dispatched - begin),
-                    (long long)(now - dispatched));
+                    "took_ms=%lld round_ms=%lld events=%d events_ms=%lld "
+                    "timers_ms=%lld",
+                    (long long)taken, (long long)round_ms, events,
+                    (long long)(times->timers - times->events),
+                    (long long)(times->end - times->timers));
     }
 }
 
+AqTime
+AqLoop_BusyTime(const AqLoop *loop)
+{
+    return loop->busy_ms;
+}
+
 AqTime
 AqLoop_LongestStall(const AqLoop *loop)
 {
@@ -332,8 +350,10 @@
 {
     const apr_pollfd_t *ready = NULL;
     apr_int32_t count = 0;
+    RoundTimes times = {.round = read_time(loop)};
     AqTime due = next_due(loop, loop->now + wait_ms);
-    AqTime wait = due - read_time(loop);
+    times.poll = read_time(loop);
+    AqTime wait = due - times.poll;
     if (wait < 0) {
         wait = 0;
     }
@@ -343,15 +363,17 @@
         AqClock_Advance(loop->clock, wait);
     }
     loop->now = read_time(loop);
+    times.events = loop->now;
     if (status == APR_SUCCESS) {
         for (apr_int32_t i = 0; i < count; i++) {
             dispatch(ready[i].client_data, ready[i].rtnevents);
         }
     }
     free_unwatched(loop);
-    AqTime dispatched = read_time(loop);
+    times.timers = read_time(loop);
     run_timers(loop);
-    note_stall(loop, loop->now, dispatched, count);
+    times.end = read_time(loop);
+    note_stall(loop, &times, count);
 }
 
 void
--- a/packages/io/tests/test_io.c
+++ b/packages/io/tests/test_io.c
@@ -441,7 +441,15 @@
     AqClock_Advance(context, 150);
 }
 
-/* Guards against a loop that stands still for long without a trace. */
+static AqTime
+advance_clock_in_round(void *context)
+{
+    AqClock_Advance(context, 200);
+    return AQ_TIME_NEVER;
+}
+
+/* Guards against a loop that stands still for long without a trace, in a timer
+ * or in a callback of the round, or has too little processor. */
 static void
 test_longest_stall(void)
 {
@@ -456,6 +464,11 @@
     AqTimer_Start(loop, &timer, clock.now + 5);
     AqLoop_RunOnce(loop, 10);
     CU_ASSERT_EQUAL(AqLoop_LongestStall(loop), 150);
+    CU_ASSERT_EQUAL(AqLoop_BusyTime(loop), 150);
+    AqLoop_OnRound(loop, advance_clock_in_round, &clock);
+    AqLoop_RunOnce(loop, 10);
+    CU_ASSERT_EQUAL(AqLoop_LongestStall(loop), 200);
+    CU_ASSERT_EQUAL(AqLoop_BusyTime(loop), 350);
     AqLoop_Destroy(loop);
 }
 
--- a/packages/pool/node_servers.c
+++ b/packages/pool/node_servers.c
@@ -69,6 +69,8 @@
     AqBuffer_Printf(&out, "aq_ready %d\n", is_ready(node));
     AqBuffer_Printf(&out, "aq_loop_longest_stall_ms %lld\n",
                     (long long)AqLoop_LongestStall(node->context.loop));
+    AqBuffer_Printf(&out, "aq_loop_busy_ms_total %lld\n",
+                    (long long)AqLoop_BusyTime(node->context.loop));
     AqBuffer_Printf(&out, "aq_carriers_connected %zu\n",
                     carrier_duty_connected(node->carriers));
     AqBuffer_Printf(
--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -298,6 +298,8 @@
     self->fence = pool_owner_fence(owner);
     self->listed_at = -LIST_INITIAL_AGE_MS;
     self->list_requested_at = -LIST_INITIAL_AGE_MS;
+    self->logged_at = machines_now(self);
+    self->logged_busy = AqLoop_BusyTime(node->loop);
     g_strlcpy(self->pool, pool_owner_pool(owner), sizeof(self->pool));
     self->plans = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
     self->vms = g_array_new(FALSE, FALSE, sizeof(VmCopy));
--- a/packages/pool/pool_machines_private.h
+++ b/packages/pool/pool_machines_private.h
@@ -80,6 +80,9 @@
     int calls;
     AqTime next_round_at;
     AqTime next_log_at; /* earliest time of the next pool_load log event */
+    /* of the last pool_load event: its time, and AqLoop_BusyTime() then */
+    AqTime logged_at;
+    AqTime logged_busy;
     /* Highest number that a request to the machine coordinator got so far. */
     int64_t last_request_number;
     /* This pool's requests to the machine coordinator have changed since they
--- a/packages/pool/pool_sizing.c
+++ b/packages/pool/pool_sizing.c
@@ -173,24 +173,34 @@
 
 static void
 log_load(PoolMachines *self, const AqSizingInput *input,
-         const AqSizingDecision *decision, size_t jobs, size_t idle)
+         const AqSizingDecision *decision, const AqSchedulerLoad *load,
+         size_t idle)
 {
-    if (machines_now(self) < self->next_log_at) {
+    AqTime now = machines_now(self);
+    AqTime busy = AqLoop_BusyTime(self->node->loop);
+    if (now < self->next_log_at) {
         return;
     }
-    self->next_log_at = machines_now(self) + LOG_INTERVAL_MS;
+    AqTime passed = now - self->logged_at;
+    AqTime busy_percent =
+        passed > 0 ? (busy - self->logged_busy) * 100 / passed : 0;
+    self->next_log_at = now + LOG_INTERVAL_MS;
+    self->logged_at = now;
+    self->logged_busy = busy;
     AqLog_Event(AQ_LOG_INFO, "pool_load",
                 "pool=%s jobs=%zu vms=%zu idle=%zu lasting=%zu coming=%zu "
                 "used_cpu=%lld ready_cpu=%lld offered_cpu=%lld room_cpu=%lld "
-                "wait_ms=%lld take=%zu give=%zu",
-                self->pool, jobs, input->usable_vms, idle,
+                "wait_ms=%lld starting=%u window=%u loop_busy=%lld take=%zu "
+                "give=%zu",
+                self->pool, load->jobs, input->usable_vms, idle,
                 input->perpetual_vms, input->pending_vms,
                 (long long)input->used_cpu_millis,
                 (long long)input->ready_cpu_millis,
                 (long long)input->offered_cpu_millis,
                 (long long)input->capacity_cpu_millis,
-                (long long)input->longest_wait_ms, decision->acquire_vms,
-                decision->release_vms);
+                (long long)input->longest_wait_ms, load->starts_in_flight,
+                load->start_window, (long long)busy_percent,
+                decision->acquire_vms, decision->release_vms);
 }
 
 void
@@ -232,7 +242,7 @@
         idle += vm->tasks == 0;
     }
     AqSizing_Decide(&input, &decision);
-    log_load(self, &input, &decision, load.jobs, idle);
+    log_load(self, &input, &decision, &load, idle);
     if (decision.acquire_vms > 0) {
         acquire_vms(self, &decision, spare);
         return;
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -281,6 +281,9 @@
     int64_t offered_cpu_millis;
     size_t ready_tasks;
     size_t jobs; /* number of unfinished jobs */
+    /* start orders without a reply yet, and most such orders at a time */
+    unsigned starts_in_flight;
+    unsigned start_window;
     /* how long the longest-waiting ready task has been ready to start */
     AqTime longest_wait_ms;
     /* largest number of VMs that any one perpetual step (its tasks run until
--- a/packages/scheduler/load.c
+++ b/packages/scheduler/load.c
@@ -87,6 +87,8 @@
     decay_offered_work(s);
     load->offered_cpu_millis = (int64_t)(forecast_offered_cores(s) * 1000.0);
     load->is_recovered = s->is_recovered;
+    load->starts_in_flight = s->start_window.in_flight;
+    load->start_window = (unsigned)s->start_window.size;
     AqList_ForEach(at, &s->active)
     {
         const Job *job = AqList_Entry(at, Job, link);
