--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -226,6 +226,21 @@
     uint64_t seq;
 } PendingEnd;
 
+/* A run on a VM whose stop was ordered because another run of its task
+ * replaces it.  It keeps its room until it can neither be alive nor start
+ * late. */
+typedef struct {
+    AqTaskName task;
+    int64_t run;
+    int64_t cpu_millis; /* at least 1, so that the VM does not count as idle */
+    int64_t memory_mb;
+    /* when the VM confirmed the stop; AQ_TIME_NEVER: not yet */
+    AqTime stopped_at;
+    /* from when on the VM refuses the run's start order, whose lease has
+     * expired, on the scheduler's clock */
+    AqTime start_expires_at;
+} SupersededRun;
+
 struct Vm {
     AqVmReport report;
     AqLink link; /* links the VM into scheduler->vms */
@@ -303,6 +318,7 @@
      * current run of any task of this scheduler (foreign usage) */
     int64_t foreign_cpu;
     int64_t foreign_memory;
+    GArray *superseded; /* of SupersededRun; owned */
     /* since when the VM has listed runs, or ends of runs, of jobs that this
      * scheduler does not know; 0: it lists none */
     AqTime foreign_since;
@@ -541,6 +557,9 @@
  * to read a new job from the store. */
 bool vms_is_foreign_run_overdue(const AqScheduler *s, const Vm *vm);
 
+/* Returns by when the VM refuses a start order that is sent now. */
+AqTime vms_start_expiry(const AqScheduler *s);
+
 /* ---- load.c */
 /* Adds the work of a new job to the offered load. */
 void load_add_job(AqScheduler *s, const AqJobSpec *spec);
--- /dev/null
+++ b/packages/scheduler/tests/order_fixture.h
@@ -0,0 +1,45 @@
+#ifndef ORDER_FIXTURE_H
+#define ORDER_FIXTURE_H
+
+#include <glib.h>
+
+#include "aq_scheduler.h"
+
+/* A scheduler on a virtual clock whose orders only the test answers. */
+
+enum {
+    FIXTURE_LEASE_MS = 5000,
+    FIXTURE_EARLIER_OWNER_MS = 2000,
+    FIXTURE_VM_CPU_MILLIS = 4000
+};
+
+typedef struct {
+    AqTaskName task;
+    int64_t run;
+    char vm[AQ_VM_ID_SIZE];
+} FixtureStart;
+
+typedef struct {
+    AqScheduler *s;
+    AqTime now;
+    AqSiteConfig site;
+    AqQueueConfig queue;
+    GArray *starts; /* of FixtureStart: all start orders */
+} Fixture;
+
+/* "earlier_owner_ms": AqSchedulerConfig.earlier_owner_ms. */
+void fixture_set_up(Fixture *f, AqTime earlier_owner_ms);
+/* A scheduler of a pool that had no owner before. */
+void fixture_set_up_loaded(Fixture *f);
+void fixture_tear_down(Fixture *f);
+void fixture_tick(Fixture *f, AqTime ms);
+/* Adds a job of one step. */
+void fixture_add_job(Fixture *f, const char *id, const AqStepSpec *step);
+AqVmReport fixture_report(const char *id);
+/* Adds a VM on which tasks may start. */
+void fixture_add_vm(Fixture *f, const char *id);
+void fixture_answer_renewal(Fixture *f, const char *id, AqOrderResult result);
+/* Answers the start order with this index. */
+void fixture_answer_start(Fixture *f, unsigned start, AqOrderResult result);
+
+#endif
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -66,6 +66,7 @@
     vm->lapsed_at = AQ_TIME_NEVER;
     vm->renewal_due = s->now;
     vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
+    vm->superseded = g_array_new(FALSE, FALSE, sizeof(SupersededRun));
     vm->used_since_version = ++s->used_vms_version;
     AqList_Init(&vm->tasks);
     AqList_Init(&vm->reservations);
@@ -79,6 +80,7 @@
 {
     AqList_Remove(&vm->link);
     g_array_free(vm->pending_ends, TRUE);
+    g_array_free(vm->superseded, TRUE);
     free(vm);
 }
 
@@ -357,6 +359,13 @@
     return s->awaits_confirmation;
 }
 
+AqTime
+vms_start_expiry(const AqScheduler *s)
+{
+    return s->now + (AqTime)((double)s->config.lease_ms / slowest_clock_rate) +
+           LEASE_EXPIRY_MARGIN_MS;
+}
+
 /* If the VM does not reply, makes those of the VM's tasks whose steps allow
  * copies ready for new runs.  Once the VM's lease has expired, makes all tasks
  * of the VM ready and, if the store has no entry of the VM, removes the VM
