Scheduler: rank no jobs while the start window is closed

A placement ranked all waiting jobs before it found that the window of start orders in flight was closed. On an owner of 0.12 cores the window was full nearly all the time.

The placement now ends before the ranking; the end of a start order that opens the window makes one due, as before. The new counter of ranked jobs is aq_pool_jobs_ranked_total. test_closed_window_ranks_no_jobs failed before; it also checks that the loop still waits for events.

--- a/packages/pool/node_metrics.c
+++ b/packages/pool/node_metrics.c
@@ -43,6 +43,8 @@
                     (long long)load.capacity_cpu_millis);
     AqBuffer_Printf(out, "aq_pool_settled{pool=\"%s\"} %d\n", pool,
                     load.is_recovered);
+    AqBuffer_Printf(out, "aq_pool_jobs_ranked_total{pool=\"%s\"} %llu\n", pool,
+                    (unsigned long long)counters->ranked);
     AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"done\"} %llu\n",
                     pool, (unsigned long long)counters->done);
     AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"failed\"} %llu\n",
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -311,6 +311,8 @@
     uint64_t lost;
     /* runs that the scheduler stopped because they made no progress */
     uint64_t stalled;
+    /* how often a job with ready tasks was ranked, for a placement of tasks */
+    uint64_t ranked;
     /* tasks that were made ready again while their run on a silent VM may
      * continue */
     uint64_t copied;
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -450,6 +450,11 @@
     }
     s->placement_due = false;
     s->next_placement_at = s->now + PLACEMENT_PERIOD_MS;
+    if (!start_window_is_open(&s->start_window)) {
+        /* The end of a start order that opens the window makes a placement
+         * due. */
+        return;
+    }
     s->earliest_placement_at = s->now + MIN_PLACEMENT_GAP_MS;
     update_largest_free(s);
     size_t count = 0;
@@ -462,6 +467,7 @@
             jobs[count++] = job;
         }
     }
+    s->counters.ranked += count;
     qsort(jobs, count, sizeof(Job *), ranking_compare);
     for (size_t i = 0; i < count && start_window_is_open(&s->start_window);
          i++) {
--- a/packages/scheduler/tests/test_start_window.c
+++ b/packages/scheduler/tests/test_start_window.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "aq_log.h"
+#include "order_fixture.h"
 #include "sim.h"
 #include "start_window.h"
 
@@ -86,6 +87,42 @@
     sim_destroy(sim);
 }
 
+/* Guards against an owner that spends its processor on ranking all waiting
+ * jobs although the window is closed, so that none of them can start.  On an
+ * owner without processor to spare, replies and starts take longer then. */
+static void
+test_closed_window_ranks_no_jobs(void)
+{
+    static const AqStepSpec step = {
+        .task_count = 8, .cpu_millis = 10, .estimate_ms = 500};
+    Fixture f;
+    fixture_set_up_loaded(&f);
+    fixture_add_vm(&f, "vm-1");
+    for (int i = 0; i < 100; i++) {
+        char id[8];
+        snprintf(id, sizeof(id), "a%d", i);
+        fixture_add_job(&f, id, &step);
+    }
+    fixture_tick(&f, 20);
+    guint window = f.starts->len;
+    CU_ASSERT_TRUE(window < 800);
+    uint64_t ranked = AqScheduler_Counters(f.s)->ranked;
+    CU_ASSERT_EQUAL(ranked, 100);
+    fixture_tick(&f, 500);
+    fixture_answer_renewal(&f, "vm-1", AQ_ORDER_DONE);
+    fixture_tick(&f, 500);
+    CU_ASSERT_EQUAL(AqScheduler_Counters(f.s)->ranked, ranked);
+    /* Otherwise the owner's loop would not wait for events. */
+    AqScheduler_SetSite(f.s, &f.site);
+    CU_ASSERT_TRUE(AqScheduler_Tick(f.s, f.now, 1, true) > f.now);
+    for (guint i = 0; i < window; i++) {
+        fixture_answer_start(&f, i, AQ_ORDER_DONE);
+    }
+    fixture_tick(&f, 20);
+    CU_ASSERT_TRUE(f.starts->len > window);
+    fixture_tear_down(&f);
+}
+
 int
 main(void)
 {
@@ -94,6 +131,7 @@
     CU_pSuite suite = CU_add_suite("start_window", NULL, NULL);
     CU_ADD_TEST(suite, test_window);
     CU_ADD_TEST(suite, test_burst_on_slow_link);
+    CU_ADD_TEST(suite, test_closed_window_ranks_no_jobs);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
