--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -114,65 +114,6 @@
     vms_detach(s, task);
 }
 
-static bool
-is_same_run(const SupersededRun *superseded, const AqTaskName *task,
-            int64_t run)
-{
-    return superseded->run == run &&
-           strcmp(superseded->task.job, task->job) == 0 &&
-           superseded->task.occurrence == task->occurrence &&
-           superseded->task.step == task->step &&
-           superseded->task.index == task->index;
-}
-
-static void
-note_superseded_stop(const AqScheduler *s, const Vm *vm,
-                     const AqTaskName *task, int64_t run)
-{
-    for (guint i = 0; i < vm->superseded->len; i++) {
-        SupersededRun *superseded =
-            &g_array_index(vm->superseded, SupersededRun, i);
-        if (is_same_run(superseded, task, run)) {
-            superseded->stopped_at = s->now;
-        }
-    }
-}
-
-static bool
-is_listed(const AqOrderReply *reply, const SupersededRun *superseded)
-{
-    for (size_t i = 0; i < reply->running_count; i++) {
-        if (is_same_run(superseded, &reply->running[i].task,
-                        reply->running[i].run)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Adds the superseded runs that the VM does not list, but whose start orders
- * it may still execute, to its foreign usage, and forgets the others.  The
- * renewal order was sent at "sent_at". */
-static void
-add_superseded_usage(const AqScheduler *s, Vm *vm, AqTime sent_at,
-                     const AqOrderReply *reply)
-{
-    for (guint i = vm->superseded->len; i-- > 0;) {
-        const SupersededRun *superseded =
-            &g_array_index(vm->superseded, SupersededRun, i);
-        if (is_listed(reply, superseded)) {
-            continue;
-        }
-        if (superseded->stopped_at < sent_at ||
-            superseded->start_expires_at < s->now) {
-            g_array_remove_index_fast(vm->superseded, i);
-            continue;
-        }
-        vm->foreign_cpu += superseded->cpu_millis;
-        vm->foreign_memory += superseded->memory_mb;
-    }
-}
-
 /* Records what the reply to an order of any kind shows about the VM and this
  * owner of the pool.  Returns true when the caller has nothing more to do for
  * the reply: a later owner of the pool exists, or the VM was removed from the
@@ -344,7 +285,7 @@
     bool is_confirmed =
         reply->result == AQ_ORDER_DONE || reply->result == AQ_ORDER_OLD_RUN;
     if (is_confirmed) {
-        note_superseded_stop(s, vm, name, run);
+        superseded_note_stop(s, vm, name, run);
     }
     if (handle_common_result(s, vm, reply) || task == NULL ||
         task->state != TASK_STOPPING) {
@@ -671,7 +612,7 @@
     if (vm->foreign_cpu == 0 && are_known) {
         vm->foreign_since = 0;
     }
-    add_superseded_usage(s, vm, sent_at, reply);
+    superseded_add_usage(s, vm, sent_at, reply);
     if (are_known) {
         requeue_missing_runs(s, vm, sent_at);
     }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -14,6 +14,7 @@
  * vms.c         state of each VM, the VM's lease, and VMs that do not reply
  * used_vms.c    stored list of the VMs that a later owner must wait for
  * replies.c     effects of the replies to orders on tasks
+ * superseded.c  runs that are stopped since another run replaces them
  * ranking.c     order in which jobs are placed
  * start_window.c  limit of start orders in flight
  * start_stall.c what a scheduler that starts no task waits for
@@ -581,6 +582,17 @@
  * the task's resend_at. */
 void replies_tick(AqScheduler *s);
 
+/* ---- superseded.c */
+/* Records that the VM has confirmed the stop of the run, if the run is a
+ * superseded one. */
+void superseded_note_stop(const AqScheduler *s, const Vm *vm,
+                          const AqTaskName *task, int64_t run);
+/* Adds the superseded runs that the VM does not list, but whose start orders
+ * it may still execute, to its foreign usage, and forgets the others.  The
+ * renewal order was sent at "sent_at". */
+void superseded_add_usage(const AqScheduler *s, Vm *vm, AqTime sent_at,
+                          const AqOrderReply *reply);
+
 /* ---- ranking.c */
 /* Sets "bucket", "remaining_work" and "slack" of the job.  Returns whether the
  * job has ready tasks. */
