--- a/packages/scheduler/start_stall.c
+++ b/packages/scheduler/start_stall.c
@@ -121,7 +121,8 @@
         }
         count++;
     }
-    AqBuffer_Printf(out, " awaited_vms=%zu", count);
+    AqBuffer_Printf(out, " awaited_vms=%zu unconfirmed=%d", count,
+                    AqScheduler_AwaitsConfirmation(s));
 }
 
 /* Counts the VMs by state; returns whether one is usable. */
