Node: a hand-over of a pool that is lost meanwhile ends

What callers could see: requests handed to a node that is stopping, since it kept its lease and its entry until its process had ended.

Cause: the hand-over's callback was not called when its pool was lost or the node was destroyed; unfinished_handover_count stayed above 0, the node did not leave, and the Handover leaked.

Change: dropping an owner ends its hand-over.

--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -463,13 +463,13 @@
 static void
 drop_pools(AqNode *node)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, node->owners);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        drop_pool(value);
-    }
+    GList *pools = g_hash_table_get_values(node->owners);
+    /* The end of a hand-over looks its pool up. */
     g_hash_table_remove_all(node->owners);
+    for (GList *at = pools; at != NULL; at = at->next) {
+        drop_pool(at->data);
+    }
+    g_list_free(pools);
 }
 
 void
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -435,6 +435,17 @@
                AqScheduler_UsedVmsVersion(owner->scheduler);
 }
 
+/* Ends the hand-over, if one is under way. */
+static void
+end_finish(PoolOwner *owner)
+{
+    void (*done)(void *context) = owner->finish_done;
+    owner->finish_done = NULL;
+    if (done != NULL) {
+        done(owner->finish_context);
+    }
+}
+
 /* Calls the callback of pool_owner_finish() if all that the next owner needs
  * is stored, the jobs aren't loaded, or 600 ms have passed since
  * pool_owner_finish().  The callback may free the owner. */
@@ -446,9 +457,7 @@
     }
     bool is_saved = owner->load_state != LOADED || is_all_stored(owner);
     if (is_saved || pool_owner_now(owner) >= owner->finish_deadline) {
-        void (*done)(void *context) = owner->finish_done;
-        owner->finish_done = NULL;
-        done(owner->finish_context);
+        end_finish(owner);
     }
 }
 
@@ -563,6 +572,7 @@
 void
 pool_owner_drop(PoolOwner *owner)
 {
+    end_finish(owner);
     owner->is_dropped = true;
     AqTimer_Stop(&owner->load_timer);
     prefix_view_destroy(owner->jobs);
