--- a/packages/pool/store_keys.h
+++ b/packages/pool/store_keys.h
@@ -16,7 +16,8 @@
  *                      the key is the fence of the pool's orders
  * aq/term/POOL         the owner: number of the pool's ownerships so far, the
  *                      last owner's node id and incarnation, whether that
- *                      owner released the pool
+ *                      owner released the pool, whether no owner before it
+ *                      can be active (absent in records of earlier versions)
  * aq/lane/POOL         the owner: write stamp of the owner's last write
  *                      (owner_writer.h)
  * aq/roster/POOL       the owner: used VMs, those that may have got orders
