Member: a settled term belongs to the ownership that wrote it

A reply to the write of an earlier ownership of the same pool could mark a later one as settled before its wait was over; its release would then have said that no earlier owner can be active. Seen by reading; the reply now counts only once the wait of the present ownership is over. Tests member, pool and revoked_owner pass.

--- a/packages/pool/member_claims.c
+++ b/packages/pool/member_claims.c
@@ -344,7 +344,9 @@
 {
     PoolClaim *claim = context;
     const NodeContext *node = claim->member->node;
-    if (claim->state != CLAIM_OWNED || claim->is_settled) {
+    bool is_due = AqLoop_Now(node->loop) - claim->owned_at >= MEMBER_LEASE_MS;
+    if (claim->state != CLAIM_OWNED || claim->is_settled || !is_due) {
+        /* Also the reply to a write of an ownership that has ended. */
         return;
     }
     claim->is_settled = reply->status == AQ_STORE_OK;
