Scheduler: no hand-over while a VM lists runs of unknown tasks

Cause: a list of used VMs was marked as a hand-over although a VM had listed a run of a job that the owner had not read yet. Such a run is in no list, and the next owner relied on the list and started the task at once. Found by the review of the incident.

Evidence: test_no_hand_over_with_unknown_run of unapplied_ends, failing before and passing now.

Change: a list hands over only if no unknown run is listed.

--- a/packages/scheduler/used_vms.c
+++ b/packages/scheduler/used_vms.c
@@ -26,12 +26,13 @@
 
 /* Whether the list of used VMs hands the pool over: the next owner then relies
  * on the runs in the list and on the stored records.  With an end that is not
- * stored, it would find neither the run nor its end, and start the task
- * again. */
+ * stored, or a run of a task that is not known, it would find neither the run
+ * nor its end, and start the task again. */
 static bool
 is_hand_over(const AqScheduler *s)
 {
-    return s->is_closed && s->is_recovered && !AqScheduler_HasUnsaved(s);
+    return s->is_closed && s->is_recovered && !AqScheduler_HasUnsaved(s) &&
+           s->unknown_runs->len == 0;
 }
 
 /* Whether the VM belongs in the list of used VMs, to which a pool owner may
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -297,6 +297,7 @@
     {
         vms_end_reservation(AqList_Entry(at, Task, reservation_link));
     }
+    unknown_runs_clear(s, vm->report.id);
     g_hash_table_remove(s->vms_by_id, vm->report.id);
     s->used_vms_version++;
     s->placement_due = true;
