Scheduler: an end that is not applied yet keeps its task from starting

Cause: ends behind that of an unknown job wait, but their tasks were free to start, since the VM had answered; and the end of an occurrence that was not due yet on this owner's clock was taken as one of no task, and confirmed.

Change: such ends wait like those of unknown jobs, and their tasks, where known and ready, count as running on that VM until the ends are applied.

--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -347,8 +347,38 @@
     }
 }
 
+/* Whether the task is unknown only because its job or its occurrence has not
+ * come yet. */
+static bool
+may_become_known(const AqScheduler *s, const AqTaskName *name)
+{
+    const Job *job = scheduler_find_job(s, name->job);
+    return job == NULL || (!scheduler_is_finished(job) &&
+                           name->occurrence >= job->next_occurrence);
+}
+
+/* Keeps the tasks of ends that are not applied yet from starting: a task that
+ * is ready counts as running on the VM until its end is applied. */
+static void
+hold_ends(AqScheduler *s, Vm *vm, const AqEndedTask *ends, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        const AqEndedTask *end = &ends[i];
+        AqRunningTask row = {
+            .task = end->task, .run = end->run, .checkpoint = ""};
+        Task *task = scheduler_find_task(s, &end->task);
+        if (task == NULL && may_become_known(s, &end->task)) {
+            unknown_runs_add(s, vm, &end->task, end->run);
+        }
+        else if (task != NULL && task->state == TASK_READY &&
+                 end->run >= task->run) {
+            replies_adopt_run(s, vm, task, &row);
+        }
+    }
+}
+
 /* Applies the ends of runs that the reply lists, in order, and stops at the
- * first end of a run whose job this scheduler does not know yet.  Returns
+ * first end of a run whose task this scheduler does not know yet.  Returns
  * whether all ends were applied. */
 static bool
 process_ends(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
@@ -359,17 +389,12 @@
             continue;
         }
         Task *task = scheduler_find_task(s, &end->task);
-        if (task == NULL && scheduler_find_job(s, end->task.job) == NULL &&
+        if (task == NULL && may_become_known(s, &end->task) &&
             !vms_is_foreign_run_overdue(s, vm)) {
             if (vm->foreign_since == 0) {
                 vm->foreign_since = s->now;
             }
-            for (; i < reply->ended_count; i++) {
-                if (scheduler_find_job(s, reply->ended[i].task.job) == NULL) {
-                    unknown_runs_add(s, vm, &reply->ended[i].task,
-                                     reply->ended[i].run);
-                }
-            }
+            hold_ends(s, vm, end, reply->ended_count - i);
             return false;
         }
         if (task != NULL) {
