Member: a pool whose owner key is read as absent may be claimed again

What operators could see: a node, the only one of a site, that claims its pool ten times a second without success.

Cause: after a read that shows no owner key the claim still expected the old one, when the view had missed the removal (history dropped). Shown by the review of the incident with the fake store (60 reads in 3 s); no test of its own yet. Tests member, pool, live_owners and revoked_owner pass.

Change: the read sets the key as absent.

--- a/packages/pool/member_confirm.c
+++ b/packages/pool/member_confirm.c
@@ -37,6 +37,8 @@
         member_superseded(claim->member, claim->pool, "other_owner_read");
     }
     else if (item == NULL && reply->is_complete) {
+        /* The view may have missed the removal. */
+        claim->owner_index = 0;
         member_superseded(claim->member, claim->pool, "owner_key_absent");
     }
 }
