--- a/packages/pool/tests/site_sim_vms.c
+++ b/packages/pool/tests/site_sim_vms.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "aq_platform.h"
 #include "site_sim.h"
 
 enum {
@@ -584,7 +585,7 @@
 remove_entry(Sim *sim, SimVm *vm)
 {
     char key[AQ_VM_ID_SIZE + 16];
-    snprintf(key, sizeof(key), "servers/%s", vm->id);
+    snprintf(key, sizeof(key), "%s%s", AqPlatform_WorkerPrefix, vm->id);
     vm->listed_at = 0;
     sim_store_remove(sim, key);
 }
@@ -606,7 +607,7 @@
         return;
     }
     vm->listed_at = sim->now;
-    snprintf(key, sizeof(key), "servers/%s", vm->id);
+    snprintf(key, sizeof(key), "%s%s", AqPlatform_WorkerPrefix, vm->id);
     snprintf(value, sizeof(value),
              "{\"service\":\"p%u\",\"address\":\"10.0.0.%u:80\","
              "\"zone\":\"z\",\"version\":\"1\",\"slots\":8,"
