--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -42,6 +42,12 @@
     log_task(AQ_LOG_WARNING, "run_lost", task, task->vm, s, reason);
 }
 
+void
+replies_log_copy(const AqScheduler *s, const Task *task)
+{
+    log_task(AQ_LOG_INFO, "run_copied", task, task->vm, s, "vm_silent");
+}
+
 /* ---- Stops -------------------------------------------------------------- */
 
 static void
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -575,6 +575,9 @@
  * an end of that run. */
 void replies_log_lost(const AqScheduler *s, const Task *task,
                       const char *reason);
+/* Logs that the task is made ready although its run on a silent VM may
+ * continue. */
+void replies_log_copy(const AqScheduler *s, const Task *task);
 /* Makes a run that the VM lists the task's current run.  The run was started
  * by an earlier pool owner, or by a start order of this pool owner that had no
  * reply. */
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -244,6 +244,7 @@
             continue;
         }
         s->counters.copied++;
+        replies_log_copy(s, task);
         /* The task's run on this silent VM may continue beside the task's new
          * run.  Until the VM replies to a lease renewal, the resources of the
          * run on this VM count as foreign usage: that of runs which are not
