--- a/packages/carrier/carrier_wire.c
+++ b/packages/carrier/carrier_wire.c
@@ -132,7 +132,7 @@
 }
 
 enum {
-    REPLY_FIELDS = 6,
+    REPLY_FIELDS = 7,
     RUNNING_FIELDS = TASK_FIELDS + 4,
     ENDED_FIELDS = TASK_FIELDS + 4
 };
@@ -149,6 +149,7 @@
     msgpack_pack_int64(&pk, reply->id);
     msgpack_pack_int(&pk, (int)order->result);
     msgpack_pack_int64(&pk, order->clock_ms);
+    msgpack_pack_int64(&pk, order->born_ms);
     msgpack_pack_array(&pk, order->running_count);
     for (size_t i = 0; i < order->running_count; i++) {
         const AqRunningTask *task = &order->running[i];
@@ -335,6 +336,7 @@
     reply->reply.result =
         (AqOrderResult)read_int(reader, AQ_ORDER_DONE, AQ_ORDER_UNKNOWN);
     reply->reply.clock_ms = read_int(reader, -1, INT64_MAX);
+    reply->reply.born_ms = read_int(reader, 0, INT64_MAX);
     size_t count = begin_rows(reader, &rows);
     message->running = calloc(count + 1, sizeof(*message->running));
     for (size_t i = 0; i < count; i++) {
--- a/packages/carrier/carrier_wire.h
+++ b/packages/carrier/carrier_wire.h
@@ -9,7 +9,7 @@
  * bytes, big-endian, and a msgpack array of that length. */
 
 enum {
-    CARRIER_VERSION = 1,
+    CARRIER_VERSION = 2,
     /* A renewal reply lists at most 500 ends and the runs of one VM. */
     CARRIER_MAX_FRAME = 256 * 1024,
     CARRIER_MAX_TASKS = 4096,
--- a/packages/carrier/tests/test_carrier.c
+++ b/packages/carrier/tests/test_carrier.c
@@ -212,6 +212,7 @@
     CarrierReply reply = {.id = 8,
                           .reply = {.result = AQ_ORDER_DONE,
                                     .clock_ms = 482113,
+                                    .born_ms = 1779112272123,
                                     .running = running,
                                     .running_count = 2,
                                     .ended = ended,
@@ -259,6 +260,7 @@
     const AqOrderReply *order = &reply->reply;
     CU_ASSERT_EQUAL(reply->id, 8);
     CU_ASSERT_EQUAL(order->clock_ms, 482113);
+    CU_ASSERT_EQUAL(order->born_ms, 1779112272123);
     CU_ASSERT_EQUAL_FATAL(order->running_count, 2);
     CU_ASSERT_EQUAL_FATAL(order->ended_count, 2);
     for (size_t i = 0; i < 2; i++) {
--- a/packages/pool/vm_directory.c
+++ b/packages/pool/vm_directory.c
@@ -47,6 +47,7 @@
     return known == NULL || strcmp(known->pool, report->pool) != 0 ||
            strcmp(known->machine, report->machine) != 0 ||
            strcmp(known->rack, report->rack) != 0 ||
+           known->born_ms != report->born_ms ||
            known->is_draining != report->is_draining;
 }
 
@@ -68,9 +69,11 @@
     }
     if (is_changed(g_hash_table_lookup(directory->vms, item->key), report)) {
         AqLog_Event(AQ_LOG_INFO, "vm_listed",
-                    "vm=%s pool=%s machine=%s rack=%s draining=%d index=%llu",
+                    "vm=%s pool=%s machine=%s rack=%s draining=%d born=%lld "
+                    "index=%llu",
                     report->id, report->pool, report->machine, report->rack,
-                    report->is_draining, (unsigned long long)item->index);
+                    report->is_draining, (long long)report->born_ms,
+                    (unsigned long long)item->index);
     }
     g_hash_table_replace(directory->vms, g_strdup(item->key), report);
     directory->ops.listed(directory->context, report);
--- a/packages/scheduler/Include/aq_worker_client.h
+++ b/packages/scheduler/Include/aq_worker_client.h
@@ -31,8 +31,13 @@
 /* What a VM's worker process reports about the VM in the VM's entry in the
  * store. */
 typedef struct {
-    char id[AQ_VM_ID_SIZE]; /* id of this incarnation of the VM */
-    char address[32];       /* "IP:port" */
+    /* id of this incarnation of the VM; the next one may have the same id and
+     * a later born_ms */
+    char id[AQ_VM_ID_SIZE];
+    /* when this incarnation started, Unix ms on the VM's wall clock; 0: not
+     * reported, and the next incarnation has another id */
+    int64_t born_ms;
+    char address[32]; /* "IP:port" */
     char pool[64];
     char zone[64];
     /* id that all incarnations of the VM share; "": not reported */
@@ -110,7 +115,7 @@
 
 typedef struct {
     /* sequence number of the end of the run; rises with each end of a run in
-     * one incarnation of the VM */
+     * one incarnation of the VM, from 1 on */
     int64_t number;
     AqTaskName task;
     int64_t run;
@@ -125,6 +130,8 @@
     /* time on the VM's monotonic clock when the VM replied; -1: not
      * reported */
     AqTime clock_ms;
+    /* AqVmReport.born_ms of the incarnation that replied; 0: not reported */
+    int64_t born_ms;
     /* The live runs and the ended runs on the VM, only in a reply
      * AQ_ORDER_DONE to a renewal order (extension of the VM's lease);
      * borrowed. */
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -393,6 +393,14 @@
     for (size_t i = 0; i < reply->ended_count; i++) {
         const AqEndedTask *end = &reply->ended[i];
         if (end->number <= vm->last_end_number) {
+            /* Confirmed ends are listed again until their renewal arrives. */
+            if (end->number <= vm->confirmed_end_number) {
+                AqLog_Event(AQ_LOG_INFO, "end_passed_over",
+                            "request=%s vm=%s born=%lld number=%lld last=%lld",
+                            end->task.job, vm->report.id,
+                            (long long)reply->born_ms, (long long)end->number,
+                            (long long)vm->last_end_number);
+            }
             continue;
         }
         Task *task = scheduler_find_task(s, &end->task);
