--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -121,6 +121,10 @@
 /* Ends all runs on the VM, which drops all orders until it starts again after
  * "down_ms" as another incarnation. */
 void sim_crash_vm_for(Sim *sim, unsigned vm, AqTime down_ms);
+/* Like sim_crash_vm_for(), but the next incarnation has the same id and a
+ * later born_ms; its entry in the store follows up to a second after its
+ * start. */
+void sim_restart_vm(Sim *sim, unsigned vm, AqTime down_ms);
 /* Sets whether the VM is stalled.  While a VM is stalled, its runs make no
  * progress. */
 void sim_stall_vm(Sim *sim, unsigned vm, bool is_stalled);
