--- a/packages/pool/pool_machines.c
+++ b/packages/pool/pool_machines.c
@@ -54,6 +54,7 @@
 {
     PoolMachines *self = context;
     VmCopy copy = {
+        .born_ms = view->born_ms,
         .is_usable = view->is_usable,
         .is_answering = view->is_answering,
         .silent_since = view->silent_since,
@@ -143,6 +144,7 @@
 {
     Plan *plan = machines_add_plan(self, vm->machine, vm->vm, kind);
     plan->phase = VM_CORDONED;
+    plan->born_ms = vm->born_ms;
     AqScheduler_SetCordon(pool_owner_scheduler(self->owner), vm->vm, true);
     AqLog_Event(AQ_LOG_INFO, "vm_cordoned",
                 "vm=%s machine=%s pool=%s reason=%s tasks=%zu lasting=%zu",
--- a/packages/pool/pool_machines_private.h
+++ b/packages/pool/pool_machines_private.h
@@ -48,6 +48,7 @@
     /* The VM's incarnation when the plan began; "": the pool's scheduler had
      * none. */
     char vm[AQ_VM_ID_SIZE];
+    int64_t born_ms; /* of that incarnation, as AqVmReport.born_ms */
     PlanKind kind;
     VmPhase phase;
     int64_t wave; /* number of the maintenance wave; 0 for moves */
@@ -123,6 +124,7 @@
 typedef struct {
     char vm[AQ_VM_ID_SIZE];      /* id of the VM's incarnation */
     char machine[AQ_VM_ID_SIZE]; /* VM id */
+    int64_t born_ms;             /* as AqVmReport.born_ms */
     bool is_usable;
     bool is_answering;
     size_t tasks;
--- a/packages/pool/pool_maintenance.c
+++ b/packages/pool/pool_maintenance.c
@@ -228,7 +228,9 @@
     /* If an earlier owner's order was carried out, the repeated order has no
      * effect and the VM keeps its incarnation, so its return to service is
      * recognized by the time since the order. */
-    bool is_new_incarnation = strcmp(vm->vm, plan->vm) != 0 && vm->is_usable;
+    bool is_new_incarnation =
+        (strcmp(vm->vm, plan->vm) != 0 || vm->born_ms > plan->born_ms) &&
+        vm->is_usable;
     bool is_recovered =
         machines_now(self) - plan->ordered_at > WAVE_RETURN_LIMIT_MS &&
         vm->is_answering;
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -536,6 +536,7 @@
         .fence = ownership->fence,
         .generation = ownership->generation,
         .lease_ms = TASK_LEASE_MS,
+        .longest_lease_ms = node->settings->limits_longest_lease_ms,
         .earlier_owner_ms =
             ownership->previous_owner_may_be_active ? MEMBER_LEASE_MS : 0,
     };
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -56,6 +56,9 @@
     /* duration of the lease that each start order or renewal order (extends
      * the lease) grants to its VM */
     AqTime lease_ms;
+    /* longest lease that a VM accepts; a longer one is shortened; 0: not
+     * known */
+    AqTime longest_lease_ms;
     /* How long after the scheduler's creation an earlier owner of the pool may
      * still send orders; 0: the earlier owner is known to have ended. */
     AqTime earlier_owner_ms;
@@ -117,7 +120,8 @@
 /* ---- VMs ---------------------------------------------------------------- */
 
 /* Adds the reported VM, or updates the report of a known VM.  The store has an
- * entry of this VM. */
+ * entry of this VM.  An entry of an earlier incarnation than the known one
+ * only shows that the store has one. */
 void AqScheduler_SetVm(AqScheduler *scheduler, const AqVmReport *report,
                        AqTime now);
 /* Records that the VM's entry in the store has disappeared. */
@@ -154,6 +158,8 @@
     const char *vm;
     /* id that all incarnations of the VM share, or "": not known; borrowed */
     const char *machine;
+    /* AqVmReport.born_ms of the current incarnation; 0: not known */
+    int64_t born_ms;
     bool is_usable; /* tasks may be started on the VM */
     /* the VM replies to the orders of this owner of the pool */
     bool is_answering;
--- a/packages/scheduler/open_runs.c
+++ b/packages/scheduler/open_runs.c
@@ -18,9 +18,9 @@
 };
 
 void
-open_runs_add(AqScheduler *s, Task *task, const Crash *crash)
+open_runs_add(AqScheduler *s, Task *task, const Crash *crash, int64_t born_ms)
 {
-    OpenRun open = {.crash = *crash, .since = s->now};
+    OpenRun open = {.crash = *crash, .born_ms = born_ms, .since = s->now};
     const Vm *vm = vms_find(s, crash->vm);
     if (vm != NULL && vm->report.is_draining) {
         return;
@@ -39,7 +39,7 @@
     Crash crash = {.run = task->run, .kind = crashes_kind(task, young_count)};
     if (task->is_start_ordered) {
         g_strlcpy(crash.vm, task->vm->report.id, sizeof(crash.vm));
-        open_runs_add(s, task, &crash);
+        open_runs_add(s, task, &crash, task->vm->born_ms);
     }
 }
 
@@ -74,6 +74,24 @@
     }
 }
 
+void
+open_runs_note_reply(AqScheduler *s, const Vm *vm)
+{
+    for (guint i = s->open_runs->len; i-- > 0;) {
+        const OpenRun *open = &g_array_index(s->open_runs, OpenRun, i);
+        if (strcmp(open->crash.vm, vm->report.id) != 0) {
+            continue;
+        }
+        if (open->born_ms > 0 && vm->born_ms > open->born_ms) {
+            replies_stop_stray(s, vm, &open->task, open->crash.run);
+            settle(s, i, RUN_CRASHED);
+        }
+        else {
+            settle(s, i, RUN_DID_NOT_CRASH);
+        }
+    }
+}
+
 void
 open_runs_note_listed(AqScheduler *s, const AqVmReport *report)
 {
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -90,6 +90,7 @@
     for (guint i = 0; step->tickets != NULL && i < step->tickets->len; i++) {
         const Ticket *ticket = &g_array_index(step->tickets, Ticket, i);
         if (ticket->expires_at > s->now + TICKET_MARGIN_MS &&
+            ticket->born_ms == vm->born_ms &&
             strcmp(ticket->vm, vm->report.id) == 0) {
             return ticket->ticket;
         }
@@ -236,6 +237,7 @@
     task->resend_at = 0;
     task->start_seq = 0;
     task->is_start_ordered = false;
+    task->has_unanswered_start = false;
     vms_attach(s, vm, task);
 }
 
@@ -513,6 +515,8 @@
     if (step == NULL) {
         return;
     }
+    const Vm *known_vm = vms_find(s, vm);
+    int64_t born_ms = known_vm != NULL ? known_vm->born_ms : 0;
     if (step->tickets == NULL) {
         step->tickets = g_array_new(FALSE, FALSE, sizeof(Ticket));
     }
@@ -522,10 +526,11 @@
             free(known->ticket);
             known->ticket = strdup(ticket);
             known->expires_at = now + valid_ms;
+            known->born_ms = born_ms;
             return;
         }
     }
-    Ticket fresh = {strdup(vm), strdup(ticket), now + valid_ms};
+    Ticket fresh = {strdup(vm), born_ms, strdup(ticket), now + valid_ms};
     g_array_append_val(step->tickets, fresh);
 }
 
--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -7,22 +7,23 @@
 
 /* The stored record of a job's progress:
  * [format, stage, next occurrence, [[occurrence, [[done, [[task, [run ...]]
- * ...], [[task, [[run, VM id, kind] ...]] ...]] ... of each step]] ... of
- * each occurrence]]
+ * ...], [[task, [[run, VM id, kind, born] ...]] ...]] ... of each step]]
+ * ... of each occurrence]]
  * "done" is a bitmap of the tasks of a step, "task" the index of a task with
  * failed runs, and "run" the number of each failed run of that task, so that
  * the end of a failed run is not counted twice when a VM lists the end again
  * to a later owner.  The last list has the runs of each task under which a VM
  * crashed, and the current run of a task with such runs, since it may crash
- * its VM; records of earlier versions lack it.  The record of a finished job
- * lists no occurrences.  An occurrence that is not listed and has a number
- * below "next occurrence" is done. */
+ * its VM; records of earlier versions lack it.  "born" is the Vm.born_ms of
+ * the VM of such a current run, else 0.  The record of a finished job lists no
+ * occurrences.  An occurrence that is not listed and has a number below "next
+ * occurrence" is done. */
 
 enum {
     RECORD_FORMAT = 1,
     RECORD_FIELDS = 4,
     STEP_FIELDS = 3,
-    CRASH_FIELDS = 3
+    CRASH_FIELDS = 4
 };
 
 enum {
@@ -32,12 +33,14 @@
 };
 
 static void
-pack_crash(msgpack_packer *pk, int64_t run, const char *vm, int kind)
+pack_crash(msgpack_packer *pk, int64_t run, const char *vm, int kind,
+           int64_t born_ms)
 {
     msgpack_pack_array(pk, CRASH_FIELDS);
     msgpack_pack_int64(pk, run);
     record_pack_text(pk, vm);
     msgpack_pack_int(pk, kind);
+    msgpack_pack_int64(pk, born_ms);
 }
 
 static void
@@ -58,12 +61,12 @@
         msgpack_pack_array(pk, crashes_count(task) + task->is_start_stored);
         for (guint j = 0; j < task->crashes->len; j++) {
             const Crash *crash = &g_array_index(task->crashes, Crash, j);
-            pack_crash(pk, crash->run, crash->vm, (int)crash->kind);
+            pack_crash(pk, crash->run, crash->vm, (int)crash->kind, 0);
         }
         if (task->is_start_stored) {
             CrashKind kind = crashes_kind(task, crashes_count_young(task->vm));
             pack_crash(pk, task->run, task->vm->report.id,
-                       STORED_START + (int)kind);
+                       STORED_START + (int)kind, task->vm->born_ms);
         }
     }
 }
@@ -155,12 +158,14 @@
         const msgpack_object *row = &rows->via.array.ptr[i];
         Crash crash = {0};
         int64_t kind;
+        int64_t born_ms;
         char *vm = NULL;
         if (row->type != MSGPACK_OBJECT_ARRAY ||
             row->via.array.size < CRASH_FIELDS ||
             !record_int(&row->via.array.ptr[0], 0, INT64_MAX, &crash.run) ||
             !record_int(&row->via.array.ptr[2], 0,
                         STORED_START + CRASH_KINDS - 1, &kind) ||
+            !record_int(&row->via.array.ptr[3], 0, INT64_MAX, &born_ms) ||
             !record_text(&row->via.array.ptr[1], &vm) || vm == NULL) {
             return false;
         }
@@ -168,7 +173,7 @@
         free(vm);
         crash.kind = (CrashKind)(kind % STORED_START);
         if (kind >= STORED_START) {
-            open_runs_add(s, task, &crash);
+            open_runs_add(s, task, &crash, born_ms);
         }
         else {
             crashes_add(task, &crash);
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -81,11 +81,9 @@
     }
 }
 
-/* Orders the stop of a run on the VM that is not the current run of any task,
- * for example a run of a finished job. */
-static void
-stop_unknown_run(AqScheduler *s, const Vm *vm, const AqTaskName *name,
-                 int64_t run)
+void
+replies_stop_stray(AqScheduler *s, const Vm *vm, const AqTaskName *name,
+                   int64_t run)
 {
     AqOrderTarget target;
     vms_target(vm, &target);
@@ -117,7 +115,7 @@
     g_array_append_val(vm->superseded, superseded);
     vm->foreign_cpu += superseded.cpu_millis;
     vm->foreign_memory += superseded.memory_mb;
-    stop_unknown_run(s, vm, &superseded.task, task->run);
+    replies_stop_stray(s, vm, &superseded.task, task->run);
     vms_detach(s, task);
 }
 
@@ -230,6 +228,14 @@
     if (vm == NULL) {
         return;
     }
+    AqOrderReply current = vm_restart_filter_reply(s, vm, reply, false);
+    reply = &current;
+    if (task != NULL && (task->vm != vm || task->run != run)) {
+        task = NULL; /* the VM has started again */
+    }
+    if (task != NULL && reply->result == AQ_ORDER_UNKNOWN) {
+        task->has_unanswered_start = true;
+    }
     if (task != NULL && reply->result != AQ_ORDER_DONE) {
         log_task(AQ_LOG_WARNING, "start_refused", task, vm, s,
                  AqOrderResult_Name(reply->result));
@@ -288,6 +294,8 @@
     if (vm == NULL) {
         return;
     }
+    AqOrderReply current = vm_restart_filter_reply(s, vm, reply, false);
+    reply = &current;
     Task *task = finish_order(s, vm, name, run);
     bool is_confirmed =
         reply->result == AQ_ORDER_DONE || reply->result == AQ_ORDER_OLD_RUN;
@@ -532,7 +540,7 @@
             unknown_runs_add(s, vm, &row->task, row->run);
         }
         if (job != NULL || vms_is_foreign_run_overdue(s, vm)) {
-            stop_unknown_run(s, vm, &row->task, row->run);
+            replies_stop_stray(s, vm, &row->task, row->run);
         }
         else if (vm->foreign_since == 0) {
             vm->foreign_since = s->now;
@@ -586,6 +594,8 @@
         return;
     }
     vm->is_renewal_pending = false;
+    AqOrderReply current = vm_restart_filter_reply(s, vm, reply, true);
+    reply = &current;
     if (handle_common_result(s, vm, reply)) {
         return;
     }
@@ -605,7 +615,9 @@
     vm->renewal_count++;
     vm->foreign_cpu = 0;
     vm->foreign_memory = 0;
+    vm->lists_ends = reply->ended_count > 0;
     unknown_runs_clear(s, id);
+    open_runs_note_reply(s, vm);
     bool are_known = process_ends(s, vm, reply);
     for (size_t i = 0; i < reply->running_count; i++) {
         process_running_task(s, vm, &reply->running[i]);
@@ -642,7 +654,7 @@
                 task->start_seq > s->stored_seq) {
                 continue;
             }
-            if (task->state == TASK_STARTING &&
+            if (task->state == TASK_STARTING && vm->has_replied &&
                 vm->silent_since == AQ_TIME_NEVER) {
                 if (task->must_stop_after_reply) {
                     replies_order_stop(s, task);
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -12,6 +12,7 @@
  * load.c        the reported load
  * scheduler_check.c  whether counts agree with the tasks
  * vms.c         state of each VM, the VM's lease, and VMs that do not reply
+ * vm_restart.c  VMs that start again under their id
  * used_vms.c    stored list of the VMs that a later owner must wait for
  * replies.c     effects of the replies to orders on tasks
  * superseded.c  runs that are stopped since another run replaces them
@@ -123,6 +124,9 @@
     /* a start order for the run ended without a reply; the VM may still
      * execute that order */
     bool may_start_late;
+    /* the same, also after the VM has confirmed another start order for the
+     * run: its next incarnation would execute the order */
+    bool has_unanswered_start;
     /* the scheduler must order the stop of the run once the VM has replied to
      * the run's pending start order */
     bool must_stop_after_reply;
@@ -178,8 +182,9 @@
 /* Ticket: permission of the advice service to start tasks of a step on one VM
  * until the ticket expires. */
 typedef struct {
-    char *vm;     /* id of the VM; owned */
-    char *ticket; /* text of the ticket, sent with the start order; owned */
+    char *vm;        /* id of the VM; owned */
+    int64_t born_ms; /* incarnation of the VM, as Vm.born_ms */
+    char *ticket;    /* text of the ticket, sent with the start order; owned */
     AqTime expires_at;
 } Ticket;
 
@@ -274,6 +279,8 @@
     Crash crash; /* the crash if there was one */
     /* id that all incarnations of the VM share; "": not known */
     char machine[AQ_VM_ID_SIZE];
+    /* incarnation of the VM, as Vm.born_ms */
+    int64_t born_ms;
     AqTime since; /* when it became open */
 } OpenRun;
 
@@ -319,6 +326,12 @@
     size_t trial_count;
     /* list of Task: the tasks for whose next run the VM holds room */
     AqLink reservations;
+    /* AqVmReport.born_ms of the current incarnation, the latest that is known
+     * of; 0: not known */
+    int64_t born_ms;
+    /* when this scheduler learned of the current incarnation although the VM
+     * had another one before; AQ_TIME_NEVER: it knows of no other one */
+    AqTime restarted_at;
     bool is_listed; /* the store has an entry of this VM */
     /* when the VM's entry in the store last disappeared, or, for a VM known
      * only from the stored list of used VMs, when this scheduler read that
@@ -401,6 +414,8 @@
      * this one, since the job changes that these ends caused are stored; 0:
      * none */
     int64_t confirmed_end_number;
+    /* the VM's last list had ends of runs */
+    bool lists_ends;
     /* array of PendingEnd, in rising order of number: each end of a run that
      * the scheduler has applied and not yet confirmed to the VM; owned */
     GArray *pending_ends;
@@ -596,7 +611,9 @@
  * maintenance. */
 bool vms_is_being_emptied(const AqScheduler *s, const Vm *vm);
 /* Records that the VM replied, the VM's clock from the reply, and whether the
- * reply shows that the VM has seen this owner's fence. */
+ * reply shows that the VM has seen this owner's fence.  A reply that does not
+ * say which incarnation sent it has no effect, since the VM may have started
+ * again. */
 void vms_on_reply(AqScheduler *s, Vm *vm, const AqOrderReply *reply);
 /* Records that an order to the VM ended without a reply. */
 void vms_on_no_reply(AqScheduler *s, Vm *vm);
@@ -639,6 +656,17 @@
 /* Returns by when the VM refuses a start order that is sent now. */
 AqTime vms_start_expiry(const AqScheduler *s);
 
+/* ---- vm_restart.c */
+/* Notes that the VM's incarnation with this born_ms exists, 0: not known; if
+ * it is a later one than the known one, the VM has started again.  Returns
+ * false if it is an earlier one. */
+bool vm_restart_note_born(AqScheduler *s, Vm *vm, int64_t born_ms);
+/* Does the same for the incarnation that sent a reply, and returns the reply
+ * to use: AQ_ORDER_UNKNOWN in place of one of an earlier incarnation, or of a
+ * list of runs that does not say whose it is. */
+AqOrderReply vm_restart_filter_reply(AqScheduler *s, Vm *vm,
+                                     const AqOrderReply *reply, bool is_list);
+
 /* ---- load.c */
 /* Adds the work of a new job to the offered load. */
 void load_add_job(AqScheduler *s, const AqJobSpec *spec);
@@ -648,6 +676,10 @@
  * pending, the stop is deferred until the VM has replied to the start
  * order. */
 void replies_order_stop(AqScheduler *s, Task *task);
+/* Orders the stop of a run on the VM that is not the current run of any task,
+ * for example a run of a finished job. */
+void replies_stop_stray(AqScheduler *s, const Vm *vm, const AqTaskName *name,
+                        int64_t run);
 /* Logs that the task's run is given up as lost although its VM has not listed
  * an end of that run. */
 void replies_log_lost(const AqScheduler *s, const Task *task,
@@ -701,12 +733,17 @@
 void crashes_note_alive(AqScheduler *s, Task *task);
 
 /* ---- open_runs.c */
-/* Adds a run of the task that may have crashed its VM; no effect if the VM is
- * draining. */
-void open_runs_add(AqScheduler *s, Task *task, const Crash *crash);
+/* Adds a run of the task that may have crashed the incarnation "born_ms" of
+ * its VM, 0: not known; no effect if the VM is draining. */
+void open_runs_add(AqScheduler *s, Task *task, const Crash *crash,
+                   int64_t born_ms);
 /* The same for the task's current run, which is about to be given up, on a VM
  * that had so many young runs. */
 void open_runs_add_current(AqScheduler *s, Task *task, unsigned young_count);
+/* Settles the open runs on the VM, whose current incarnation has sent a list:
+ * those on earlier incarnations have crashed, and are stopped, since the
+ * current one may still receive their start orders. */
+void open_runs_note_reply(AqScheduler *s, const Vm *vm);
 /* Settles the open runs on the VM. */
 void open_runs_settle(AqScheduler *s, const char *vm, RunFate fate);
 /* Settles the open runs on earlier incarnations of the reported VM, which have
@@ -732,6 +769,9 @@
  * superseded one. */
 void superseded_note_stop(const AqScheduler *s, const Vm *vm,
                           const AqTaskName *task, int64_t run);
+/* Orders the stop of the VM's superseded runs again, which is not confirmed by
+ * its current incarnation. */
+void superseded_stop_again(AqScheduler *s, Vm *vm);
 /* Adds the superseded runs that the VM does not list, but whose start orders
  * it may still execute, to its foreign usage, and forgets the others.  The
  * renewal order was sent at "sent_at". */
--- a/packages/scheduler/superseded.c
+++ b/packages/scheduler/superseded.c
@@ -29,6 +29,17 @@
     }
 }
 
+void
+superseded_stop_again(AqScheduler *s, Vm *vm)
+{
+    for (guint i = 0; i < vm->superseded->len; i++) {
+        SupersededRun *superseded =
+            &g_array_index(vm->superseded, SupersededRun, i);
+        superseded->stopped_at = AQ_TIME_NEVER;
+        replies_stop_stray(s, vm, &superseded->task, superseded->run);
+    }
+}
+
 static bool
 is_listed(const AqOrderReply *reply, const SupersededRun *superseded)
 {
--- a/packages/scheduler/tests/order_fixture.h
+++ b/packages/scheduler/tests/order_fixture.h
@@ -25,7 +25,9 @@
     AqTime quiet_at; /* no earlier owner is active any more */
     AqSiteConfig site;
     AqQueueConfig queue;
-    GArray *starts; /* of FixtureStart: all start orders */
+    GArray *starts;         /* of FixtureStart: all start orders */
+    GArray *stops;          /* of FixtureStart: all stop orders */
+    AqRenewalOrder renewal; /* the last renewal order */
 } Fixture;
 
 /* "earlier_owner_ms": AqSchedulerConfig.earlier_owner_ms. */
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -22,10 +22,14 @@
     /* duration of the lease that an order of the pool owner grants to a VM;
      * the VM runs tasks until the lease ends without a renewal */
     SIM_LEASE_MS = 5000,
+    /* a VM shortens a longer lease to this one */
+    SIM_LONGEST_LEASE_MS = 6000,
     /* duration of a pool owner's lease on the pool: how long a pool owner that
      * does not notice its replacement goes on sending orders */
     SIM_OWNER_LEASE_MS = 3000,
     SIM_VM_CPU_MILLIS = 16000,
+    /* an order without a reply ends with AQ_ORDER_UNKNOWN after this time */
+    SIM_REPLY_TIMEOUT_MS = 600,
     SIM_CRASHES_PER_TASK = 3,
     SIM_STARTS_AFTER_CRASHES = 2
 };
@@ -42,6 +46,9 @@
     /* of 1000 orders that a pool owner sends, the number that reach the VM
      * only 1 to 6 s later; the pool owner gets no reply to these orders */
     unsigned delayed_orders_permille;
+    /* an order that a VM has not executed when it crashes is executed by its
+     * next incarnation under the same id; else the VM loses it */
+    bool do_orders_outlive_vms;
     unsigned failing_runs_permille;
     unsigned failed_saves_permille;
 } SimFaults;
@@ -123,8 +130,11 @@
 void sim_crash_vm_for(Sim *sim, unsigned vm, AqTime down_ms);
 /* Like sim_crash_vm_for(), but the next incarnation has the same id and a
  * later born_ms; its entry in the store follows up to a second after its
- * start. */
+ * start.  The orders under way end without a reply only SIM_REPLY_TIMEOUT_MS
+ * after the crash, as if the VM had lost power. */
 void sim_restart_vm(Sim *sim, unsigned vm, AqTime down_ms);
+/* From now on all VMs that crash for a time keep their ids. */
+void sim_keep_ids(Sim *sim);
 /* Sets whether the VM is stalled.  While a VM is stalled, its runs make no
  * progress. */
 void sim_stall_vm(Sim *sim, unsigned vm, bool is_stalled);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -60,6 +60,8 @@
 {
     Vm *vm = calloc(1, sizeof(*vm));
     vm->report = *report;
+    vm->born_ms = report->born_ms;
+    vm->restarted_at = AQ_TIME_NEVER;
     vm->silent_since = AQ_TIME_NEVER;
     vm->idle_since = s->now;
     vm->clock_ms = -1;
@@ -204,24 +206,37 @@
     return result != AQ_ORDER_UNHEALTHY && result != AQ_ORDER_INVALID;
 }
 
+/* The longest lease that an order which this owner did not send to the VM's
+ * current incarnation may have granted to it, ms. */
+static AqTime
+longest_grant(const AqScheduler *s, const Vm *vm)
+{
+    bool has_restarted = vm->restarted_at != AQ_TIME_NEVER;
+    return has_restarted && s->config.longest_lease_ms > s->config.lease_ms
+               ? s->config.longest_lease_ms
+               : s->config.lease_ms;
+}
+
 void
 vms_on_reply(AqScheduler *s, Vm *vm, const AqOrderReply *reply)
 {
-    if (reply->clock_ms < 0) {
+    bool is_dated = vm->born_ms == 0 || reply->born_ms > 0;
+    if (reply->clock_ms < 0 || !is_dated) {
         return;
     }
     if (!vm->has_seen_fence && shows_fence(reply->result)) {
         /* An earlier pool owner may have granted the VM a lease of lease_ms
          * just before the VM received this pool owner's first order, whose
          * higher fence makes the VM refuse later orders of earlier pool
-         * owners. */
-        AqTime latest = reply->clock_ms + s->config.lease_ms;
+         * owners.  A VM that has started again may have received an order for
+         * its earlier incarnation, whose clock was ahead: the VM shortens such
+         * a lease to the longest one. */
+        AqTime latest = reply->clock_ms + longest_grant(s, vm);
         vm->has_seen_fence = true;
         vm->deadline_ms = latest > vm->deadline_ms ? latest : vm->deadline_ms;
     }
     vm->clock_ms = reply->clock_ms;
     vm->clock_at = s->now;
-    open_runs_settle(s, vm->report.id, RUN_DID_NOT_CRASH);
     if (vm->silent_since != AQ_TIME_NEVER) {
         vm->silent_since = AQ_TIME_NEVER;
         s->placement_due = true;
@@ -328,10 +343,12 @@
     if (!vm->has_seen_fence) {
         /* The VM may still carry out orders of an earlier pool owner. */
         AqTime most =
-            (AqTime)((double)s->config.lease_ms / slowest_clock_rate);
-        bool is_over = s->now - s->created_at > s->config.earlier_owner_ms +
-                                                    most +
-                                                    LEASE_EXPIRY_MARGIN_MS;
+            (AqTime)((double)longest_grant(s, vm) / slowest_clock_rate) +
+            LEASE_EXPIRY_MARGIN_MS;
+        bool is_over =
+            s->now - s->created_at > s->config.earlier_owner_ms + most &&
+            (vm->restarted_at == AQ_TIME_NEVER ||
+             s->now - vm->restarted_at > most);
         if (!is_over || vm->clock_ms < 0) {
             return is_over;
         }
@@ -425,6 +442,16 @@
     return vm->task_count > 0 ? BUSY_RENEWAL_WAIT_MS : IDLE_RENEWAL_WAIT_MS;
 }
 
+/* The number up to which the VM need not list ends any more.  0 unless its
+ * last list had ends and it has replied since: if the VM has started again,
+ * the number would make it forget ends that nobody has seen. */
+static int64_t
+acked_end(const Vm *vm)
+{
+    bool may_forget = vm->lists_ends && vm->silent_since == AQ_TIME_NEVER;
+    return may_forget ? vm->confirmed_end_number : 0;
+}
+
 static void
 send_renewal(AqScheduler *s, Vm *vm)
 {
@@ -433,7 +460,7 @@
     AqRenewalOrder order = {
         .deadline_ms = may_extend ? vms_grant_lease(s, vm) : -1,
         .fence = s->config.fence,
-        .acked_end = vm->confirmed_end_number,
+        .acked_end = acked_end(vm),
         .wait_ms = renewal_wait(vm),
     };
     vm->is_renewal_pending = true;
@@ -536,7 +563,7 @@
         open_runs_note_listed(s, report);
         vm = vms_add(s, report);
     }
-    else {
+    else if (vm_restart_note_born(s, vm, report->born_ms)) {
         vm->report = *report;
     }
     vm->is_listed = true;
@@ -630,6 +657,7 @@
         AqScheduledVm view = {
             .vm = vm->report.id,
             .machine = vm->report.machine,
+            .born_ms = vm->born_ms,
             .is_usable = vms_is_usable(s, vm),
             .is_answering =
                 vm->has_replied && vm->silent_since == AQ_TIME_NEVER,
