--- a/packages/scheduler/open_runs.c
+++ b/packages/scheduler/open_runs.c
@@ -10,7 +10,7 @@
 enum {
     /* A VM that crashed is back after some seconds; a run is forgotten that
      * has not been settled for this long. */
-    KEEP_MS = 20000,
+    KEEP_MS = 10000,
     /* A task with this many open runs waits until one is settled, for HOLD_MS
      * at most. */
     HOLD_COUNT = 2,
--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -27,8 +27,8 @@
 };
 
 enum {
-    /* added to the CrashKind of a run in the list of crashes that has started
-     * and may crash its VM */
+    /* kind of a run in the list of crashes that has started and may crash its
+     * VM, beside those of CrashKind */
     STORED_START = CRASH_KINDS
 };
 
@@ -64,9 +64,8 @@
             pack_crash(pk, crash->run, crash->vm, (int)crash->kind, 0);
         }
         if (task->is_start_stored) {
-            CrashKind kind = crashes_kind(task, crashes_count_young(task->vm));
-            pack_crash(pk, task->run, task->vm->report.id,
-                       STORED_START + (int)kind, task->vm->born_ms);
+            pack_crash(pk, task->run, task->vm->report.id, STORED_START,
+                       task->vm->born_ms);
         }
     }
 }
@@ -163,16 +162,16 @@
         if (row->type != MSGPACK_OBJECT_ARRAY ||
             row->via.array.size < CRASH_FIELDS ||
             !record_int(&row->via.array.ptr[0], 0, INT64_MAX, &crash.run) ||
-            !record_int(&row->via.array.ptr[2], 0,
-                        STORED_START + CRASH_KINDS - 1, &kind) ||
+            !record_int(&row->via.array.ptr[2], 0, STORED_START, &kind) ||
             !record_int(&row->via.array.ptr[3], 0, INT64_MAX, &born_ms) ||
             !record_text(&row->via.array.ptr[1], &vm) || vm == NULL) {
             return false;
         }
         g_strlcpy(crash.vm, vm, sizeof(crash.vm));
         free(vm);
-        crash.kind = (CrashKind)(kind % STORED_START);
-        if (kind >= STORED_START) {
+        /* How long a stored run lasted is not known. */
+        crash.kind = kind == STORED_START ? CRASH_LATE : (CrashKind)kind;
+        if (kind == STORED_START) {
             open_runs_add(s, task, &crash, born_ms);
         }
         else {
