--- a/packages/pool/tests/site_sim.h
+++ b/packages/pool/tests/site_sim.h
@@ -25,6 +25,8 @@
 enum {
     SIM_NODES = 3,
     SIM_POOLS = 2,
+    /* a VM shortens a longer lease to this one */
+    SIM_LONGEST_LEASE_MS = 10000,
     SIM_VMS = 6, /* VM i is in pool i % SIM_POOLS */
     SIM_STEP_MS = 10
 };
