--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -337,6 +337,8 @@
      * only from the stored list of used VMs, when this scheduler read that
      * list; not used while is_listed is true */
     AqTime unlisted_at;
+    /* the VM's last list had ends of runs */
+    bool lists_ends;
     bool is_cordoned;
     /* The VM has been without tasks at some time since it was cordoned: the
      * order to move it or take it down may have been sent. */
@@ -414,8 +416,6 @@
      * this one, since the job changes that these ends caused are stored; 0:
      * none */
     int64_t confirmed_end_number;
-    /* the VM's last list had ends of runs */
-    bool lists_ends;
     /* array of PendingEnd, in rising order of number: each end of a run that
      * the scheduler has applied and not yet confirmed to the VM; owned */
     GArray *pending_ends;
