--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -20,11 +20,12 @@
  * run is shown to be alive, so that a crash is its own.  Each run of a suspect
  * is stored before it starts, so that a later owner of the pool counts it too.
  * The job fails after GIVE_UP_EARLY_CRASHES of which one is the task's own, or
- * after GIVE_UP_CRASHES of any kind.
+ * after GIVE_UP_CRASHES of any kind if the task is not perpetual.
  *
  * The crashes are part of the job's stored record.  Those of a perpetual task
  * are forgotten once a run of it has lasted for SURVIVAL_MS, since it meets
- * unrelated crashes sooner or later. */
+ * unrelated crashes sooner or later, and to give it up stops all tasks of its
+ * job. */
 
 enum {
     GIVE_UP_EARLY_CRASHES = 2,
@@ -117,7 +118,8 @@
 {
     return (count_kind(task, CRASH_EARLY) >= GIVE_UP_EARLY_CRASHES &&
             count_kind(task, CRASH_OWN) > 0) ||
-           crashes_count(task) >= GIVE_UP_CRASHES;
+           (crashes_count(task) >= GIVE_UP_CRASHES &&
+            !task->step->spec->is_perpetual);
 }
 
 /* ---- Crashes ------------------------------------------------------------ */
--- a/packages/scheduler/tests/test_crashing_task.c
+++ b/packages/scheduler/tests/test_crashing_task.c
@@ -189,7 +189,12 @@
         }
         sim_run(sim, 60000);
         expect_no_violation(sim, seed);
-        CU_ASSERT_EQUAL(AqScheduler_Counters(sim_scheduler(sim))->given_up, 0);
+        uint64_t given_up = AqScheduler_Counters(sim_scheduler(sim))->given_up;
+        if (given_up > 0) {
+            fprintf(stderr, "seed %llu: a job was given up\n",
+                    (unsigned long long)seed);
+        }
+        CU_ASSERT_EQUAL(given_up, 0);
         for (unsigned i = 0; i < RACK_CRASHES; i++) {
             snprintf(id, sizeof(id), "b%u", i);
             CU_ASSERT_EQUAL(sim_stage(sim, id), AQ_STAGE_COMPLETED);
@@ -222,6 +227,27 @@
     sim_destroy(sim);
 }
 
+/* Guards against a perpetual task that is given up, with all others of its
+ * job, since other tasks crash one VM after another under it. */
+static void
+test_perpetual_task_beside_crashing_ones(void)
+{
+    Sim *sim = sim_create(1);
+    sim_add_perpetual(sim, "p1", 1, 1);
+    for (unsigned i = 1; i <= 2 * SIM_CRASHES_PER_TASK; i++) {
+        while (sim_count_starts(sim, "p1") < i && sim_now(sim) < 60000) {
+            sim_run(sim, 10);
+        }
+        sim_run(sim, RUN_MS);
+        sim_crash_vm_for(sim, find_run(sim, "p1"), DOWN_MS);
+    }
+    sim_run(sim, 15000);
+    expect_no_violation(sim, 1);
+    CU_ASSERT_EQUAL(sim_stage(sim, "p1"), AQ_STAGE_RUNNING);
+    CU_ASSERT_EQUAL(AqScheduler_Counters(sim_scheduler(sim))->given_up, 0);
+    sim_destroy(sim);
+}
+
 /* Guards against a VM that is moved or leaves and counts as crashed. */
 static void
 test_ended_vm_is_no_crash(void)
@@ -271,6 +297,8 @@
         {"crashed_racks_fail_no_job", test_crashed_racks_fail_no_job},
         {"perpetual_task_outlives_crashes",
          test_perpetual_task_outlives_crashes},
+        {"perpetual_task_beside_crashing_ones",
+         test_perpetual_task_beside_crashing_ones},
         {"ended_vm_is_no_crash", test_ended_vm_is_no_crash},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
