--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -17,10 +17,11 @@
  *
  * A task with an early crash is a suspect.  It starts on a VM without young
  * runs, preferably one with few tasks, and nothing else starts there until its
- * run is shown to be alive, so that a crash is its own.  Each run of a suspect
- * is stored before it starts, so that a later owner of the pool counts it too.
- * The job fails after GIVE_UP_EARLY_CRASHES of which one is the task's own, or
- * after GIVE_UP_CRASHES of any kind if the task is not perpetual.
+ * run is shown to be alive, so that a crash is its own.  A task with a crash
+ * of any kind is not copied, and each of its runs is stored before it starts,
+ * so that a later owner of the pool counts it too. The job fails after
+ * GIVE_UP_EARLY_CRASHES of which one is the task's own, or after
+ * GIVE_UP_CRASHES of any kind if the task is not perpetual.
  *
  * The crashes are part of the job's stored record.  Those of a perpetual task
  * are forgotten once a run of it has lasted for SURVIVAL_MS, since it meets
@@ -295,7 +296,7 @@
 bool
 crashes_store_start(AqScheduler *s, Task *task)
 {
-    if (!crashes_is_suspect(task)) {
+    if (crashes_count(task) == 0) {
         return false;
     }
     task->is_start_stored = true;
--- a/packages/scheduler/tests/test_crashing_task.c
+++ b/packages/scheduler/tests/test_crashing_task.c
@@ -248,6 +248,33 @@
     sim_destroy(sim);
 }
 
+/* Guards against starts of a task beyond the platform's limit when its crashes
+ * pass for late ones, since a whole rack goes at the time: it was still
+ * copied, and each copy may crash a VM before the next crash is known. */
+static void
+test_task_with_late_crash_is_not_copied(void)
+{
+    static const AqStepSpec step = {.task_count = 1, .allows_copies = true};
+    Sim *sim = sim_create(1);
+    add_job(sim, "a1", &step);
+    sim_run(sim, 100);
+    unsigned first = find_run(sim, "a1") / 4 * 4;
+    for (unsigned vm = first; vm < first + 4; vm++) {
+        sim_crash_vm_for(sim, vm, 500);
+    }
+    while (sim_count_starts(sim, "a1") < 2 && sim_now(sim) < 20000) {
+        sim_run(sim, 10);
+    }
+    CU_ASSERT_EQUAL(AqScheduler_Counters(sim_scheduler(sim))->crashed_runs, 1);
+    sim_set_actual_duration(sim, "a1", 1000);
+    sim_silence_vm(sim, find_run(sim, "a1"), 3000);
+    sim_run(sim, 2500);
+    CU_ASSERT_EQUAL(sim_count_starts(sim, "a1"), 2);
+    sim_run_until_finished(sim, 20000);
+    expect_no_violation(sim, 1);
+    sim_destroy(sim);
+}
+
 /* Guards against a VM that is moved or leaves and counts as crashed. */
 static void
 test_ended_vm_is_no_crash(void)
@@ -299,6 +326,8 @@
          test_perpetual_task_outlives_crashes},
         {"perpetual_task_beside_crashing_ones",
          test_perpetual_task_beside_crashing_ones},
+        {"task_with_late_crash_is_not_copied",
+         test_task_with_late_crash_is_not_copied},
         {"ended_vm_is_no_crash", test_ended_vm_is_no_crash},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -260,7 +260,7 @@
         Task *task = AqList_Entry(at, Task, link);
         const AqStepSpec *spec = task->step->spec;
         if (!spec->allows_copies || task->state != TASK_RUNNING ||
-            crashes_is_suspect(task) || task->open_run_count > 0) {
+            crashes_count(task) > 0 || task->open_run_count > 0) {
             /* A task that crashed the silent VM would crash the next one. */
             continue;
         }
