--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -12,6 +12,7 @@
  * load.c        the reported load
  * scheduler_check.c  whether counts agree with the tasks
  * vms.c         state of each VM, the VM's lease, and VMs that do not reply
+ * vm_control.c  cordons, and the owner's view of VMs
  * vm_restart.c  VMs that start again under their id
  * used_vms.c    stored list of the VMs that a later owner must wait for
  * replies.c     effects of the replies to orders on tasks
