--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -29,7 +29,7 @@
  * job. */
 
 enum {
-    GIVE_UP_EARLY_CRASHES = 3,
+    GIVE_UP_EARLY_CRASHES = 2,
     /* The platform allows two starts after three crashes. */
     GIVE_UP_CRASHES = 5,
     EARLY_MS = 500,
