--- a/packages/scheduler/open_runs.c
+++ b/packages/scheduler/open_runs.c
@@ -74,6 +74,17 @@
     }
 }
 
+void
+open_runs_stop(AqScheduler *s, const Vm *vm)
+{
+    for (guint i = 0; i < s->open_runs->len; i++) {
+        const OpenRun *open = &g_array_index(s->open_runs, OpenRun, i);
+        if (strcmp(open->crash.vm, vm->report.id) == 0) {
+            replies_stop_stray(s, vm, &open->task, open->crash.run);
+        }
+    }
+}
+
 void
 open_runs_note_reply(AqScheduler *s, const Vm *vm)
 {
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -741,6 +741,9 @@
 /* The same for the task's current run, which is about to be given up, on a VM
  * that had so many young runs. */
 void open_runs_add_current(AqScheduler *s, Task *task, unsigned young_count);
+/* Orders the stop of the open runs on the VM: its next incarnation may still
+ * receive their start orders. */
+void open_runs_stop(AqScheduler *s, const Vm *vm);
 /* Settles the open runs on the VM, whose current incarnation has sent a list:
  * those on earlier incarnations have crashed, and are stopped, since the
  * current one may still receive their start orders. */
--- a/packages/scheduler/tests/test_vm_lives.c
+++ b/packages/scheduler/tests/test_vm_lives.c
@@ -179,6 +179,36 @@
     fixture_tear_down(&f);
 }
 
+/* Guards against a run that the next incarnation begins late although its task
+ * was copied elsewhere before the VM restarted: it is stopped there. */
+static void
+test_copied_run_is_stopped(void)
+{
+    static const AqStepSpec step = {.task_count = 1,
+                                    .cpu_millis = 1000,
+                                    .memory_mb = 1,
+                                    .estimate_ms = 5000,
+                                    .allows_copies = true};
+    Fixture f;
+    fixture_set_up_loaded(&f);
+    list_vm(&f, "vm-1", FIRST_BORN_MS);
+    answer_list(&f, "vm-1", FIRST_BORN_MS, -1, NULL);
+    fixture_add_job(&f, "a1", &step);
+    fixture_tick(&f, 20);
+    fixture_answer_start(&f, 0, AQ_ORDER_DONE);
+    fixture_answer_renewal(&f, "vm-1", AQ_ORDER_UNKNOWN);
+    list_vm(&f, "vm-2", FIRST_BORN_MS);
+    answer_list(&f, "vm-2", FIRST_BORN_MS, -1, NULL);
+    fixture_tick(&f, 1000);
+    CU_ASSERT_EQUAL_FATAL(f.starts->len, 2);
+    answer_list(&f, "vm-1", NEXT_BORN_MS, -1, NULL);
+    CU_ASSERT_EQUAL_FATAL(f.stops->len, 1);
+    const FixtureStart *stop = &g_array_index(f.stops, FixtureStart, 0);
+    CU_ASSERT_STRING_EQUAL(stop->vm, "vm-1");
+    CU_ASSERT_EQUAL(stop->run, 1);
+    fixture_tear_down(&f);
+}
+
 /* Guards against a start with a ticket for the earlier incarnation, which the
  * next one refuses. */
 static void
@@ -212,6 +242,7 @@
     CU_ADD_TEST(suite, test_undated_list_is_not_used);
     CU_ADD_TEST(suite, test_entry_of_later_life);
     CU_ADD_TEST(suite, test_unanswered_start_is_stopped_first);
+    CU_ADD_TEST(suite, test_copied_run_is_stopped);
     CU_ADD_TEST(suite, test_ticket_ends_with_the_life);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
--- a/packages/scheduler/vm_restart.c
+++ b/packages/scheduler/vm_restart.c
@@ -68,6 +68,7 @@
                 vm->report.id, (long long)born_ms, (long long)vm->born_ms,
                 vm->task_count, (long long)vm->last_end_number,
                 (long long)(s->now - vm->clock_at));
+    open_runs_stop(s, vm);
     crashes_record_vm(s, vm);
     vm->born_ms = born_ms;
     vm->restarted_at = s->now;
