--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -269,10 +269,27 @@
 
 /* ---- Placement ---------------------------------------------------------- */
 
+/* Whether the VM has a young run of a suspect, beside which nothing starts. */
+static bool
+has_young_suspect(const Vm *vm)
+{
+    if (vm->suspect_count == 0) {
+        return false;
+    }
+    AqList_ForEach(at, &vm->tasks)
+    {
+        const Task *task = AqList_Entry(at, Task, link);
+        if (task->counts_as_suspect && is_young(task)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 crashes_allow_vm(const AqScheduler *s, const Vm *vm, const Task *task)
 {
-    if (vm->trial_count > 0) {
+    if (has_young_suspect(vm)) {
         return false;
     }
     return !crashes_is_suspect(task) ||
@@ -311,9 +328,7 @@
     task->attached_at = s->now;
     task->last_alive_at = s->now;
     task->counts_as_suspect = crashes_is_suspect(task);
-    task->is_on_trial = task->counts_as_suspect;
     vm->suspect_count += task->counts_as_suspect;
-    vm->trial_count += task->is_on_trial;
 }
 
 void
@@ -322,33 +337,24 @@
     task->attached_at = task->last_alive_at - EARLY_MS;
 }
 
-static void
-end_trial(AqScheduler *s, Task *task)
-{
-    if (task->is_on_trial) {
-        task->is_on_trial = false;
-        task->vm->trial_count--;
-        s->placement_due = true;
-    }
-}
-
 void
 crashes_detach(AqScheduler *s, Task *task)
 {
-    end_trial(s, task);
     task->is_start_stored = false;
     if (task->counts_as_suspect) {
         task->counts_as_suspect = false;
         task->vm->suspect_count--;
+        s->placement_due = true;
     }
 }
 
 void
 crashes_note_alive(AqScheduler *s, Task *task)
 {
+    bool was_young = is_young(task);
     task->last_alive_at = s->now;
-    if (!is_young(task)) {
-        end_trial(s, task);
+    if (task->counts_as_suspect && was_young && !is_young(task)) {
+        s->placement_due = true;
     }
     if (has_survived(task) && crashes_count(task) > 0) {
         crashes_clear(task);
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -136,7 +136,8 @@
     case AQ_ORDER_OTHER_LIFE:
         AqLog_Event(AQ_LOG_WARNING, "vm_ended", "vm=%s reason=other_life",
                     vm->report.id);
-        vms_remove_crashed(s, vm);
+        crashes_record_vm(s, vm);
+        vms_remove(s, vm);
         return true;
     case AQ_ORDER_UNKNOWN:
     case AQ_ORDER_NOT_SENT:
--- a/packages/scheduler/scheduler_check.c
+++ b/packages/scheduler/scheduler_check.c
@@ -47,21 +47,17 @@
     int64_t reserved = 0;
     size_t count = 0;
     size_t suspects = 0;
-    size_t trials = 0;
     AqList_ForEach(at, &vm->tasks)
     {
         const Task *task = AqList_Entry(at, Task, link);
         cpu += task->step->spec->is_filler ? 0 : task->step->spec->cpu_millis;
         count++;
         suspects += task->counts_as_suspect;
-        trials += task->is_on_trial;
     }
-    if (suspects != vm->suspect_count || trials != vm->trial_count) {
+    if (suspects != vm->suspect_count) {
         return AqError_Set(error, AQ_ERR_INVALID,
-                           "VM %s counts %zu suspects and %zu on trial, not "
-                           "%zu and %zu",
-                           vm->report.id, vm->suspect_count, vm->trial_count,
-                           suspects, trials);
+                           "VM %s counts %zu suspects, not %zu", vm->report.id,
+                           vm->suspect_count, suspects);
     }
     AqList_ForEach(at, &vm->reservations)
     {
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -117,9 +117,8 @@
     /* the job's record names the current run and its VM, in case it crashes
      * the VM and this owner of the pool does not learn of it */
     bool is_start_stored;
-    /* the task counts in suspect_count, or in trial_count, of its VM */
+    /* the task counts in suspect_count of its VM */
     bool counts_as_suspect;
-    bool is_on_trial;
     /* when the last start order for the run was sent */
     AqTime start_sent_at;
     /* a start order for the run ended without a reply; the VM may still
@@ -322,9 +321,6 @@
     size_t task_count;
     /* number of "tasks" that were suspects when they came */
     size_t suspect_count;
-    /* number of "tasks" beside which no other task starts now, since they may
-     * crash the VM */
-    size_t trial_count;
     /* list of Task: the tasks for whose next run the VM holds room */
     AqLink reservations;
     /* AqVmReport.born_ms of the current incarnation, the latest that is known
@@ -621,9 +617,6 @@
 /* Extends the VM's lease for an order that is sent now.  Returns the new end
  * of the lease, on the VM's clock. */
 AqTime vms_grant_lease(AqScheduler *s, Vm *vm);
-/* Records the crash of the VM, of which another incarnation has been seen, and
- * removes it like vms_remove(). */
-void vms_remove_crashed(AqScheduler *s, Vm *vm);
 /* Makes the VM's tasks ready for new runs, counts their runs on the VM as
  * lost, removes the VM from the scheduler's table of VMs and frees the Vm
  * struct. */
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -327,13 +327,6 @@
     vms_free(vm);
 }
 
-void
-vms_remove_crashed(AqScheduler *s, Vm *vm)
-{
-    crashes_record_vm(s, vm);
-    vms_remove(s, vm);
-}
-
 /* Whether the VM's lease, the time until which the VM runs tasks without a
  * renewal, has ended on the VM's own clock, assuming that the clock has the
  * lowest possible rate, slowest_clock_rate. */
