--- a/packages/pool/tests/test_pool.c
+++ b/packages/pool/tests/test_pool.c
@@ -904,6 +904,7 @@
            AqLoop_Now(fixture.node.loop) - begin < RECOVERY_LIMIT_MS) {
         AqLoop_RunOnce(fixture.node.loop, 10);
         pool_machines_round(pool, true);
+        AqScheduler_ConfirmOwnership(s, AqLoop_Now(fixture.node.loop));
         AqScheduler_Tick(s, AqLoop_Now(fixture.node.loop), 0, false);
         AqScheduler_GetLoad(s, AqLoop_Now(fixture.node.loop), &load);
     }
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -556,6 +556,7 @@
     s->context = context;
     s->created_at = now;
     s->confirmed_at = now;
+    s->awaited_vm_ended_at = now;
     s->now = now;
     s->no_start_since = now;
     start_window_init(&s->start_window);
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -464,8 +464,12 @@
     /* when the last call was sent whose reply shows that this owner still had
      * the pool */
     AqTime confirmed_at;
-    /* the lease of a VM has expired since confirmed_at */
+    /* the lease of a VM has expired, or an awaited VM has ended, since
+     * confirmed_at */
     bool awaits_confirmation;
+    /* when a VM that vms_is_awaited() ended.  That its runs are gone does not
+     * show that no later owner has taken note of their ends. */
+    AqTime awaited_vm_ended_at;
     /* array of NamedRun; emptied by AqScheduler_SetLoaded() */
     GArray *inherited_runs;
     /* array of NamedRun: runs, and ends of runs that were not applied, in the
--- a/packages/scheduler/tests/test_two_runs.c
+++ b/packages/scheduler/tests/test_two_runs.c
@@ -166,6 +166,34 @@
     }
 }
 
+/* Guards against the restart of a done task by an owner that is replaced
+ * without noticing: the next owner has confirmed the end to a VM that this one
+ * never heard of, the VM crashes, and the reply of its next incarnation passes
+ * for proof that nothing of earlier owners is left. */
+static void
+test_crash_of_unheard_vm(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        Sim *sim = sim_create(seed);
+        sim_add_chain(sim, "a1", 1, 1, 8000, 600);
+        sim_run(sim, 300);
+        unsigned vm = find_vm_with_run(sim, "a1");
+        for (unsigned i = 0; i < SIM_VMS; i++) {
+            sim_limit_reach(sim, i, i == vm ? 3 : 1, i == vm ? NO_OWNER : 2);
+        }
+        sim_kill_owner(sim);
+        sim_start_owner(sim, false);
+        sim_run(sim, 200);
+        sim_start_owner(sim, true);
+        sim_run(sim, 1200);
+        CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_COMPLETED);
+        sim_crash_vm(sim, vm);
+        sim_run(sim, 1500);
+        expect_no_violation(sim, seed);
+        sim_destroy(sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -175,6 +203,7 @@
     } cases[] = {
         {"owner_before_the_last", test_owner_before_the_last},
         {"refusal_shows_no_fence", test_refusal_shows_no_fence},
+        {"crash_of_unheard_vm", test_crash_of_unheard_vm},
         {"run_before_its_job", test_run_before_its_job},
         {"run_before_its_occurrence", test_run_before_its_occurrence},
     };
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -312,9 +312,19 @@
     }
 }
 
+/* Called when the VM is known to have ended. */
+static void
+note_end(AqScheduler *s, const Vm *vm)
+{
+    if (vms_is_awaited(s, vm)) {
+        s->awaited_vm_ended_at = s->now;
+    }
+}
+
 void
 vms_remove(AqScheduler *s, Vm *vm)
 {
+    note_end(s, vm);
     requeue_lost_tasks(s, vm, "other_life");
     AqList_ForEachSafe(at, after, &vm->reservations)
     {
@@ -489,7 +499,8 @@
            !is_lapse_confirmed(s, vm);
 }
 
-/* Sets is_recovered once no used VM is awaited any more. */
+/* Sets is_recovered once no used VM is awaited any more, and this owner had
+ * the pool when the last of them ended. */
 static void
 update_recovered(AqScheduler *s)
 {
@@ -504,6 +515,10 @@
             return;
         }
     }
+    if (s->awaited_vm_ended_at > s->confirmed_at) {
+        s->awaits_confirmation = true;
+        return;
+    }
     s->is_recovered = true;
     s->placement_due = true;
 }
@@ -580,6 +595,7 @@
     s->now = now;
     Vm *vm = vms_find(s, id);
     if (vm != NULL && !vm->has_ended) {
+        note_end(s, vm);
         if (end == AQ_VM_CRASHED) {
             crashes_record_vm(s, vm);
         }
