--- a/packages/scheduler/Include/aq_job_spec.h
+++ b/packages/scheduler/Include/aq_job_spec.h
@@ -73,6 +73,8 @@
     char id[AQ_JOB_ID_SIZE];
     /* name of the queue that accepted the job; owned */
     char *queue;
+    /* name of the workspace whose key the submission had; NULL: none; owned */
+    char *workspace;
     /* text of the job, which the scheduler passes to the workers unchanged;
      * owned */
     char *text;
--- a/packages/scheduler/Include/aq_site_config.h
+++ b/packages/scheduler/Include/aq_site_config.h
@@ -6,7 +6,30 @@
 #include <stdint.h>
 
 /* The operator's configuration: the queues, selected by host and path prefix
- * of a caller's request, and the pools of VMs that run the queues' tasks. */
+ * of a caller's request, the pools of VMs that run the queues' tasks, and the
+ * workspaces, the customers that submit jobs. */
+
+/* Amounts of the resources of VMs. */
+typedef struct {
+    int64_t cpu_millis; /* thousandths of a core */
+    int64_t memory_mb;
+    int64_t gpus; /* number of GPUs */
+} AqResources;
+
+typedef struct {
+    char *name;
+    /* keys by which a caller shows that it belongs to the workspace; array of
+     * key_count, owned */
+    char **keys;
+    size_t key_count;
+    /* part of the capacity that the workspace's jobs get while there is too
+     * little, in proportion to the weights of the other workspaces; also the
+     * number of its jobs a second that callers are promised */
+    double weight;
+    /* most that the workspace's tasks may use at a time in all pools; each
+     * resource 0: no limit */
+    AqResources cap;
+} AqWorkspaceConfig;
 
 typedef struct {
     char *name;
@@ -32,6 +55,8 @@
      * service's permission for that VM, which expires */
     bool needs_tickets;
     int64_t ticket_valid_ms;
+    /* requests need no key of a workspace */
+    bool is_public;
 } AqQueueConfig;
 
 typedef struct {
@@ -49,6 +74,11 @@
     size_t queue_count;
     AqPoolConfig *pools;
     size_t pool_count;
+    /* The configuration lists workspaces, perhaps none.  If false, no request
+     * needs a key. */
+    bool has_workspaces;
+    AqWorkspaceConfig *workspaces;
+    size_t workspace_count;
     /* Made by AqSiteConfig_Index(); NULL: queues are searched one by one. */
     struct AqQueueIndex *index;
 } AqSiteConfig;
@@ -76,4 +106,14 @@
 const AqQueueConfig *AqSiteConfig_FindQueue(const AqSiteConfig *config,
                                             const char *name);
 
+/* Returns the workspace named "name", or NULL when the site has none.
+ * Borrowed. */
+const AqWorkspaceConfig *AqSiteConfig_FindWorkspace(const AqSiteConfig *config,
+                                                    const char *name);
+/* Returns the workspace to which the key belongs, or NULL when the key is NULL
+ * or belongs to none.  The time that a comparison takes tells nothing of the
+ * key's text.  Needs AqSiteConfig_Index().  Borrowed. */
+const AqWorkspaceConfig *AqSiteConfig_FindKey(const AqSiteConfig *config,
+                                              const char *key);
+
 #endif
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -10,8 +10,11 @@
     /* version of the stored form of a job, stored as its first element; a form
      * of another version is refused as damaged */
     SPEC_FORMAT = 1,
-    /* number of elements of the msgpack array that stores one AqJobSpec */
-    SPEC_FIELDS = 9,
+    /* number of elements of the msgpack array that stores one AqJobSpec, and
+     * least number that is read: the last one, the workspace, was added
+     * later */
+    SPEC_FIELDS = 10,
+    MIN_SPEC_FIELDS = 9,
     /* number of elements of the msgpack array that stores one AqStepSpec */
     STEP_FIELDS = 14,
     FLAG_GANG = 1,
@@ -40,6 +43,7 @@
     }
     free(spec->steps);
     free(spec->queue);
+    free(spec->workspace);
     free(spec->text);
     memset(spec, 0, sizeof(*spec));
 }
@@ -147,6 +151,7 @@
     for (size_t i = 0; i < spec->step_count; i++) {
         pack_step(&packer, &spec->steps[i]);
     }
+    record_pack_text(&packer, spec->workspace);
 }
 
 static bool
@@ -221,7 +226,7 @@
     int64_t occurrences;
     char *id = NULL;
     if (root->type != MSGPACK_OBJECT_ARRAY ||
-        root->via.array.size < SPEC_FIELDS) {
+        root->via.array.size < MIN_SPEC_FIELDS) {
         return false;
     }
     const msgpack_object *at = root->via.array.ptr;
@@ -254,7 +259,8 @@
             return false;
         }
     }
-    return true;
+    return root->via.array.size < SPEC_FIELDS ||
+           record_text(&at[9], &spec->workspace);
 }
 
 bool
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -150,6 +150,7 @@
     }
     AqList_Remove(&job->link);
     AqList_Remove(&job->dirty_link);
+    workspaces_remove_job(s, job);
     AqJobSpec_Clear(&job->spec);
     free(job);
 }
@@ -284,6 +285,7 @@
     AqList_Init(&job->link);
     AqList_Init(&job->dirty_link);
     AqList_Init(&job->occurrences);
+    workspaces_add_job(s, job);
     int64_t age = s->wall - job->spec.submitted_ms;
     job->submitted_at = now - (age > 0 ? age : 0);
     if (record != NULL && !progress_apply(s, job, record, size)) {
@@ -563,6 +565,8 @@
     s->mean_declared_ms = 1000.0;
     s->mean_actual_ms = 1000.0;
     s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+    s->workspaces =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, workspaces_free);
     s->vms_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     s->inherited_runs = g_array_new(FALSE, FALSE, sizeof(NamedRun));
     s->unknown_runs = g_array_new(FALSE, FALSE, sizeof(NamedRun));
@@ -587,6 +591,7 @@
         free_job(s, value);
     }
     g_hash_table_destroy(s->jobs);
+    g_hash_table_destroy(s->workspaces);
     AqList_ForEachSafe(at, after, &s->vms)
     {
         vms_free(AqList_Entry(at, Vm, link));
@@ -603,5 +608,6 @@
 AqScheduler_SetSite(AqScheduler *s, const AqSiteConfig *site)
 {
     s->site = site;
+    workspaces_set_site(s);
     s->placement_due = true;
 }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -18,6 +18,7 @@
  * replies.c     effects of the replies to orders on tasks
  * superseded.c  runs that are stopped since another run replaces them
  * ranking.c     order in which jobs are placed
+ * workspaces.c  what the jobs of each workspace use
  * crashes.c     tasks under which VMs have crashed
  * open_runs.c   runs of which it is not known whether they crashed their VM
  * unknown_runs.c  runs that VMs list before their tasks are known
@@ -49,6 +50,21 @@
 typedef struct Step Step;
 typedef struct Vm Vm;
 
+/* A customer whose jobs share the pool with those of others. */
+typedef struct {
+    char *name; /* owned */
+    /* from the configuration in force; 0, and no cap, for a workspace that it
+     * does not list */
+    double weight;
+    AqResources cap;
+    bool is_configured;
+    /* what the workspace's tasks use that are on a VM: starting, running or
+     * stopping; fillers use no CPU */
+    AqResources used;
+    size_t task_count; /* number of these tasks */
+    size_t job_count;  /* number of its jobs, finished ones included */
+} Workspace;
+
 /* In the types below, times without another note are on the scheduler's clock,
  * that of "now" in its functions.  CPU amounts are in thousandths of a core,
  * memory amounts in MB. */
@@ -224,6 +240,8 @@
 };
 
 struct Job {
+    /* the workspace that submitted the job; NULL: none; borrowed */
+    Workspace *workspace;
     /* links the job into scheduler->active while the job is unfinished */
     AqLink link;
     /* links the job into scheduler->dirty while a change of the job waits for
@@ -493,7 +511,10 @@
      * scheduler sends no more orders */
     bool is_superseded;
     GHashTable *jobs; /* job id -> Job; owns the jobs */
-    AqLink active;    /* list of the unfinished jobs */
+    /* name -> Workspace: those that the configuration lists or that have jobs;
+     * owned */
+    GHashTable *workspaces;
+    AqLink active; /* list of the unfinished jobs */
     /* list of the jobs with changes that wait for a save, the job with the
      * oldest change first */
     AqLink dirty;
@@ -786,6 +807,17 @@
 /* Order of two Job pointers for qsort: the job to place first comes first. */
 int ranking_compare(const void *a, const void *b);
 
+/* ---- workspaces.c */
+void workspaces_free(gpointer workspace);
+/* Reads weights and caps from the site configuration. */
+void workspaces_set_site(AqScheduler *s);
+/* Sets the job's workspace, and ends that. */
+void workspaces_add_job(AqScheduler *s, Job *job);
+void workspaces_remove_job(AqScheduler *s, Job *job);
+/* Adds what the task needs to its workspace's use if "sign" is 1, subtracts it
+ * if it is -1. */
+void workspaces_count_task(const Task *task, int sign);
+
 /* ---- placement.c */
 /* Orders the start of ready tasks if a placement of tasks is due. */
 void placement_run(AqScheduler *s);
--- a/packages/scheduler/site_config.c
+++ b/packages/scheduler/site_config.c
@@ -5,11 +5,15 @@
 #include <string.h>
 #include <strings.h>
 
+#include "workspace_keys.h"
+
 struct AqQueueIndex {
     GHashTable *by_name; /* name -> AqQueueConfig */
     /* route_key() of host and prefix -> AqQueueConfig */
     GHashTable *by_route;
     GArray *prefix_lengths; /* of size_t: those in use, longest first */
+    GHashTable *workspaces; /* name -> AqWorkspaceConfig */
+    WorkspaceKeys *keys;
 };
 
 static void
@@ -19,10 +23,22 @@
         g_hash_table_destroy(index->by_name);
         g_hash_table_destroy(index->by_route);
         g_array_free(index->prefix_lengths, TRUE);
+        g_hash_table_destroy(index->workspaces);
+        workspace_keys_destroy(index->keys);
         free(index);
     }
 }
 
+static void
+clear_workspace(AqWorkspaceConfig *workspace)
+{
+    for (size_t i = 0; i < workspace->key_count; i++) {
+        free(workspace->keys[i]);
+    }
+    free(workspace->keys);
+    free(workspace->name);
+}
+
 void
 AqSiteConfig_Clear(AqSiteConfig *config)
 {
@@ -35,9 +51,13 @@
     for (size_t i = 0; i < config->pool_count; i++) {
         free(config->pools[i].name);
     }
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        clear_workspace(&config->workspaces[i]);
+    }
     free_index(config->index);
     free(config->queues);
     free(config->pools);
+    free(config->workspaces);
     memset(config, 0, sizeof(*config));
 }
 
@@ -103,6 +123,12 @@
         add_length(index->prefix_lengths, length);
     }
     g_array_sort(index->prefix_lengths, compare_lengths);
+    index->workspaces = g_hash_table_new(g_str_hash, g_str_equal);
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        AqWorkspaceConfig *workspace = &config->workspaces[i];
+        g_hash_table_replace(index->workspaces, workspace->name, workspace);
+    }
+    index->keys = workspace_keys_create(config);
     free_index(config->index);
     config->index = index;
 }
@@ -208,3 +234,26 @@
     }
     return NULL;
 }
+
+const AqWorkspaceConfig *
+AqSiteConfig_FindWorkspace(const AqSiteConfig *config, const char *name)
+{
+    if (config->index != NULL) {
+        return g_hash_table_lookup(config->index->workspaces, name);
+    }
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        if (strcmp(config->workspaces[i].name, name) == 0) {
+            return &config->workspaces[i];
+        }
+    }
+    return NULL;
+}
+
+const AqWorkspaceConfig *
+AqSiteConfig_FindKey(const AqSiteConfig *config, const char *key)
+{
+    if (config->index == NULL || key == NULL) {
+        return NULL;
+    }
+    return workspace_keys_find(config->index->keys, key);
+}
--- a/packages/scheduler/tests/test_records.c
+++ b/packages/scheduler/tests/test_records.c
@@ -17,6 +17,7 @@
     memset(spec, 0, sizeof(*spec));
     strcpy(spec->id, "5c0e7a21d94b36f8");
     spec->queue = strdup("queue");
+    spec->workspace = strdup("workspace");
     spec->text = strdup("text with \"quotes\" and \n");
     spec->first_due_ms = 1700000000000;
     spec->interval_ms = 500;
@@ -66,6 +67,7 @@
     CU_ASSERT_EQUAL_FATAL(first.size, second.size);
     CU_ASSERT_EQUAL(memcmp(first.bytes, second.bytes, first.size), 0);
     CU_ASSERT_STRING_EQUAL(copy.id, spec.id);
+    CU_ASSERT_STRING_EQUAL(copy.workspace, "workspace");
     CU_ASSERT_STRING_EQUAL(copy.steps[0].near_rack, "r1-3");
     CU_ASSERT_TRUE(copy.steps[1].is_perpetual && copy.steps[1].is_filler);
     CU_ASSERT_TRUE(copy.steps[1].limits_missing);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -137,6 +137,7 @@
     vm->task_count++;
     vm->idle_since = AQ_TIME_NEVER;
     add_usage(vm, task->step->spec, 1);
+    workspaces_count_task(task, 1);
     crashes_attach(s, vm, task);
 }
 
@@ -149,6 +150,7 @@
     }
     crashes_detach(s, task);
     add_usage(vm, task->step->spec, -1);
+    workspaces_count_task(task, -1);
     AqList_Remove(&task->link);
     task->vm = NULL;
     if (--vm->task_count == 0) {
