--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -6,6 +6,7 @@
 
 #include "caller_responses.h"
 #include "aq_log.h"
+#include "aq_platform.h"
 #include "peer_choice.h"
 
 enum {
@@ -177,8 +178,14 @@
     char *forwarded_line = g_strdup_printf("%s: 1", forwarded_header);
     char *version_line = g_strdup_printf(
         "%s: %lld", version_header, (long long)forwarder->node->site.version);
-    const char *headers[] = {host_line, forwarded_line, version_line,
-                             "Content-Type: application/json", NULL};
+    /* The peer checks the key by its own configuration, which may be newer. */
+    const char *key = AqExchange_Header(exchange, AqPlatform_KeyHeader);
+    char *key_line = key != NULL
+                         ? g_strdup_printf("%s: %s", AqPlatform_KeyHeader, key)
+                         : NULL;
+    const char *headers[] = {host_line,    forwarded_line,
+                             version_line, "Content-Type: application/json",
+                             key_line,     NULL};
     const char *body = AqExchange_Body(exchange, &size);
     AqHttpRequest request = {
         .method = AqExchange_Method(exchange),
@@ -198,6 +205,7 @@
     g_free(host_line);
     g_free(forwarded_line);
     g_free(version_line);
+    g_free(key_line);
     return true;
 }
 
--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -1,4 +1,4 @@
-#include "job_api.h"
+#include "job_api_private.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,13 +28,6 @@
 static const char response_no_owner[] =
     "{\"error\":\"no node counts the queue's jobs now; come back later\"}";
 
-struct JobApi {
-    NodeContext *node;
-    JobApiOps ops;
-    void *context;
-    GHashTable *reports; /* pool name -> Report */
-};
-
 /* A cached copy of the counts of waiting jobs in a pool's queues, as the
  * pool's owner wrote them to the store. */
 typedef struct {
@@ -42,25 +35,8 @@
     AqTime read_at;
 } Report;
 
-typedef struct {
-    JobApi *job_api;
-    AqExchange *exchange;
-    char pool[64];
-    char queue[128];
-    char id[AQ_JOB_ID_SIZE];
-    AqTime deadline;
-    AqTime arrived_at;
-    AqTimer retry_timer;
-    void (*try)(void *request);
-    /* Submitted job, encoded; empty for other requests. */
-    AqBuffer encoded_job;
-    unsigned attempts;
-    /* A write to the store for this request got no clear reply. */
-    bool may_have_effect;
-} Request;
-
-static AqTime
-now_of(const JobApi *job_api)
+AqTime
+job_api_now(const JobApi *job_api)
 {
     return AqLoop_Now(job_api->node->loop);
 }
@@ -86,7 +62,7 @@
 count_response(const Request *request, int status)
 {
     const NodeMetrics *metrics = &request->job_api->node->metrics;
-    AqTime elapsed_ms = now_of(request->job_api) - request->arrived_at;
+    AqTime elapsed_ms = job_api_now(request->job_api) - request->arrived_at;
     bool is_submission = request->encoded_job.size > 0;
     if (status == 200 && (is_submission || request->try == try_state)) {
         AqMetric_Observe(is_submission ? metrics->accept_ms
@@ -109,11 +85,12 @@
 {
     AqTimer_Stop(&request->retry_timer);
     AqBuffer_Clear(&request->encoded_job);
+    free(request->workspace);
     free(request);
 }
 
-static void
-finish_request(Request *request, int status, const char *body,
+void
+job_api_finish(Request *request, int status, const char *body,
                const char *reason)
 {
     CallerResponse response = {status, body, strlen(body)};
@@ -124,7 +101,7 @@
         "took_ms=%lld config=%lld",
         request->id, request->queue, AqExchange_Method(request->exchange),
         response.status, reason, request->attempts,
-        (long long)(now_of(request->job_api) - request->arrived_at),
+        (long long)(job_api_now(request->job_api) - request->arrived_at),
         (long long)request->job_api->node->site.version);
     count_response(request, response.status);
     respond_json(request->job_api->node, request->exchange, response.status,
@@ -151,27 +128,27 @@
 finish_unserved(Request *request)
 {
     if (request->may_have_effect) {
-        finish_request(request, 504, response_unknown, "store_silent");
+        job_api_finish(request, 504, response_unknown, "store_silent");
     }
     else {
-        finish_request(request, 503, response_unavailable,
+        job_api_finish(request, 503, response_unavailable,
                        "store_unavailable");
     }
 }
 
-static void
-forward_or_finish(Request *request)
+void
+job_api_forward_or_finish(Request *request)
 {
     if (!forward(request)) {
         finish_unserved(request);
     }
 }
 
-static void
-record_store_status(const Request *request, const AqStoreReply *reply)
+void
+job_api_record_status(const Request *request, const AqStoreReply *reply)
 {
     store_health_note(&request->job_api->node->store_health, reply->status,
-                      now_of(request->job_api));
+                      job_api_now(request->job_api));
 }
 
 /* Starts the first attempt of a request that writes; forwards the request
@@ -181,7 +158,7 @@
 {
     request->try = try;
     if (store_health_is_lost(&request->job_api->node->store_health)) {
-        forward_or_finish(request);
+        job_api_forward_or_finish(request);
         return;
     }
     try(request);
@@ -199,7 +176,7 @@
 static bool
 schedule_retry(Request *request)
 {
-    AqTime next = now_of(request->job_api) + STORE_RETRY_MS;
+    AqTime next = job_api_now(request->job_api) + STORE_RETRY_MS;
     if (next + RESPONSE_RESERVE_MS > request->deadline) {
         return false;
     }
@@ -207,8 +184,8 @@
     return true;
 }
 
-static void
-retry_or_finish(Request *request)
+void
+job_api_retry_or_finish(Request *request)
 {
     if (!schedule_retry(request)) {
         finish_unserved(request);
@@ -218,11 +195,11 @@
 /* For reads, which have no effect, and for requests with a write that got no
  * reply, whose outcome only another attempt can show: forwards the request to
  * another node or, if that is not possible, retries it on this one. */
-static void
-forward_or_retry(Request *request)
+void
+job_api_forward_or_retry(Request *request)
 {
     if (!forward(request)) {
-        retry_or_finish(request);
+        job_api_retry_or_finish(request);
     }
 }
 
@@ -237,7 +214,7 @@
         free_request(request);
     }
     else {
-        retry_or_finish(request);
+        job_api_retry_or_finish(request);
     }
 }
 
@@ -247,28 +224,28 @@
 on_submitted(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
-    record_store_status(request, reply);
+    job_api_record_status(request, reply);
     recent_submissions_end_write(&request->job_api->node->recent_submissions,
                                  AqExchange_Path(request->exchange),
                                  reply->status == AQ_STORE_UNKNOWN,
-                                 now_of(request->job_api));
+                                 job_api_now(request->job_api));
     switch (reply->status) {
     case AQ_STORE_OK:
-        finish_request(request, 200, "{}", "stored");
+        job_api_finish(request, 200, "{}", "stored");
         break;
     case AQ_STORE_CONFLICT:
         /* The job is in the store already, or was cancelled before its
          * submission arrived. */
-        finish_request(request, 200, "{}", "known");
+        job_api_finish(request, 200, "{}", "known");
         break;
     case AQ_STORE_UNAVAILABLE:
         /* This write had no effect; an earlier write for the same request that
          * got no reply may still take effect. */
         if (request->may_have_effect) {
-            forward_or_retry(request);
+            job_api_forward_or_retry(request);
         }
         else {
-            forward_or_finish(request);
+            job_api_forward_or_finish(request);
         }
         break;
     case AQ_STORE_UNKNOWN:
@@ -277,7 +254,7 @@
     case AQ_STORE_ABSENT:
     case AQ_STORE_COMPACTED:
         request->may_have_effect = true;
-        forward_or_retry(request);
+        job_api_forward_or_retry(request);
         break;
     }
 }
@@ -298,7 +275,7 @@
     request->attempts++;
     recent_submissions_begin_write(&request->job_api->node->recent_submissions,
                                    AqExchange_Path(request->exchange),
-                                   now_of(request->job_api));
+                                   job_api_now(request->job_api));
     store->ops->commit(store, &commit, on_submitted, request);
 }
 
@@ -310,17 +287,19 @@
     size_t size;
     const char *body = AqExchange_Body(request->exchange, &size);
     if (!AqPlatform_DecodeJob(body, size, &spec, &error)) {
-        finish_request(request, 400, "{\"error\":\"the job is malformed\"}",
+        job_api_finish(request, 400, "{\"error\":\"the job is malformed\"}",
                        "malformed");
         return;
     }
     g_strlcpy(spec.id, request->id, sizeof(spec.id));
     spec.queue = strdup(request->queue);
+    spec.workspace =
+        request->workspace != NULL ? strdup(request->workspace) : NULL;
     spec.submitted_ms = AqClock_ReadWall();
     if (!AqJobSpec_Check(&spec, &error)) {
         AqLog_Event(AQ_LOG_WARNING, "job_refused", "request=%s error=%s",
                     request->id, AqLog_Quote(error.message));
-        finish_request(request, 400, "{\"error\":\"the job is malformed\"}",
+        job_api_finish(request, 400, "{\"error\":\"the job is malformed\"}",
                        "invalid");
         AqJobSpec_Clear(&spec);
         return;
@@ -338,7 +317,7 @@
     AqBuffer body;
     AqBuffer_Init(&body);
     AqPlatform_EncodeState(state, &body);
-    finish_request(request, 200, AqBuffer_Text(&body), "read");
+    job_api_finish(request, 200, AqBuffer_Text(&body), "read");
     AqBuffer_Clear(&body);
 }
 
@@ -346,16 +325,16 @@
 on_job_read(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
-    record_store_status(request, reply);
+    job_api_record_status(request, reply);
     if (reply->status == AQ_STORE_OK) {
         finish_state(request, AQ_JOB_QUEUED);
     }
     else if (reply->status == AQ_STORE_ABSENT) {
-        finish_request(request, 410, "{\"error\":\"there is no such job\"}",
+        job_api_finish(request, 410, "{\"error\":\"there is no such job\"}",
                        "absent");
     }
     else {
-        forward_or_retry(request);
+        job_api_forward_or_retry(request);
     }
 }
 
@@ -370,7 +349,7 @@
         [AQ_STAGE_CANCELLED] = AQ_JOB_CANCELLED,
     };
     Request *request = context;
-    record_store_status(request, reply);
+    job_api_record_status(request, reply);
     AqStore *store = request->job_api->node->store;
     AqError error;
     AqJobStage stage;
@@ -379,13 +358,13 @@
                         on_job_read, request);
     }
     else if (reply->status != AQ_STORE_OK || reply->count != 1) {
-        forward_or_retry(request);
+        job_api_forward_or_retry(request);
     }
     else if (!AqScheduler_ReadStage(reply->items[0].value,
                                     reply->items[0].size, &stage, &error)) {
         AqLog_Event(AQ_LOG_ERROR, "progress_unreadable", "request=%s error=%s",
                     request->id, AqLog_Quote(error.message));
-        finish_request(request, 500,
+        job_api_finish(request, 500,
                        "{\"error\":\"the job's record is damaged\"}",
                        "damaged");
     }
@@ -404,89 +383,6 @@
                     on_progress_read, request);
 }
 
-/* ---- Cancelling --------------------------------------------------------- */
-
-/* Continues a cancellation whose write was not carried out or got no clear
- * reply: forwards it to another node, retries it on this one, or ends it with
- * status 503 or 504. */
-static void
-retry_cancel(Request *request, const AqStoreReply *reply)
-{
-    /* Only these statuses show that the write had no effect. */
-    bool had_no_effect = reply->status == AQ_STORE_CONFLICT ||
-                         reply->status == AQ_STORE_UNAVAILABLE;
-    request->may_have_effect |= !had_no_effect;
-    if (request->may_have_effect) {
-        forward_or_retry(request);
-    }
-    else if (reply->status == AQ_STORE_CONFLICT) {
-        retry_or_finish(request);
-    }
-    else {
-        forward_or_finish(request);
-    }
-}
-
-static void
-on_cancelled(void *context, const AqStoreReply *reply)
-{
-    Request *request = context;
-    record_store_status(request, reply);
-    if (reply->status == AQ_STORE_OK) {
-        finish_request(request, 200, "{}", "cancelled");
-    }
-    else {
-        retry_cancel(request, reply);
-    }
-}
-
-/* Writes the cancellation mark of a job that is in the store, on condition
- * that the job was last written at store revision "job_index". */
-static void
-mark_cancelled(Request *request, uint64_t job_index)
-{
-    AqStore *store = request->job_api->node->store;
-    AqStoreExpect expect = {key_of_job(request->pool, request->id), job_index};
-    AqStorePut put = {key_of_cancel(request->pool, request->id), "1", 1, 0};
-    AqStoreCommit commit = {
-        .expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
-    store->ops->commit(store, &commit, on_cancelled, request);
-}
-
-/* Handles the reply to a write of a job's cancellation mark that took effect
- * only if the job was not in the store. */
-static void
-on_cancelled_before_job(void *context, const AqStoreReply *reply)
-{
-    Request *request = context;
-    record_store_status(request, reply);
-    if (reply->status == AQ_STORE_OK) {
-        /* The cancellation mark stays in the store: a submission of the job
-         * that arrives later finds the mark, and the job never runs. */
-        finish_request(request, 410, "{\"error\":\"there is no such job\"}",
-                       "cancelled_before");
-    }
-    else if (reply->status == AQ_STORE_CONFLICT && reply->count > 0) {
-        mark_cancelled(request, reply->items[0].index);
-    }
-    else {
-        retry_cancel(request, reply);
-    }
-}
-
-static void
-try_cancel(void *context)
-{
-    Request *request = context;
-    AqStore *store = request->job_api->node->store;
-    AqStoreExpect expect = {key_of_job(request->pool, request->id), 0};
-    AqStorePut put = {key_of_cancel(request->pool, request->id), "1", 1, 0};
-    AqStoreCommit commit = {
-        .expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
-    request->attempts++;
-    store->ops->commit(store, &commit, on_cancelled_before_job, request);
-}
-
 /* ---- Waiting jobs ------------------------------------------------------- */
 
 static int64_t
@@ -509,7 +405,7 @@
     AqBuffer body;
     AqBuffer_Init(&body);
     AqPlatform_EncodeWaiting(find_waiting(report, request->queue), &body);
-    finish_request(request, 200, AqBuffer_Text(&body), "report");
+    job_api_finish(request, 200, AqBuffer_Text(&body), "report");
     AqBuffer_Clear(&body);
 }
 
@@ -525,20 +421,20 @@
 on_report(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
-    record_store_status(request, reply);
+    job_api_record_status(request, reply);
     if (reply->status == AQ_STORE_OK && reply->count == 1) {
         Report *report = calloc(1, sizeof(*report));
         report->text = strndup(reply->items[0].value, reply->items[0].size);
-        report->read_at = now_of(request->job_api);
+        report->read_at = job_api_now(request->job_api);
         g_hash_table_replace(request->job_api->reports,
                              g_strdup(request->pool), report);
         finish_waiting(request, report->text);
     }
     else if (reply->status == AQ_STORE_ABSENT) {
-        finish_request(request, 503, response_no_owner, "no_owner");
+        job_api_finish(request, 503, response_no_owner, "no_owner");
     }
     else {
-        forward_or_retry(request);
+        job_api_forward_or_retry(request);
     }
 }
 
@@ -551,7 +447,7 @@
         g_hash_table_lookup(request->job_api->reports, request->pool);
     request->attempts++;
     if (cached != NULL &&
-        now_of(request->job_api) - cached->read_at < REPORT_MAX_AGE_MS) {
+        job_api_now(request->job_api) - cached->read_at < REPORT_MAX_AGE_MS) {
         finish_waiting(request, cached->text);
         return;
     }
@@ -581,17 +477,18 @@
 
 static Request *
 new_request(JobApi *job_api, AqExchange *exchange, const AqQueueConfig *queue,
-            const char *id)
+            const AqWorkspaceConfig *workspace, const char *id)
 {
     Request *request = calloc(1, sizeof(*request));
     const char *text = AqExchange_Header(exchange, AqPlatform_DeadlineHeader);
     request->job_api = job_api;
     request->exchange = exchange;
-    request->arrived_at = now_of(job_api);
+    request->arrived_at = job_api_now(job_api);
     request->deadline = request->arrived_at + job_api_wait_ms(text);
     g_strlcpy(request->pool, queue->pool, sizeof(request->pool));
     g_strlcpy(request->queue, queue->name, sizeof(request->queue));
     g_strlcpy(request->id, id, sizeof(request->id));
+    request->workspace = workspace != NULL ? strdup(workspace->name) : NULL;
     AqBuffer_Init(&request->encoded_job);
     AqTimer_Init(&request->retry_timer, on_retry, request);
     return request;
@@ -610,10 +507,10 @@
         request->try(request);
     }
     else if (strcmp(method, "DELETE") == 0 && has_id) {
-        begin_write(request, try_cancel);
+        begin_write(request, job_api_try_cancel);
     }
     else {
-        finish_request(
+        job_api_finish(
             request, 405,
             "{\"error\":\"send POST, GET or DELETE with the id of a "
             "job\"}",
@@ -621,6 +518,39 @@
     }
 }
 
+/* Finds the workspace of the request's key, NULL if the queue needs no key.
+ * Returns false if the queue needs one and the request has none that the
+ * configuration in force lists. */
+static bool
+find_workspace(const JobApi *job_api, const AqExchange *exchange,
+               const AqQueueConfig *queue, const AqWorkspaceConfig **workspace)
+{
+    const AqSiteConfig *site = &job_api->node->site;
+    *workspace = NULL;
+    if (!site->has_workspaces || queue->is_public) {
+        return true;
+    }
+    *workspace = AqSiteConfig_FindKey(
+        site, AqExchange_Header(exchange, AqPlatform_KeyHeader));
+    return *workspace != NULL;
+}
+
+static void
+refuse_key(const JobApi *job_api, AqExchange *exchange,
+           const AqQueueConfig *queue, const char *id)
+{
+    bool has_key = AqExchange_Header(exchange, AqPlatform_KeyHeader) != NULL;
+    AqMetric_Add(job_api->node->metrics.keys_refused, 1);
+    AqLog_Event(AQ_LOG_INFO, "refused",
+                "request=%s queue=%s reason=%s method=%s config=%lld", id,
+                queue->name, has_key ? "unknown_key" : "no_key",
+                AqExchange_Method(exchange),
+                (long long)job_api->node->site.version);
+    respond_error(job_api, exchange, 401,
+                  "the queue needs a key of a workspace, and this one is in "
+                  "no configuration in force");
+}
+
 void
 job_api_handle(void *context, AqExchange *exchange)
 {
@@ -630,7 +560,7 @@
     if (!job_api->ops.is_current(job_api->context)) {
         ForwardOrder order = {.exchange = exchange,
                               .deadline =
-                                  now_of(job_api) + DEFAULT_DEADLINE_MS};
+                                  job_api_now(job_api) + DEFAULT_DEADLINE_MS};
         if (job_api->ops.forward(job_api->context, &order)) {
             return;
         }
@@ -663,7 +593,12 @@
                       "and the path");
         return;
     }
-    dispatch(new_request(job_api, exchange, queue, id));
+    const AqWorkspaceConfig *workspace;
+    if (!find_workspace(job_api, exchange, queue, &workspace)) {
+        refuse_key(job_api, exchange, queue, id);
+        return;
+    }
+    dispatch(new_request(job_api, exchange, queue, workspace, id));
 }
 
 JobApi *
--- /dev/null
+++ b/packages/pool/job_api_private.h
@@ -0,0 +1,62 @@
+#ifndef JOB_API_PRIVATE_H
+#define JOB_API_PRIVATE_H
+
+#include <glib.h>
+
+#include "job_api.h"
+
+/* Parts of the job API that its sources share:
+ * job_api.c         dispatch, submissions, states and waiting jobs
+ * job_api_cancel.c  cancellations */
+
+typedef struct Request Request;
+
+struct JobApi {
+    NodeContext *node;
+    JobApiOps ops;
+    void *context;
+    GHashTable *reports; /* pool name -> Report */
+};
+
+/* A request of a caller, from its arrival to its response. */
+struct Request {
+    JobApi *job_api;
+    AqExchange *exchange;
+    char pool[64];
+    char queue[128];
+    char id[AQ_JOB_ID_SIZE];
+    /* name of the workspace whose key the request has; NULL: the queue needs
+     * none; owned */
+    char *workspace;
+    AqTime deadline;
+    AqTime arrived_at;
+    AqTimer retry_timer;
+    void (*try)(void *request);
+    /* Submitted job, encoded; empty for other requests. */
+    AqBuffer encoded_job;
+    unsigned attempts;
+    /* A write to the store for this request got no clear reply. */
+    bool may_have_effect;
+};
+
+AqTime job_api_now(const JobApi *job_api);
+/* Responds to the caller and frees the request.  "reason" is for the log. */
+void job_api_finish(Request *request, int status, const char *body,
+                    const char *reason);
+/* Forwards the request to another node; otherwise ends it with status 503, or
+ * 504 if it may have had an effect. */
+void job_api_forward_or_finish(Request *request);
+/* Tries the request again on this node; otherwise ends it in the same way. */
+void job_api_retry_or_finish(Request *request);
+/* For reads, which have no effect, and for requests with a write that got no
+ * reply, whose outcome only another attempt can show: forwards the request to
+ * another node or, if that is not possible, retries it on this one. */
+void job_api_forward_or_retry(Request *request);
+/* Notes what a reply of the store tells of the store's health. */
+void job_api_record_status(const Request *request, const AqStoreReply *reply);
+
+/* ---- job_api_cancel.c */
+/* Starts an attempt of a cancellation. */
+void job_api_try_cancel(void *request);
+
+#endif
--- a/packages/pool/node.h
+++ b/packages/pool/node.h
@@ -46,6 +46,7 @@
     AqMetric *unknown;
     /* Number of pool owners' orders to VMs that got no reply or were not
      * sent. */
+    AqMetric *keys_refused; /* requests without a valid key */
     AqMetric *orders_failed;
     AqMetric *pools_gained;
     AqMetric *pools_lost;
--- a/packages/pool/node_metrics.c
+++ b/packages/pool/node_metrics.c
@@ -16,6 +16,8 @@
         AqMetrics_Counter(all, "aq_requests_total", "outcome=\"refused\"");
     metrics->unknown =
         AqMetrics_Counter(all, "aq_requests_total", "outcome=\"unknown\"");
+    metrics->keys_refused =
+        AqMetrics_Counter(all, "aq_keys_refused_total", "");
     metrics->orders_failed =
         AqMetrics_Counter(all, "aq_orders_unanswered_total", "");
     metrics->pools_gained =
--- a/packages/pool/tests/test_job_api.c
+++ b/packages/pool/tests/test_job_api.c
@@ -98,6 +98,7 @@
     metrics->stored = AqMetrics_Counter(metrics->all, "stored", "");
     metrics->refused = AqMetrics_Counter(metrics->all, "refused", "");
     metrics->unknown = AqMetrics_Counter(metrics->all, "unknown", "");
+    metrics->keys_refused = AqMetrics_Counter(metrics->all, "keys", "");
     fixture->job_api = job_api_create(&fixture->node, &ops, fixture);
     fixture->client = AqHttpClient_Create(fixture->node.loop, &error);
     fixture->server = AqHttpServer_Create(
@@ -105,9 +106,20 @@
     CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->server);
 }
 
+/* Frees the index of the site, whose other parts are static or of the
+ * fixture. */
+static void
+free_site_index(Fixture *fixture)
+{
+    AqSiteConfig site = {.index = fixture->node.site.index};
+    AqSiteConfig_Clear(&site);
+    fixture->node.site.index = NULL;
+}
+
 static void
 tear_down(Fixture *fixture)
 {
+    free_site_index(fixture);
     AqHttpClient_Close(fixture->client);
     AqHttpServer_Destroy(fixture->server);
     AqHttpClient_Destroy(fixture->client);
@@ -507,6 +519,122 @@
     }
 }
 
+/* ---- Keys of workspaces ------------------------------------------------- */
+
+enum {
+    WORKSPACES = 2
+};
+
+/* Replaces the site by one with two workspaces, whose names and keys are "a"
+ * and "b"; without keys if "are_withdrawn". */
+static void
+use_workspaces(Fixture *fixture, bool are_withdrawn)
+{
+    static char *keys[WORKSPACES] = {"a", "b"};
+    static AqWorkspaceConfig workspaces[WORKSPACES];
+    AqSiteConfig site = {.version = fixture->node.site.version + 1,
+                         .queues = &fixture->queue,
+                         .queue_count = 1,
+                         .has_workspaces = true,
+                         .workspaces = workspaces,
+                         .workspace_count = WORKSPACES};
+    for (size_t i = 0; i < WORKSPACES; i++) {
+        workspaces[i] = (AqWorkspaceConfig){
+            .name = keys[i], .keys = &keys[i], .key_count = !are_withdrawn};
+    }
+    free_site_index(fixture);
+    AqSiteConfig_Index(&site);
+    fixture->node.site = site;
+}
+
+/* Sends the request and executes store calls until the caller has its
+ * response; returns the response's status. */
+static int
+call(Fixture *fixture, const char *method, const char *key)
+{
+    unsigned response_count = fixture->response_count;
+    char header[64];
+    snprintf(header, sizeof(header), "%s: %s", AqPlatform_KeyHeader,
+             key != NULL ? key : "");
+    fixture->headers[0] = key != NULL ? header : NULL;
+    send_request(fixture, method);
+    while (fixture->response_count == response_count) {
+        run(fixture);
+        fake_store_reply_all(fixture->fake);
+    }
+    return fixture->status;
+}
+
+/* Guards against requests that run with an unknown, withdrawn or missing key,
+ * and against valid or public ones that are refused. */
+static void
+test_keys(void)
+{
+    static const struct {
+        const char *key;
+        bool has_workspaces;
+        bool is_public;
+        bool are_withdrawn;
+        int status;
+    } cases[] = {
+        {"a", true, false, false, 200},   {"b", true, false, false, 200},
+        {"ab", true, false, false, 401},  {"", true, false, false, 401},
+        {NULL, true, false, false, 401},  {"a", true, false, true, 401},
+        {NULL, true, true, false, 200},   {"ab", true, true, false, 200},
+        {NULL, false, false, false, 200}, {"ab", false, false, false, 200},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Fixture fixture;
+        set_up(&fixture);
+        fixture.queue.is_public = cases[i].is_public;
+        if (cases[i].has_workspaces) {
+            use_workspaces(&fixture, cases[i].are_withdrawn);
+        }
+        CU_ASSERT_EQUAL(call(&fixture, "POST", cases[i].key), cases[i].status);
+        CU_ASSERT_EQUAL(
+            fake_store_value(fixture.fake, key_of_job("p", "ab12")) != NULL,
+            cases[i].status == 200);
+        CU_ASSERT_EQUAL(call(&fixture, "GET", cases[i].key), cases[i].status);
+        CU_ASSERT_EQUAL(call(&fixture, "DELETE", cases[i].key),
+                        cases[i].status);
+        tear_down(&fixture);
+    }
+}
+
+/* Guards against a withdrawn key that still serves a caller whose connection
+ * was open before. */
+static void
+test_key_withdrawn_on_open_connection(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    use_workspaces(&fixture, false);
+    CU_ASSERT_EQUAL(call(&fixture, "POST", "a"), 200);
+    use_workspaces(&fixture, true);
+    CU_ASSERT_EQUAL(call(&fixture, "POST", "a"), 401);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "a"), 401);
+    use_workspaces(&fixture, false);
+    CU_ASSERT_EQUAL(call(&fixture, "GET", "a"), 200);
+    tear_down(&fixture);
+}
+
+/* Guards against a workspace that cancels the jobs of another. */
+static void
+test_cancel_by_other_workspace(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    use_workspaces(&fixture, false);
+    CU_ASSERT_EQUAL(call(&fixture, "POST", "a"), 200);
+    CU_ASSERT_EQUAL(call(&fixture, "DELETE", "b"), 410);
+    CU_ASSERT_PTR_NULL(
+        fake_store_value(fixture.fake, key_of_cancel("p", "ab12")));
+    CU_ASSERT_EQUAL(call(&fixture, "DELETE", "a"), 200);
+    CU_ASSERT_PTR_NOT_NULL(
+        fake_store_value(fixture.fake, key_of_cancel("p", "ab12")));
+    tear_down(&fixture);
+}
+
 int
 main(void)
 {
@@ -526,6 +654,10 @@
         {"status_after_forwarding", test_status_after_forwarding},
         {"no_refusal_beside_open_write", test_no_refusal_beside_open_write},
         {"older_peer_does_not_answer", test_older_peer_does_not_answer},
+        {"keys", test_keys},
+        {"key_withdrawn_on_open_connection",
+         test_key_withdrawn_on_open_connection},
+        {"cancel_by_other_workspace", test_cancel_by_other_workspace},
     };
     AqLog_Start("test", AQ_LOG_ERROR);
     CU_initialize_registry();
