--- a/packages/io/Include/aq_loop.h
+++ b/packages/io/Include/aq_loop.h
@@ -77,6 +77,12 @@
  * the time in which the process had to wait for a processor. */
 AqTime AqLoop_BusyTime(const AqLoop *loop);
 
+/* Returns the loop time at which the loop last went on after it had handled no
+ * event for longer than 1 s, for example since the process was suspended; 0:
+ * never.  What was known before that may be out of date, also if it comes from
+ * a message that is handled after it. */
+AqTime AqLoop_ResumedAt(const AqLoop *loop);
+
 /* Runs rounds until AqLoop_Stop is called. */
 void AqLoop_Run(AqLoop *loop);
 void AqLoop_Stop(AqLoop *loop);
--- a/packages/io/loop.c
+++ b/packages/io/loop.c
@@ -12,7 +12,8 @@
     MAX_ROUND_CALLBACKS = 8,
     MAX_WAIT_MS = 1000,
     /* A round whose callbacks take longer is logged. */
-    STALL_LOG_MS = 100
+    STALL_LOG_MS = 100,
+    PAUSE_MS = 1000 /* AqLoop_ResumedAt() */
 };
 
 struct AqWatch {
@@ -34,6 +35,7 @@
     bool running;
     AqTime longest_stall_ms;
     AqTime busy_ms;
+    AqTime resumed_at;
     int round_callback_count;
     struct {
         AqRoundFn fn; /* NULL: the entry is free */
@@ -345,12 +347,19 @@
     return loop->longest_stall_ms;
 }
 
+AqTime
+AqLoop_ResumedAt(const AqLoop *loop)
+{
+    return loop->resumed_at;
+}
+
 void
 AqLoop_RunOnce(AqLoop *loop, AqTime wait_ms)
 {
     const apr_pollfd_t *ready = NULL;
     apr_int32_t count = 0;
     RoundTimes times = {.round = read_time(loop)};
+    AqTime last = loop->now;
     AqTime due = next_due(loop, loop->now + wait_ms);
     times.poll = read_time(loop);
     AqTime wait = due - times.poll;
@@ -364,6 +373,11 @@
     }
     loop->now = read_time(loop);
     times.events = loop->now;
+    if (loop->now - last - wait > PAUSE_MS) {
+        loop->resumed_at = loop->now;
+        AqLog_Event(AQ_LOG_WARNING, "loop_paused", "took_ms=%lld",
+                    (long long)(loop->now - last - wait));
+    }
     if (status == APR_SUCCESS) {
         for (apr_int32_t i = 0; i < count; i++) {
             dispatch(ready[i].client_data, ready[i].rtnevents);
--- a/packages/io/tests/test_io.c
+++ b/packages/io/tests/test_io.c
@@ -472,11 +472,41 @@
     AqLoop_Destroy(loop);
 }
 
+static void
+pause_clock(void *context)
+{
+    AqClock_Advance(context, 2500);
+}
+
+/* Guards against a pause of the process that its loop does not notice, and
+ * against a long wait that counts as one. */
+static void
+test_pause(void)
+{
+    AqError error;
+    AqLoop *loop = AqLoop_Create(&error);
+    AqClock clock = {.now = 1000};
+    AqTimer timer;
+    AqLoop_SetClock(loop, &clock);
+    AqTimer_Init(&timer, pause_clock, &clock);
+    AqLoop_RunOnce(loop, 5000);
+    AqLoop_RunOnce(loop, 10);
+    CU_ASSERT_EQUAL(AqLoop_ResumedAt(loop), 0);
+    AqTimer_Start(loop, &timer, clock.now + 5);
+    AqLoop_RunOnce(loop, 10);
+    AqLoop_RunOnce(loop, 10);
+    CU_ASSERT_EQUAL(AqLoop_ResumedAt(loop), clock.now);
+    AqLoop_RunOnce(loop, 10);
+    CU_ASSERT_EQUAL(AqLoop_ResumedAt(loop), clock.now - 10);
+    AqLoop_Destroy(loop);
+}
+
 int
 main(void)
 {
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("io", NULL, NULL);
+    CU_ADD_TEST(suite, test_pause);
     CU_ADD_TEST(suite, test_close_at_each_stage);
     CU_ADD_TEST(suite, test_request_is_sent_once);
     CU_ADD_TEST(suite, test_refused_connection_is_not_sent);
--- a/packages/pool/node.c
+++ b/packages/pool/node.c
@@ -334,6 +334,10 @@
 on_round(void *context)
 {
     AqNode *node = context;
+    if (AqLoop_ResumedAt(node->context.loop) != node->refreshed_at) {
+        node->refreshed_at = AqLoop_ResumedAt(node->context.loop);
+        prefix_view_refresh(node->operator_view);
+    }
     release_removed_pools(node);
     carrier_duty_round(node->carriers, node->vms, owns_pool, node);
     AqTime due = AqLoop_Now(node->context.loop) + ROUND_INTERVAL_MS;
--- a/packages/pool/node_private.h
+++ b/packages/pool/node_private.h
@@ -28,6 +28,8 @@
     Forwarder *forwarder;
     Member *member;
     PrefixView *operator_view;
+    /* AqLoop_ResumedAt() when the view was last asked to refresh */
+    AqTime refreshed_at;
     VmDirectory *vms;               /* NULL until this node owns a pool */
     AqWorkerClient *direct_workers; /* calls VMs without a carrier */
     CarrierDuty *carriers;
--- a/packages/pool/node_servers.c
+++ b/packages/pool/node_servers.c
@@ -20,8 +20,13 @@
 {
     const AqNode *node = context;
     AqTime last_reply_at = prefix_view_last_reply_at(node->operator_view);
+    const AqLoop *loop = node->context.loop;
+    /* After a pause a reply of before it, which is read only now, shows
+     * nothing. */
     return node->context.site.version > 0 && last_reply_at != AQ_TIME_NEVER &&
-           AqLoop_Now(node->context.loop) - last_reply_at < CONFIG_MAX_AGE_MS;
+           AqLoop_Now(loop) - last_reply_at < CONFIG_MAX_AGE_MS &&
+           prefix_view_confirmed_at(node->operator_view) >=
+               AqLoop_ResumedAt(loop);
 }
 
 static bool
--- a/packages/pool/prefix_view.c
+++ b/packages/pool/prefix_view.c
@@ -47,6 +47,8 @@
     int in_flight;
     unsigned failures;
     AqTime last_reply_at;
+    AqTime listing_sent_at; /* of the first page of the listing */
+    AqTime confirmed_at;
 };
 
 static void start_call(PrefixView *view);
@@ -180,8 +182,17 @@
 typedef struct {
     PrefixView *view;
     uint64_t number;
+    AqTime sent_at;
 } WatchCall;
 
+static void
+note_confirmed(PrefixView *view, AqTime sent_at)
+{
+    if (sent_at > view->confirmed_at) {
+        view->confirmed_at = sent_at;
+    }
+}
+
 static void
 follow_changes(PrefixView *view, const AqStoreReply *reply)
 {
@@ -211,11 +222,13 @@
     WatchCall *call = context;
     PrefixView *view = call->view;
     bool is_last = call->number == view->last_watch;
+    AqTime sent_at = call->sent_at;
     free(call);
     if (!view->is_destroyed && reply->status == AQ_STORE_OK &&
         view->is_listed) {
         update_reachable(view, true, reply->status);
         apply_changes(view, reply);
+        note_confirmed(view, sent_at);
     }
     if (end_call(view) && is_last) {
         AqTimer_Stop(&view->silence_timer);
@@ -254,6 +267,7 @@
             g_hash_table_destroy(view->listing);
             view->listing = NULL;
             view->is_listed = true;
+            note_confirmed(view, view->listing_sent_at);
             if (view->ops.listed != NULL) {
                 view->ops.listed(view->context);
             }
@@ -275,16 +289,11 @@
 }
 
 static void
-start_watch(PrefixView *view)
+start_watch(PrefixView *view, AqTime wait)
 {
-    /* After a failure the store is to reply at once: the reply to a watch
-     * without a change would show only after its whole wait that the store
-     * serves this node again. */
-    AqTime wait = !view->is_reachable   ? 0
-                  : view->ops.is_prompt ? PROMPT_WAIT_MS
-                                        : WATCH_WAIT_MS;
     WatchCall *call = malloc(sizeof(*call));
     call->view = view;
+    call->sent_at = AqLoop_Now(view->loop);
     call->number = ++view->last_watch;
     if (view->ops.is_prompt) {
         AqTimer_Start(view->loop, &view->silence_timer,
@@ -299,10 +308,16 @@
 {
     view->in_flight++;
     if (view->is_listed) {
-        start_watch(view);
+        /* After a failure the store is to reply at once: the reply to a watch
+         * without a change would show only after its whole wait that the store
+         * serves this node again. */
+        start_watch(view, !view->is_reachable   ? 0
+                          : view->ops.is_prompt ? PROMPT_WAIT_MS
+                                                : WATCH_WAIT_MS);
         return;
     }
     if (view->listing == NULL) {
+        view->listing_sent_at = AqLoop_Now(view->loop);
         view->listing =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         free(view->last_listed_key);
@@ -373,6 +388,21 @@
     return view->last_reply_at;
 }
 
+AqTime
+prefix_view_confirmed_at(const PrefixView *view)
+{
+    return view->confirmed_at;
+}
+
+void
+prefix_view_refresh(PrefixView *view)
+{
+    if (view->is_listed) {
+        view->in_flight++;
+        start_watch(view, 0);
+    }
+}
+
 bool
 prefix_view_is_listed(const PrefixView *view)
 {
--- a/packages/pool/prefix_view.h
+++ b/packages/pool/prefix_view.h
@@ -39,6 +39,12 @@
 /* Returns the loop time of the store's last successful reply to the view;
  * AQ_TIME_NEVER if there was none. */
 AqTime prefix_view_last_reply_at(const PrefixView *view);
+/* Returns the loop time at which the last call was sent to which the store has
+ * replied: the view holds all changes of before; 0: not known. */
+AqTime prefix_view_confirmed_at(const PrefixView *view);
+/* Asks the store at once for changes, beside the watch under way; no effect
+ * while a listing is. */
+void prefix_view_refresh(PrefixView *view);
 /* Returns whether all keys under the prefix have been listed and all changes
  * since can still be watched. */
 bool prefix_view_is_listed(const PrefixView *view);
