--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -250,6 +250,7 @@
             occurrence->steps_left--;
         }
     }
+    job->open_occurrences -= occurrence->steps_left == 0;
     return true;
 }
 
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -11,7 +11,10 @@
     MAX_TICK_INTERVAL_MS = 100,
     /* The duration of a finished task has the weight 1 / DURATION_MEAN_DIVISOR
      * in the moving averages of durations. */
-    DURATION_MEAN_DIVISOR = 32
+    DURATION_MEAN_DIVISOR = 32,
+    /* Most occurrences of a job that are open at a time.  Occurrences that are
+     * due every few seconds overlap in far smaller numbers. */
+    MAX_OPEN_OCCURRENCES = 64
 };
 
 /* ---- Jobs --------------------------------------------------------------- */
@@ -106,6 +109,7 @@
         }
     }
     AqList_Append(&job->occurrences, &occurrence->link);
+    job->open_occurrences++;
     return occurrence;
 }
 
@@ -187,16 +191,42 @@
     }
 }
 
+/* Returns how many of the job's occurrences may be open at a time.  All of
+ * them are due at once if the first due time lies far back. */
+static uint32_t
+max_open_occurrences(const Job *job)
+{
+    uint32_t tasks = 0;
+    for (size_t i = 0; i < job->spec.step_count; i++) {
+        tasks += job->spec.steps[i].task_count;
+    }
+    uint32_t most = tasks > 0 ? AQ_JOB_MAX_TASKS / tasks : 1;
+    most = most > 0 ? most : 1;
+    return most < MAX_OPEN_OCCURRENCES ? most : MAX_OPEN_OCCURRENCES;
+}
+
+/* Returns the due time of the job's next occurrence, Unix ms; INT64_MAX for
+ * one beyond the range of the type. */
+static int64_t
+next_due_time(const Job *job)
+{
+    int64_t passed;
+    int64_t due;
+    if (__builtin_mul_overflow((int64_t)job->next_occurrence,
+                               job->spec.interval_ms, &passed) ||
+        __builtin_add_overflow(job->spec.first_due_ms, passed, &due)) {
+        return INT64_MAX;
+    }
+    return due;
+}
+
 static void
 add_due_occurrences(AqScheduler *s, Job *job)
 {
     uint32_t most = job->spec.occurrences > 0 ? job->spec.occurrences : 1;
-    while (job->next_occurrence < most) {
-        int64_t due = job->spec.first_due_ms +
-                      (int64_t)job->next_occurrence * job->spec.interval_ms;
-        if (due > s->wall) {
-            return;
-        }
+    uint32_t max_open = max_open_occurrences(job);
+    while (job->next_occurrence < most && job->open_occurrences < max_open &&
+           next_due_time(job) <= s->wall) {
         scheduler_unlock(
             s, scheduler_add_occurrence(s, job, job->next_occurrence));
         job->next_occurrence++;
@@ -392,6 +422,7 @@
     occurrence->steps_left--;
     scheduler_unlock(s, occurrence);
     if (occurrence->steps_left == 0) {
+        occurrence->job->open_occurrences--;
         finish_if_done(s, occurrence->job);
     }
 }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -263,6 +263,8 @@
      * save; 0: no such change */
     uint64_t dirty_seq;
     AqLink occurrences; /* list of Occurrence; owned */
+    /* number of these that have steps that are not done */
+    uint32_t open_occurrences;
     /* number that the next occurrence added to "occurrences" of this job gets;
      * 0 before the first */
     uint32_t next_occurrence;
