--- a/packages/scheduler/load.c
+++ b/packages/scheduler/load.c
@@ -13,12 +13,18 @@
 static const double offered_decay_ms = 1000.0;
 static const double offered_long_decay_ms = 2000.0;
 
-static void
-decay_offered_work(AqScheduler *s)
+void
+load_decay(AqScheduler *s)
 {
     double passed = (double)(s->now - s->offered_at);
     if (passed > 0) {
-        s->offered_work *= exp(-passed / offered_decay_ms);
+        double factor = exp(-passed / offered_decay_ms);
+        s->offered_work *= factor;
+        for (size_t i = 0; i < AQ_LOAD_PRIORITIES; i++) {
+            for (size_t j = 0; j < AQ_LOAD_CLASSES; j++) {
+                s->offered_by_class[i][j] *= factor;
+            }
+        }
         s->offered_work_long *= exp(-passed / offered_long_decay_ms);
         s->offered_at = s->now;
     }
@@ -41,7 +47,8 @@
 void
 load_add_job(AqScheduler *s, const AqJobSpec *spec)
 {
-    decay_offered_work(s);
+    double sum = 0;
+    load_decay(s);
     for (size_t i = 0; i < spec->step_count; i++) {
         const AqStepSpec *step = &spec->steps[i];
         if (!step->is_perpetual && spec->occurrences == 0) {
@@ -49,8 +56,14 @@
                           1000.0 * (double)scheduler_estimate(s, step);
             s->offered_work += work;
             s->offered_work_long += work;
+            sum += work;
         }
     }
+    const AqQueueConfig *queue = AqSiteConfig_FindQueue(s->site, spec->queue);
+    size_t priority = AqLoadView_Priority(queue != NULL ? queue->priority : 0);
+    size_t class =
+        AqLoadView_Class(sum < INT64_MAX ? (int64_t)sum : INT64_MAX);
+    s->offered_by_class[priority][class] += sum;
 }
 
 static void
@@ -84,7 +97,7 @@
 {
     memset(load, 0, sizeof(*load));
     s->now = now;
-    decay_offered_work(s);
+    load_decay(s);
     load->offered_cpu_millis = (int64_t)(forecast_offered_cores(s) * 1000.0);
     load->is_recovered = s->is_recovered;
     load->starts_in_flight = s->start_window.in_flight;
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -557,6 +557,7 @@
     s->actions = *actions;
     s->context = context;
     s->created_at = now;
+    s->sufficient_at = now;
     s->confirmed_at = now;
     s->awaited_vm_ended_at = now;
     s->now = now;
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "aq_list.h"
+#include "aq_load_view.h"
 #include "aq_scheduler.h"
 #include "start_window.h"
 
@@ -554,6 +555,12 @@
     /* when offered_work and offered_work_long were last reduced for the time
      * that had passed */
     AqTime offered_at;
+    /* Core-milliseconds of the submitted jobs by priority and class, as in
+     * AqLoadView.offered; the sums shrink as offered_work does. */
+    double offered_by_class[AQ_LOAD_PRIORITIES][AQ_LOAD_CLASSES];
+    /* when a load view last showed that the submissions needed no more CPU
+     * than the pool has */
+    AqTime sufficient_at;
     /* Moving averages over finished tasks: the declared and the actual
      * duration of a task. */
     double mean_declared_ms;
@@ -687,6 +694,8 @@
                                      const AqOrderReply *reply, bool is_list);
 
 /* ---- load.c */
+/* Brings the sums of offered work up to the present time. */
+void load_decay(AqScheduler *s);
 /* Adds the work of a new job to the offered load. */
 void load_add_job(AqScheduler *s, const AqJobSpec *spec);
 
