--- a/packages/pool/caller_responses.c
+++ b/packages/pool/caller_responses.c
@@ -11,6 +11,8 @@
     "{\"error\":\"the store can't be reached; come back later\"}";
 const char response_unknown[] =
     "{\"error\":\"the outcome is not known; ask again with the same id\"}";
+const char response_overload[] =
+    "{\"error\":\"the job can't be completed in time; come back later\"}";
 
 static bool
 is_submission(const AqExchange *exchange)
@@ -50,7 +52,7 @@
 
 void
 respond_json(NodeContext *node, AqExchange *exchange, int status,
-             const char *body, size_t size)
+             const char *body, size_t size, int retry_after_s)
 {
     char seconds[16];
     AqHttpHeader headers[] = {{"Content-Type", "application/json"},
@@ -65,8 +67,11 @@
         AqTime now = AqLoop_Now(node->loop);
         /* The path names the job, which a retry has in common. */
         uint64_t caller = AqHash_String(AqExchange_Path(exchange));
-        snprintf(seconds, sizeof(seconds), "%d",
-                 store_health_retry_after_s(&node->store_health, now, caller));
+        if (retry_after_s == 0) {
+            retry_after_s =
+                store_health_retry_after_s(&node->store_health, now, caller);
+        }
+        snprintf(seconds, sizeof(seconds), "%d", retry_after_s);
         AqLog_Event(AQ_LOG_INFO, "caller_refused",
                     "path=%s status=%d retry_after_s=%s store_failures=%u",
                     AqLog_Quote(AqExchange_Path(exchange)), status, seconds,
--- a/packages/pool/caller_responses.h
+++ b/packages/pool/caller_responses.h
@@ -13,6 +13,7 @@
  * unknown). */
 extern const char response_unavailable[];
 extern const char response_unknown[];
+extern const char response_overload[]; /* status 429 */
 
 typedef struct {
     int status;
@@ -27,9 +28,10 @@
 void correct_refusal(NodeContext *node, const AqExchange *exchange,
                      CallerResponse *response);
 
-/* Sends a JSON response; statuses 429 and 503 get a Retry-After header, whose
- * time depends on how long the store has not served this node. */
+/* Sends a JSON response; statuses 429 and 503 get a Retry-After header of
+ * retry_after_s or, if that is 0, of a time that depends on how long the store
+ * has not served this node. */
 void respond_json(NodeContext *node, AqExchange *exchange, int status,
-                  const char *body, size_t size);
+                  const char *body, size_t size, int retry_after_s);
 
 #endif
--- a/packages/pool/forwarder.c
+++ b/packages/pool/forwarder.c
@@ -64,7 +64,7 @@
                 (long long)(AqLoop_Now(forward->forwarder->node->loop) -
                             forward->sent_at));
     respond_json(forward->forwarder->node, forward->order.exchange,
-                 response.status, response.body, response.size);
+                 response.status, response.body, response.size, 0);
 }
 
 int
--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -55,7 +55,7 @@
     CallerResponse response = {status, body, strlen(body)};
     correct_refusal(job_api->node, exchange, &response);
     respond_json(job_api->node, exchange, response.status, response.body,
-                 response.size);
+                 response.size, 0);
 }
 
 static void
@@ -72,6 +72,9 @@
     if (status == 200 && is_submission) {
         AqMetric_Add(metrics->stored, 1);
     }
+    else if (status == 429) {
+        AqMetric_Add(metrics->refused_load, 1);
+    }
     else if (status == 503) {
         AqMetric_Add(metrics->refused, 1);
     }
@@ -105,7 +108,7 @@
         (long long)request->job_api->node->site.version);
     count_response(request, response.status);
     respond_json(request->job_api->node, request->exchange, response.status,
-                 response.body, response.size);
+                 response.body, response.size, request->retry_after_s);
     free_request(request);
 }
 
@@ -279,6 +282,12 @@
     store->ops->commit(store, &commit, on_submitted, request);
 }
 
+void
+job_api_store(Request *request)
+{
+    begin_write(request, try_submit);
+}
+
 static void
 submit(Request *request)
 {
@@ -305,8 +314,8 @@
         return;
     }
     AqJobSpec_Encode(&spec, &request->encoded_job);
+    job_api_admit(request, &spec);
     AqJobSpec_Clear(&spec);
-    begin_write(request, try_submit);
 }
 
 /* ---- State -------------------------------------------------------------- */
@@ -608,6 +617,7 @@
     job_api->node = node;
     job_api->ops = *ops;
     job_api->context = context;
+    job_api->load_views = load_views_create(node);
     job_api->reports =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_report);
     return job_api;
@@ -618,6 +628,7 @@
 {
     if (job_api != NULL) {
         g_hash_table_destroy(job_api->reports);
+        load_views_drop(job_api->load_views);
         free(job_api);
     }
 }
--- a/packages/pool/job_api_private.h
+++ b/packages/pool/job_api_private.h
@@ -4,9 +4,11 @@
 #include <glib.h>
 
 #include "job_api.h"
+#include "load_views.h"
 
 /* Parts of the job API that its sources share:
  * job_api.c         dispatch, submissions, states and waiting jobs
+ * job_api_admission.c  submissions to overloaded pools
  * job_api_cancel.c  cancellations */
 
 typedef struct Request Request;
@@ -16,6 +18,7 @@
     JobApiOps ops;
     void *context;
     GHashTable *reports; /* pool name -> Report */
+    LoadViews *load_views;
 };
 
 /* A request of a caller, from its arrival to its response. */
@@ -35,6 +38,9 @@
     /* Submitted job, encoded; empty for other requests. */
     AqBuffer encoded_job;
     unsigned attempts;
+    /* value of the Retry-After header of a refusal, s; 0: it follows from the
+     * store's health */
+    int retry_after_s;
     /* A write to the store for this request got no clear reply. */
     bool may_have_effect;
 };
@@ -55,6 +61,15 @@
 /* Notes what a reply of the store tells of the store's health. */
 void job_api_record_status(const Request *request, const AqStoreReply *reply);
 
+/* Starts the first attempt to store a submission. */
+void job_api_store(Request *request);
+
+/* ---- job_api_admission.c */
+/* Refuses a submission that an overloaded pool can't complete while its result
+ * has value, unless the job may be stored already; otherwise calls
+ * job_api_store(), perhaps later. */
+void job_api_admit(Request *request, const AqJobSpec *spec);
+
 /* ---- job_api_cancel.c */
 /* Starts an attempt of a cancellation. */
 void job_api_try_cancel(void *request);
--- a/packages/pool/node.h
+++ b/packages/pool/node.h
@@ -42,6 +42,8 @@
     AqMetric *stored;
     /* Number of callers' requests with status 503: nothing was done. */
     AqMetric *refused;
+    /* Number of submissions with status 429: the pool is overloaded. */
+    AqMetric *refused_load;
     /* Number of callers' requests with status 504: outcome unknown. */
     AqMetric *unknown;
     /* Number of pool owners' orders to VMs that got no reply or were not
--- a/packages/pool/node_metrics.c
+++ b/packages/pool/node_metrics.c
@@ -14,6 +14,8 @@
         AqMetrics_Counter(all, "aq_requests_total", "outcome=\"stored\"");
     metrics->refused =
         AqMetrics_Counter(all, "aq_requests_total", "outcome=\"refused\"");
+    metrics->refused_load = AqMetrics_Counter(all, "aq_requests_total",
+                                              "outcome=\"refused_load\"");
     metrics->unknown =
         AqMetrics_Counter(all, "aq_requests_total", "outcome=\"unknown\"");
     metrics->keys_refused =
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "aq_load_view.h"
 #include "aq_log.h"
 #include "pool_owner_private.h"
 #include "store_keys.h"
@@ -364,6 +365,17 @@
     }
 }
 
+/* Appends the pool's load to its report in a lasting overload. */
+static void
+append_load(PoolOwner *owner, AqBuffer *text)
+{
+    AqLoadView view;
+    if (AqScheduler_GetLoadView(owner->scheduler, owner->arriving_cpu_millis,
+                                AqClock_ReadWall(), &view)) {
+        AqLoadView_Encode(&view, text);
+    }
+}
+
 static void
 write_report(PoolOwner *owner)
 {
@@ -381,6 +393,7 @@
                                                      site->queues[i].name));
         }
     }
+    append_load(owner, &text);
     if (owner->last_report == NULL ||
         strcmp(owner->last_report, AqBuffer_Text(&text)) != 0) {
         free(owner->last_report);
@@ -636,6 +649,12 @@
     AqScheduler_VmUnlisted(owner->scheduler, vm, pool_owner_now(owner));
 }
 
+void
+pool_owner_set_arriving(PoolOwner *owner, int64_t cpu_millis)
+{
+    owner->arriving_cpu_millis = cpu_millis;
+}
+
 bool
 pool_owner_is_done(const PoolOwner *owner)
 {
--- a/packages/pool/pool_owner.h
+++ b/packages/pool/pool_owner.h
@@ -42,6 +42,10 @@
 void pool_owner_set_vm(PoolOwner *owner, const AqVmReport *report);
 void pool_owner_vm_unlisted(PoolOwner *owner, const char *vm);
 
+/* Records the CPU of the VMs that are on their way to the pool, in thousandths
+ * of a core. */
+void pool_owner_set_arriving(PoolOwner *owner, int64_t cpu_millis);
+
 /* Returns whether all jobs of the pool are known to be finished and stored, so
  * that a pool that is no longer configured can be released. */
 bool pool_owner_is_done(const PoolOwner *owner);
--- a/packages/pool/pool_owner_private.h
+++ b/packages/pool/pool_owner_private.h
@@ -52,6 +52,9 @@
      * NULL: none. */
     char *last_report;
     AqTime report_due;
+    /* CPU of the VMs that are on their way to the pool, in thousandths of a
+     * core. */
+    int64_t arriving_cpu_millis;
     AqTime wait_log_due; /* earliest time of the next starts_wait line */
     /* Callback of pool_owner_finish(), its argument, and the time at which it
      * is called at the latest; finish_done is NULL before pool_owner_finish()
--- a/packages/pool/pool_sizing.c
+++ b/packages/pool/pool_sizing.c
@@ -241,6 +241,8 @@
         input.perpetual_vms += vm->perpetual > 0;
         idle += vm->tasks == 0;
     }
+    pool_owner_set_arriving(self->owner,
+                            (int64_t)input.pending_vms * input.vm_cpu_millis);
     AqSizing_Decide(&input, &decision);
     log_load(self, &input, &decision, &load, idle);
     if (decision.acquire_vms > 0) {
