--- a/packages/scheduler/load_view.c
+++ b/packages/scheduler/load_view.c
@@ -23,12 +23,12 @@
 size_t
 AqLoadView_Class(int64_t work)
 {
-    size_t class = 0;
+    size_t number = 0;
     for (int64_t limit = SMALLEST_CLASS_WORK;
-         work > limit && class < AQ_LOAD_CLASSES - 1; limit *= 2) {
-        class ++;
+         work > limit && number < AQ_LOAD_CLASSES - 1; limit *= 2) {
+        number++;
     }
-    return class;
+    return number;
 }
 
 int64_t
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -11,6 +11,7 @@
 /* Types and functions shared by the sources of the scheduler:
  * scheduler.c   jobs, steps and the tick
  * load.c        the reported load
+ * load_view.c   what the owner publishes of a lasting overload
  * scheduler_check.c  whether counts agree with the tasks
  * vms.c         state of each VM, the VM's lease, and VMs that do not reply
  * vm_control.c  cordons, and the owner's view of VMs
