--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -23,6 +23,11 @@
  * GIVE_UP_EARLY_CRASHES of which one is the task's own, or after
  * GIVE_UP_CRASHES of any kind if the task is not perpetual.
  *
+ * While both suspects and other tasks wait, the trials of suspects are bounded
+ * to a part of the VMs, where nothing else starts, and the other tasks have
+ * the rest.  Without that bound the suspects of a few crashes under a full
+ * load take each VM for EARLY_MS, one after another.
+ *
  * The crashes are part of the job's stored record.  Those of a perpetual task
  * are forgotten once a run of it has lasted for SURVIVAL_MS, since it meets
  * unrelated crashes sooner or later, and to give it up stops all tasks of its
@@ -42,6 +47,14 @@
     RECENT_CRASH_MS = 20000,
     /* Longest wait of a suspect for a VM without young runs. */
     QUIET_VM_WAIT_MS = 1000,
+    /* One of so many usable VMs is for trials while other tasks wait. */
+    VMS_PER_TRIAL_VM = 4,
+    /* A task counts as waiting for this long after a placement found no VM for
+     * it, so that the bound outlasts the gap between two tasks. */
+    WAIT_MEMORY_MS = 1000,
+    /* A suspect that has waited for longer may start on any VM, since those
+     * for trials may lack what it needs. */
+    TRIAL_WAIT_MS = 10000,
     /* Addends of placement_cost(), thousandths of a core, of a suspect for
      * each suspect and for each task on the VM; the first is above the cost of
      * another rack. */
@@ -64,6 +77,7 @@
         task->crashes = g_array_new(FALSE, FALSE, sizeof(Crash));
     }
     g_array_append_vals(task->crashes, crash, 1);
+    task->step->has_crashes = true;
 }
 
 void
@@ -286,10 +300,82 @@
     return false;
 }
 
+void
+crashes_note_wait(AqScheduler *s, const Task *task)
+{
+    AqTime until = s->now + WAIT_MEMORY_MS;
+    if (crashes_is_suspect(task)) {
+        s->suspects_wait_until = until;
+    }
+    else {
+        s->others_wait_until = until;
+    }
+}
+
+/* Returns the usable VM that can begin a trial soonest; NULL: all are chosen
+ * already. */
+static Vm *
+find_trial_vm(const AqScheduler *s)
+{
+    Vm *best = NULL;
+    unsigned best_young = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        Vm *vm = AqList_Entry(at, Vm, link);
+        if (vm->is_for_trials || !vms_is_usable(s, vm)) {
+            continue;
+        }
+        /* A VM with a young suspect is closed to other tasks anyway. */
+        unsigned young = has_young_suspect(vm) ? 0 : crashes_count_young(vm);
+        if (best == NULL || young < best_young ||
+            (young == best_young && vm->task_count < best->task_count)) {
+            best = vm;
+            best_young = young;
+        }
+    }
+    return best;
+}
+
+void
+crashes_choose_trial_vms(AqScheduler *s)
+{
+    bool is_bounded =
+        s->suspects_wait_until > s->now && s->others_wait_until > s->now;
+    size_t usable = 0;
+    s->trial_vm_count = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        Vm *vm = AqList_Entry(at, Vm, link);
+        bool is_usable = vms_is_usable(s, vm);
+        usable += is_usable;
+        vm->is_for_trials = vm->is_for_trials && is_bounded && is_usable;
+        s->trial_vm_count += vm->is_for_trials;
+    }
+    /* The only VM serves all tasks in turn. */
+    size_t wanted = usable < 2 ? 0 : (usable - 1) / VMS_PER_TRIAL_VM + 1;
+    while (is_bounded && s->trial_vm_count < wanted) {
+        find_trial_vm(s)->is_for_trials = true;
+        s->trial_vm_count++;
+    }
+}
+
+/* Whether the task is a suspect that may only use VMs for trials.  Gangs need
+ * several VMs at once, and perpetual tasks must not be away for long. */
+static bool
+is_bound_to_trials(const AqScheduler *s, const Task *task)
+{
+    const AqStepSpec *spec = task->step->spec;
+    return s->trial_vm_count > 0 && crashes_is_suspect(task) &&
+           !spec->is_gang && !spec->is_perpetual &&
+           s->now - task->ready_at < TRIAL_WAIT_MS;
+}
+
 bool
 crashes_allow_vm(const AqScheduler *s, const Vm *vm, const Task *task)
 {
-    if (has_young_suspect(vm)) {
+    bool is_kept_free = vm->is_for_trials && !crashes_is_suspect(task);
+    if (has_young_suspect(vm) || is_kept_free ||
+        (!vm->is_for_trials && is_bound_to_trials(s, task))) {
         return false;
     }
     return !crashes_is_suspect(task) ||
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -329,15 +329,18 @@
      * only those with a reservation are tried after that. */
     bool is_full = false;
     if (!step->spec->is_filler && !step->spec->is_perpetual &&
+        !step->has_crashes &&
         step->spec->cpu_millis > s->largest_free_cpu_millis) {
         /* no usable VM has enough free CPU for a task of the step; checked
          * before the single VMs to save time, since many jobs wait in a full
          * pool */
+        crashes_note_wait(s, &step->tasks[0]);
         return;
     }
     for (uint32_t i = 0; i < step->spec->task_count && step->ready > 0; i++) {
         Task *task = &step->tasks[i];
-        if (!is_startable(s, task) || (is_full && task->reserved_vm == NULL)) {
+        if (!is_startable(s, task) || (is_full && task->reserved_vm == NULL &&
+                                       !crashes_is_suspect(task))) {
             continue;
         }
         if (!start_window_is_open(&s->start_window)) {
@@ -345,6 +348,7 @@
         }
         Vm *vm = choose_vm_for_run(s, task);
         if (vm == NULL) {
+            crashes_note_wait(s, task);
             is_full = is_full || !crashes_is_suspect(task);
             continue;
         }
@@ -476,6 +480,7 @@
     }
     s->earliest_placement_at = s->now + MIN_PLACEMENT_GAP_MS;
     update_largest_free(s);
+    crashes_choose_trial_vms(s);
     size_t count = 0;
     Job **jobs = malloc((AqList_Length(&s->active) + 1) * sizeof(Job *));
     AqList_ForEach(at, &s->active)
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -228,6 +228,8 @@
     uint32_t done;
     /* number of the step's tasks in state TASK_READY */
     uint32_t ready;
+    /* a VM has crashed under one of the step's tasks */
+    bool has_crashes;
     /* array of Ticket (the advice service's permissions to start tasks of the
      * step, each on one VM until it expires), or NULL; owned */
     GArray *tickets;
@@ -339,6 +341,8 @@
     size_t task_count;
     /* number of "tasks" that were suspects when they came */
     size_t suspect_count;
+    /* only suspects start on the VM, while they and other tasks wait */
+    bool is_for_trials;
     /* list of Task: the tasks for whose next run the VM holds room */
     AqLink reservations;
     /* AqVmReport.born_ms of the current incarnation, the latest that is known
@@ -543,6 +547,11 @@
     /* most free CPU on one usable VM, in thousandths of a core; valid only
      * while tasks are placed */
     int64_t largest_free_cpu_millis;
+    /* until when suspects, and tasks that are none, count as waiting */
+    AqTime suspects_wait_until;
+    AqTime others_wait_until;
+    /* number of VMs with is_for_trials */
+    size_t trial_vm_count;
     /* Core-milliseconds that the submitted jobs need: cores times expected
      * duration, summed over the tasks.  Perpetual tasks and recurring jobs do
      * not count.  The sum shrinks exponentially with the time constant
@@ -740,6 +749,10 @@
 bool crashes_store_start(AqScheduler *s, Task *task);
 /* Whether the task may share the VM with what runs there. */
 bool crashes_allow_vm(const AqScheduler *s, const Vm *vm, const Task *task);
+/* Records that the ready task found no VM. */
+void crashes_note_wait(AqScheduler *s, const Task *task);
+/* Chooses the VMs that only suspects may use in this placement. */
+void crashes_choose_trial_vms(AqScheduler *s);
 /* Addend of the cost of running the task on the VM, thousandths of a core. */
 int64_t crashes_placement_cost(const Vm *vm, const Task *task);
 /* Counts the task among the suspects of its VM, or no longer. */
--- a/packages/scheduler/tests/test_crashing_task.c
+++ b/packages/scheduler/tests/test_crashing_task.c
@@ -11,6 +11,10 @@
     SEEDS = 20,
     DOWN_MS = 3000,
     RUN_MS = 800,
+    CRASHING_JOBS = 5,
+    /* 10 s of work for half of the pool */
+    BACKLOG_TASKS = 800,
+    BACKLOG_LIMIT_MS = 10000 + 2 * DOWN_MS,
     RACK_CRASHES = SIM_CRASHES_PER_TASK + SIM_STARTS_AFTER_CRASHES - 1
 };
 
@@ -283,6 +287,48 @@
     run_crashing(&step);
 }
 
+/* Makes one VM after another crash under a full load of young runs, so that
+ * many tasks are suspects, while a backlog of a job that nobody suspects
+ * waits. */
+static Sim *
+create_suspects(uint64_t seed)
+{
+    static const AqStepSpec step = {.task_count = 1};
+    Sim *sim = sim_create(seed);
+    char id[16];
+    for (unsigned i = 0; i < CRASHING_JOBS; i++) {
+        snprintf(id, sizeof(id), "a%u", i);
+        add_job(sim, id, &step);
+        sim_crash_vms_of(sim, id, DOWN_MS);
+        snprintf(id, sizeof(id), "c%u", i);
+        sim_add_chain(sim, id, 1, 60, 250, RUN_MS);
+        sim_run(sim, 50);
+    }
+    sim_add_chain(sim, "b1", 1, BACKLOG_TASKS, 1000, RUN_MS);
+    return sim;
+}
+
+/* Guards against jobs that nobody suspects and that wait while the trials of
+ * suspects take each VM of the pool, most of which is free (LOST), and against
+ * suspects that wait without end behind them. */
+static void
+test_trials_leave_room(void)
+{
+    Sim *sim = create_suspects(1);
+    sim_run(sim, BACKLOG_LIMIT_MS);
+    CU_ASSERT_EQUAL(sim_stage(sim, "b1"), AQ_STAGE_COMPLETED);
+    CU_ASSERT_TRUE(sim_run_until_finished(sim, 20000));
+    for (unsigned i = 0; i < CRASHING_JOBS; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "a%u", i);
+        CU_ASSERT_EQUAL(sim_stage(sim, id), AQ_STAGE_FAILED);
+        snprintf(id, sizeof(id), "c%u", i);
+        CU_ASSERT_EQUAL(sim_stage(sim, id), AQ_STAGE_COMPLETED);
+    }
+    sim_expect_no_violation(sim, 1);
+    sim_destroy(sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -303,6 +349,7 @@
         {"task_with_late_crash_is_not_copied",
          test_task_with_late_crash_is_not_copied},
         {"ended_vm_is_no_crash", test_ended_vm_is_no_crash},
+        {"trials_leave_room", test_trials_leave_room},
     };
     return sim_run_cases("crashing_task", cases,
                          sizeof(cases) / sizeof(cases[0]), argc, argv);
