--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -11,8 +11,8 @@
  * Each run that was alive on the VM may have caused the crash.  A task that
  * crashes VMs does so mostly at its start; other crashes come at any time and
  * often to a whole rack.  A crash is therefore
- * - early, if no list of the VM has shown the run alive for EARLY_MS, unless
- *   most of the rack's VMs went at the same time;
+ * - early, if the VM has confirmed the run's start but no list has shown it
+ *   alive for EARLY_MS, unless most of the rack's VMs went at the same time;
  * - the run's own, if it is early and no other run on the VM was as young.
  *
  * A task with an early crash is a suspect.  It starts on a VM without young
@@ -160,7 +160,8 @@
 CrashKind
 crashes_kind(const Task *task, unsigned young_count)
 {
-    if (!is_young(task)) {
+    if (!is_young(task) || task->state == TASK_STARTING) {
+        /* A start order without an answer may never have reached the VM. */
         return CRASH_LATE;
     }
     return young_count > 1 ? CRASH_EARLY : CRASH_OWN;
--- a/packages/scheduler/tests/test_crashing_task.c
+++ b/packages/scheduler/tests/test_crashing_task.c
@@ -329,6 +329,31 @@
     sim_destroy(sim);
 }
 
+/* Guards against a job that is given up after one crash (LOST): a start order
+ * that a VM which was down already had not answered counted as another. */
+static void
+test_unanswered_start_is_no_proof(void)
+{
+    static const AqStepSpec step = {.task_count = 1};
+    Sim *sim = sim_create(1);
+    sim_run(sim, 500);
+    sim_crash_vm_for(sim, 0, DOWN_MS); /* the one that the job goes to */
+    add_job(sim, "a1", &step);
+    while (sim_count_starts(sim, "a1") < 1 && sim_now(sim) < 20000) {
+        sim_run(sim, 10);
+    }
+    const AqSchedulerCounters *counters =
+        AqScheduler_Counters(sim_scheduler(sim));
+    CU_ASSERT_EQUAL(counters->crashed_runs, 1);
+    sim_run(sim, 50);
+    sim_crash_vm_for(sim, sim_find_run(sim, "a1"), DOWN_MS);
+    CU_ASSERT_TRUE(sim_run_until_finished(sim, 20000));
+    CU_ASSERT_EQUAL(counters->crashed_runs, 2);
+    CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_COMPLETED);
+    sim_expect_no_violation(sim, 1);
+    sim_destroy(sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -350,6 +375,7 @@
          test_task_with_late_crash_is_not_copied},
         {"ended_vm_is_no_crash", test_ended_vm_is_no_crash},
         {"trials_leave_room", test_trials_leave_room},
+        {"unanswered_start_is_no_proof", test_unanswered_start_is_no_proof},
     };
     return sim_run_cases("crashing_task", cases,
                          sizeof(cases) / sizeof(cases[0]), argc, argv);
