--- a/packages/pool/pool_sizing.c
+++ b/packages/pool/pool_sizing.c
@@ -116,6 +116,17 @@
     return count;
 }
 
+static size_t
+count_spare_vms(const PoolMachines *self, const char *spare)
+{
+    size_t count = 0;
+    for (guint i = 0; i < self->list->len; i++) {
+        count += is_acquirable(self, &g_array_index(self->list, AqMachine, i),
+                               spare);
+    }
+    return count;
+}
+
 static void
 acquire_vms(PoolMachines *self, const AqSizingDecision *decision,
             const char *spare)
@@ -229,6 +240,8 @@
         .maintenance_vms = machines_count_plans(self, PLAN_MAINTENANCE),
         .widest_spread = load.widest_spread,
         .site_vms = self->list->len,
+        .spare_vms = count_spare_vms(self, spare),
+        .recent_crashes = load.recent_crashes,
     };
     size_t idle = 0;
     for (guint i = 0; i < self->vms->len; i++) {
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -307,6 +307,9 @@
     /* the scheduler knows all live runs that earlier owners of the pool may
      * have started */
     bool is_recovered;
+    /* number of crashes of VMs in the last 10 s, without those of whole
+     * racks */
+    size_t recent_crashes;
 } AqSchedulerLoad;
 
 void AqScheduler_GetLoad(AqScheduler *scheduler, AqTime now,
--- a/packages/scheduler/Include/aq_sizing.h
+++ b/packages/scheduler/Include/aq_sizing.h
@@ -46,6 +46,10 @@
     /* largest number of VMs that any one perpetual step (its tasks run until
      * the job is cancelled) needs, given the step's limit on tasks per VM */
     size_t widest_spread;
+    /* number of VMs in the spare pool */
+    size_t spare_vms;
+    /* AqSchedulerLoad.recent_crashes */
+    size_t recent_crashes;
     /* number of VMs of all pools of the site; 0: not known */
     size_t site_vms;
 } AqSizingInput;
--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -37,8 +37,8 @@
     GIVE_UP_EARLY_CRASHES = 2,
     /* The platform allows two starts after three crashes. */
     GIVE_UP_CRASHES = 5,
-    /* The crashes that are known of come within 20 ms of the start; the rest is
-     * for the time of the orders.  With 500 ms nearly all runs of a VM with
+    /* The crashes that are known of come within 20 ms of the start; the rest
+     * is for the time of the orders.  With 500 ms nearly all runs of a VM with
      * short tasks were suspects, and a trial took a VM for 0.9 s. */
     EARLY_MS = 200,
     SURVIVAL_MS = 1500,
@@ -48,6 +48,9 @@
     COMMON_CAUSE_VMS = 3,
     COMMON_CAUSE_MS = 1200,
     RECENT_CRASH_MS = 20000,
+    /* How long a crash limits the number of VMs that the pool acquires: until
+     * a task that goes on crashing VMs has crashed the next one. */
+    SIZING_CRASH_MS = 10000,
     /* Longest wait of a suspect for a VM without young runs. */
     QUIET_VM_WAIT_MS = 1000,
     /* One of so many usable VMs is for trials while other tasks wait. */
@@ -142,8 +145,8 @@
 
 /* ---- Crashes ------------------------------------------------------------ */
 
-/* Whether it is not shown that the task's run has been alive for long without a
- * crash of its VM.  Once the VM has confirmed the start, each of its replies
+/* Whether it is not shown that the task's run has been alive for long without
+ * a crash of its VM.  Once the VM has confirmed the start, each of its replies
  * shows that it has not crashed. */
 static bool
 is_young(const Task *task)
@@ -236,19 +239,49 @@
 }
 
 static void
-note_vm_crash(AqScheduler *s, const Vm *vm)
+note_vm_crash(AqScheduler *s, const Vm *vm, bool is_common)
 {
-    VmCrash crash = {.heard_at = vm->clock_at};
+    VmCrash crash = {.heard_at = vm->clock_at, .is_common = is_common};
     for (guint i = s->recent_crashes->len; i-- > 0;) {
         if (s->now - g_array_index(s->recent_crashes, VmCrash, i).heard_at >
             RECENT_CRASH_MS) {
             g_array_remove_index_fast(s->recent_crashes, i);
         }
     }
+    g_strlcpy(crash.vm, vm->report.id, sizeof(crash.vm));
     g_strlcpy(crash.rack, vm->report.rack, sizeof(crash.rack));
     g_array_append_val(s->recent_crashes, crash);
 }
 
+void
+crashes_note_stored(AqScheduler *s, const Crash *crash)
+{
+    /* When it was is not stored. */
+    VmCrash stored = {.heard_at = s->now};
+    for (guint i = 0; i < s->recent_crashes->len; i++) {
+        const VmCrash *known = &g_array_index(s->recent_crashes, VmCrash, i);
+        if (strcmp(known->vm, crash->vm) == 0) {
+            return;
+        }
+    }
+    if (crash->kind != CRASH_LATE) {
+        g_strlcpy(stored.vm, crash->vm, sizeof(stored.vm));
+        g_array_append_val(s->recent_crashes, stored);
+    }
+}
+
+size_t
+crashes_count_recent(const AqScheduler *s)
+{
+    size_t count = 0;
+    for (guint i = 0; i < s->recent_crashes->len; i++) {
+        const VmCrash *crash = &g_array_index(s->recent_crashes, VmCrash, i);
+        count +=
+            !crash->is_common && s->now - crash->heard_at <= SIZING_CRASH_MS;
+    }
+    return count;
+}
+
 /* Whether a perpetual task's run has lasted long enough. */
 static bool
 has_survived(const Task *task)
@@ -275,7 +308,7 @@
     }
     bool is_common = has_common_cause(s, vm);
     unsigned young_count = crashes_count_young(vm);
-    note_vm_crash(s, vm);
+    note_vm_crash(s, vm, is_common);
     AqList_ForEach(at, &vm->tasks)
     {
         Task *task = AqList_Entry(at, Task, link);
--- a/packages/scheduler/load.c
+++ b/packages/scheduler/load.c
@@ -89,6 +89,7 @@
     load->is_recovered = s->is_recovered;
     load->starts_in_flight = s->start_window.in_flight;
     load->start_window = (unsigned)s->start_window.size;
+    load->recent_crashes = crashes_count_recent(s);
     AqList_ForEach(at, &s->active)
     {
         const Job *job = AqList_Entry(at, Job, link);
--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -176,6 +176,7 @@
         }
         else {
             crashes_add(task, &crash);
+            crashes_note_stored(s, &crash);
         }
     }
     return true;
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -307,8 +307,10 @@
 
 /* A crash of a VM. */
 typedef struct {
-    char rack[64];
+    char vm[AQ_VM_ID_SIZE];
+    char rack[64];   /* "": not known */
     AqTime heard_at; /* when the VM was last heard of */
+    bool is_common;  /* other VMs of the rack crashed too */
 } VmCrash;
 
 /* The end of one run, which a VM has listed in a reply to a lease renewal.
@@ -742,6 +744,10 @@
 /* Records that the VM has crashed with all runs that may be alive there; no
  * crash counts on a VM that was draining or that an order may have ended. */
 void crashes_record_vm(AqScheduler *s, const Vm *vm);
+/* Records a crash that an earlier owner stored with one of its tasks. */
+void crashes_note_stored(AqScheduler *s, const Crash *crash);
+/* Number of crashes of VMs in the last 10 s, without those of whole racks. */
+size_t crashes_count_recent(const AqScheduler *s);
 /* Whether the task may crash its VM.  It may then find no VM although other
  * tasks of its step do. */
 bool crashes_is_suspect(const Task *task);
--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -17,6 +17,11 @@
      * estimate does not empty the other pools. */
     MAX_ACQUIRED_VMS = 16,
     MAX_ACQUIRED_SITE_DIVISOR = 4,
+    /* A pool in which VMs go on crashing grows to the site's VMs divided by
+     * this, and further only while a quarter of the site's VMs stays in the
+     * spare pool: its tasks would crash the VMs that the other pools need. */
+    CRASHING_POOL_SITE_DIVISOR = 5,
+    CRASHING_POOL_SPARE_DIVISOR = 4,
     /* limit on the CPU that the pool acquires in advance, beyond what its
      * running and ready tasks need, in percent of that need */
     MAX_AHEAD_PERCENT = 200,
@@ -104,6 +109,26 @@
     return need < limit ? need : limit;
 }
 
+/* Limits "need" if as many VMs have crashed as half of those that are usable.
+ */
+static size_t
+limit_crashing_pool(const AqSizingInput *input, size_t need)
+{
+    size_t vms =
+        input->usable_vms + input->pending_vms + input->maintenance_vms;
+    size_t most = input->site_vms / CRASHING_POOL_SITE_DIVISOR;
+    if (input->site_vms == 0 || input->recent_crashes == 0 ||
+        input->recent_crashes * 2 < input->usable_vms) {
+        return need;
+    }
+    size_t room = most > vms ? most - vms : 0;
+    size_t kept = input->site_vms / CRASHING_POOL_SPARE_DIVISOR;
+    if (input->spare_vms > kept + room) {
+        room = input->spare_vms - kept;
+    }
+    return need < room ? need : room;
+}
+
 /* Number of VMs to release to the spare pool: the usable VMs that the pool
  * neither needs nor keeps in reserve.  0 while tasks are ready or VMs are
  * requested for the pool. */
@@ -127,7 +152,7 @@
 AqSizing_Decide(const AqSizingInput *input, AqSizingDecision *decision)
 {
     memset(decision, 0, sizeof(*decision));
-    decision->needed_vms = count_needed_vms(input);
+    decision->needed_vms = limit_crashing_pool(input, count_needed_vms(input));
     decision->acquire_vms = limit_acquired_vms(input, decision->needed_vms);
     if (decision->needed_vms == 0) {
         decision->release_vms = count_released_vms(input);
--- a/packages/scheduler/tests/test_crashing_task.c
+++ b/packages/scheduler/tests/test_crashing_task.c
@@ -329,6 +329,28 @@
     sim_destroy(sim);
 }
 
+/* Guards against a pool that takes most VMs of the site after a takeover while
+ * its tasks crash them: the new owner did not know of the crashes. */
+static void
+test_crashes_limit_next_owner(void)
+{
+    AqSchedulerLoad load;
+    Sim *sim = create_suspects(1);
+    sim_run(sim, DOWN_MS + 1000);
+    AqScheduler_GetLoad(sim_scheduler(sim), sim_now(sim), &load);
+    CU_ASSERT_TRUE(load.recent_crashes > 0);
+    sim_kill_owner(sim);
+    sim_start_owner(sim, false);
+    sim_run(sim, 100);
+    AqScheduler_GetLoad(sim_scheduler(sim), sim_now(sim), &load);
+    CU_ASSERT_TRUE(load.recent_crashes > 0);
+    sim_run(sim, 60000);
+    AqScheduler_GetLoad(sim_scheduler(sim), sim_now(sim), &load);
+    CU_ASSERT_EQUAL(load.recent_crashes, 0);
+    sim_expect_no_violation(sim, 1);
+    sim_destroy(sim);
+}
+
 /* Guards against a job that is given up after one crash (LOST): a start order
  * that a VM which was down already had not answered counted as another. */
 static void
@@ -375,6 +397,7 @@
          test_task_with_late_crash_is_not_copied},
         {"ended_vm_is_no_crash", test_ended_vm_is_no_crash},
         {"trials_leave_room", test_trials_leave_room},
+        {"crashes_limit_next_owner", test_crashes_limit_next_owner},
         {"unanswered_start_is_no_proof", test_unanswered_start_is_no_proof},
     };
     return sim_run_cases("crashing_task", cases,
