--- a/packages/scheduler/sizing.c
+++ b/packages/scheduler/sizing.c
@@ -18,10 +18,10 @@
     MAX_ACQUIRED_VMS = 16,
     MAX_ACQUIRED_SITE_DIVISOR = 4,
     /* A pool in which VMs go on crashing grows to the site's VMs divided by
-     * this, and further only while a quarter of the site's VMs stays in the
+     * this, and further only while an eighth of the site's VMs stays in the
      * spare pool: its tasks would crash the VMs that the other pools need. */
     CRASHING_POOL_SITE_DIVISOR = 5,
-    CRASHING_POOL_SPARE_DIVISOR = 4,
+    CRASHING_POOL_SPARE_DIVISOR = 8,
     /* limit on the CPU that the pool acquires in advance, beyond what its
      * running and ready tasks need, in percent of that need */
     MAX_AHEAD_PERCENT = 200,
