--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -134,13 +134,19 @@
     return false;
 }
 
+bool
+crashes_is_last(const Task *task, uint32_t further)
+{
+    return crashes_count(task) + further >= GIVE_UP_CRASHES &&
+           !task->step->spec->is_perpetual;
+}
+
 static bool
 is_given_up(const Task *task)
 {
     return (count_kind(task, CRASH_EARLY) >= GIVE_UP_EARLY_CRASHES &&
             count_kind(task, CRASH_OWN) > 0) ||
-           (crashes_count(task) >= GIVE_UP_CRASHES &&
-            !task->step->spec->is_perpetual);
+           crashes_is_last(task, 0);
 }
 
 /* ---- Crashes ------------------------------------------------------------ */
--- a/packages/scheduler/open_runs.c
+++ b/packages/scheduler/open_runs.c
@@ -11,7 +11,8 @@
     /* A VM that crashed is back after some seconds; a run is forgotten that
      * has not been settled for this long. */
     KEEP_MS = 10000,
-    /* A task with this many open runs waits until one is settled, for HOLD_MS
+    /* A task with this many open runs, or with so many that its job fails if
+     * all of them crashed their VMs, waits until one is settled, for HOLD_MS
      * at most. */
     HOLD_COUNT = 2,
     HOLD_MS = 10000
@@ -130,6 +131,8 @@
 bool
 open_runs_hold_start(const AqScheduler *s, const Task *task)
 {
-    return task->open_run_count >= HOLD_COUNT &&
+    uint32_t open = task->open_run_count;
+    bool may_be_last = open > 0 && crashes_is_last(task, open);
+    return (open >= HOLD_COUNT || may_be_last) &&
            s->now - task->open_run_since < HOLD_MS;
 }
--- a/packages/scheduler/progress.c
+++ b/packages/scheduler/progress.c
@@ -13,11 +13,11 @@
  * failed runs, and "run" the number of each failed run of that task, so that
  * the end of a failed run is not counted twice when a VM lists the end again
  * to a later owner.  The last list has the runs of each task under which a VM
- * crashed, and the current run of a task with such runs, since it may crash
- * its VM; records of earlier versions lack it.  "born" is the Vm.born_ms of
- * the VM of such a current run, else 0.  The record of a finished job lists no
- * occurrences.  An occurrence that is not listed and has a number below "next
- * occurrence" is done. */
+ * crashed, its runs of which that is not known yet, and the current run of a
+ * task with crashes; records of earlier versions lack it.  "born" is the
+ * Vm.born_ms of the VM of a run of the latter two kinds, else 0.  The record
+ * of a finished job lists no occurrences.  An occurrence that is not listed
+ * and has a number below "next occurrence" is done. */
 
 enum {
     RECORD_FORMAT = 1,
@@ -43,26 +43,40 @@
     msgpack_pack_int64(pk, born_ms);
 }
 
+static bool
+has_crash_rows(const Task *task)
+{
+    return crashes_count(task) > 0 || task->open_run_count > 0;
+}
+
 static void
-pack_crashes(msgpack_packer *pk, const Step *step)
+pack_crashes(const AqScheduler *s, msgpack_packer *pk, const Step *step)
 {
     uint32_t tasks = 0;
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        tasks += crashes_count(&step->tasks[i]) > 0;
+        tasks += has_crash_rows(&step->tasks[i]);
     }
     msgpack_pack_array(pk, tasks);
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         const Task *task = &step->tasks[i];
-        if (crashes_count(task) == 0) {
+        if (!has_crash_rows(task)) {
             continue;
         }
         msgpack_pack_array(pk, 2);
         msgpack_pack_uint32(pk, i);
-        msgpack_pack_array(pk, crashes_count(task) + task->is_start_stored);
-        for (guint j = 0; j < task->crashes->len; j++) {
+        msgpack_pack_array(pk, crashes_count(task) + task->open_run_count +
+                                   task->is_start_stored);
+        for (guint j = 0; j < crashes_count(task); j++) {
             const Crash *crash = &g_array_index(task->crashes, Crash, j);
             pack_crash(pk, crash->run, crash->vm, (int)crash->kind, 0);
         }
+        for (guint j = 0; j < s->open_runs->len; j++) {
+            const OpenRun *open = &g_array_index(s->open_runs, OpenRun, j);
+            if (scheduler_find_task(s, &open->task) == task) {
+                pack_crash(pk, open->crash.run, open->crash.vm, STORED_START,
+                           open->born_ms);
+            }
+        }
         if (task->is_start_stored) {
             pack_crash(pk, task->run, task->vm->report.id, STORED_START,
                        task->vm->born_ms);
@@ -71,7 +85,7 @@
 }
 
 static void
-pack_step(msgpack_packer *pk, const Step *step)
+pack_step(const AqScheduler *s, msgpack_packer *pk, const Step *step)
 {
     uint32_t count = step->spec->task_count;
     size_t size = (count + 7) / 8;
@@ -100,11 +114,11 @@
             msgpack_pack_int64(pk, task->failed_runs[j]);
         }
     }
-    pack_crashes(pk, step);
+    pack_crashes(s, pk, step);
 }
 
 void
-progress_encode(const Job *job, AqBuffer *out)
+progress_encode(const AqScheduler *s, const Job *job, AqBuffer *out)
 {
     msgpack_packer packer;
     bool is_finished = scheduler_is_finished(job);
@@ -125,7 +139,7 @@
         msgpack_pack_uint32(&packer, occurrence->number);
         msgpack_pack_array(&packer, job->spec.step_count);
         for (size_t i = 0; i < job->spec.step_count; i++) {
-            pack_step(&packer, &occurrence->steps[i]);
+            pack_step(s, &packer, &occurrence->steps[i]);
         }
     }
 }
--- a/packages/scheduler/saves.c
+++ b/packages/scheduler/saves.c
@@ -24,7 +24,7 @@
         g_strlcpy(save->id, job->spec.id, sizeof(save->id));
         save->stage = job->stage;
         AqBuffer_Init(&save->record);
-        progress_encode(job, &save->record);
+        progress_encode(s, job, &save->record);
     }
     s->saving_count = count;
     return count;
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -748,6 +748,8 @@
 void crashes_note_stored(AqScheduler *s, const Crash *crash);
 /* Number of crashes of VMs in the last 10 s, without those of whole racks. */
 size_t crashes_count_recent(const AqScheduler *s);
+/* Whether the job fails if so many further VMs crash under the task. */
+bool crashes_is_last(const Task *task, uint32_t further);
 /* Whether the task may crash its VM.  It may then find no VM although other
  * tasks of its step do. */
 bool crashes_is_suspect(const Task *task);
@@ -865,7 +867,7 @@
 
 /* ---- progress.c */
 /* Appends the job's progress in its stored form to "out". */
-void progress_encode(const Job *job, AqBuffer *out);
+void progress_encode(const AqScheduler *s, const Job *job, AqBuffer *out);
 /* Sets the job's progress from its stored form "bytes"; false when these are
  * damaged. */
 bool progress_apply(AqScheduler *s, Job *job, const char *bytes, size_t size);
--- a/packages/scheduler/tests/test_crashing_task.c
+++ b/packages/scheduler/tests/test_crashing_task.c
@@ -10,6 +10,8 @@
 enum {
     SEEDS = 20,
     DOWN_MS = 3000,
+    /* above SIM_LEASE_MS */
+    LONG_DOWN_MS = 6000,
     RUN_MS = 800,
     CRASHING_JOBS = 5,
     /* 10 s of work for half of the pool */
@@ -351,6 +353,33 @@
     sim_destroy(sim);
 }
 
+/* Guards against starts of a copied task beyond the platform's limit when
+ * owners hand the pool over before the first crash is seen: the next owner did
+ * not know that the current run was a copy, and copied it again. */
+static void
+test_copies_count_across_owners(void)
+{
+    static const AqStepSpec step = {.task_count = 1, .allows_copies = true};
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        Sim *sim = sim_create(seed);
+        add_job(sim, "a1", &step);
+        sim_crash_vms_of(sim, "a1", LONG_DOWN_MS);
+        for (unsigned i = 1; i <= SIM_CRASHES_PER_TASK; i++) {
+            while (sim_count_starts(sim, "a1") < 2 * i &&
+                   sim_now(sim) < LONG_DOWN_MS) {
+                sim_run(sim, 10);
+            }
+            sim_run(sim, 200);
+            sim_hand_over(sim);
+        }
+        CU_ASSERT_TRUE(sim_count_starts(sim, "a1") <= SIM_CRASHES_PER_TASK);
+        CU_ASSERT_TRUE(sim_run_until_finished(sim, 40000));
+        CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_FAILED);
+        sim_expect_no_violation(sim, seed);
+        sim_destroy(sim);
+    }
+}
+
 /* Guards against a job that is given up after one crash (LOST): a start order
  * that a VM which was down already had not answered counted as another. */
 static void
@@ -398,6 +427,7 @@
         {"ended_vm_is_no_crash", test_ended_vm_is_no_crash},
         {"trials_leave_room", test_trials_leave_room},
         {"crashes_limit_next_owner", test_crashes_limit_next_owner},
+        {"copies_count_across_owners", test_copies_count_across_owners},
         {"unanswered_start_is_no_proof", test_unanswered_start_is_no_proof},
     };
     return sim_run_cases("crashing_task", cases,
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -272,6 +272,8 @@
         s->counters.copied++;
         replies_log_copy(s, task);
         open_runs_add_current(s, task, young_count);
+        /* The next owner must not copy the task again. */
+        scheduler_changed(s, task->step->occurrence->job);
         /* The task's run on this silent VM may continue beside the task's new
          * run.  Until the VM replies to a lease renewal, the resources of the
          * run on this VM count as foreign usage: that of runs which are not
