--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -24,7 +24,7 @@
  * GIVE_UP_CRASHES of any kind if the task is not perpetual.
  *
  * While both suspects and other tasks wait, the trials of suspects are bounded
- * to a part of the VMs, where nothing else starts, and the other tasks have
+ * to half of the VMs, where nothing else starts, and the other tasks have
  * the rest.  Without that bound the suspects of a few crashes under a full
  * load take each VM for EARLY_MS, one after another.
  *
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -344,8 +344,6 @@
     size_t task_count;
     /* number of "tasks" that were suspects when they came */
     size_t suspect_count;
-    /* only suspects start on the VM, while they and other tasks wait */
-    bool is_for_trials;
     /* list of Task: the tasks for whose next run the VM holds room */
     AqLink reservations;
     /* AqVmReport.born_ms of the current incarnation, the latest that is known
@@ -362,6 +360,8 @@
     /* the VM's last list had ends of runs */
     bool lists_ends;
     bool is_cordoned;
+    /* only suspects start on the VM, while they and other tasks wait */
+    bool is_for_trials;
     /* The VM has been without tasks at some time since it was cordoned: the
      * order to move it or take it down may have been sent. */
     bool is_vacated;
