--- a/packages/scheduler/crashes.c
+++ b/packages/scheduler/crashes.c
@@ -11,8 +11,8 @@
  * Each run that was alive on the VM may have caused the crash.  A task that
  * crashes VMs does so mostly at its start; other crashes come at any time and
  * often to a whole rack.  A crash is therefore
- * - early, if no list of the VM has shown the run alive for EARLY_MS, unless
- *   most of the rack's VMs went at the same time;
+ * - early, if the VM has confirmed the run's start but not replied EARLY_MS
+ *   later, unless most of the rack's VMs went at the same time;
  * - the run's own, if it is early and no other run on the VM was as young.
  *
  * A task with an early crash is a suspect.  It starts on a VM without young
@@ -23,6 +23,11 @@
  * GIVE_UP_EARLY_CRASHES of which one is the task's own, or after
  * GIVE_UP_CRASHES of any kind if the task is not perpetual.
  *
+ * While both suspects and other tasks wait, the trials of suspects are bounded
+ * to half of the VMs, where nothing else starts, and the other tasks have
+ * the rest.  Without that bound the suspects of a few crashes under a full
+ * load take each VM for EARLY_MS, one after another.
+ *
  * The crashes are part of the job's stored record.  Those of a perpetual task
  * are forgotten once a run of it has lasted for SURVIVAL_MS, since it meets
  * unrelated crashes sooner or later, and to give it up stops all tasks of its
@@ -32,7 +37,10 @@
     GIVE_UP_EARLY_CRASHES = 2,
     /* The platform allows two starts after three crashes. */
     GIVE_UP_CRASHES = 5,
-    EARLY_MS = 500,
+    /* The crashes that are known of come within 20 ms of the start; the rest
+     * is for the time of the orders.  With 500 ms nearly all runs of a VM with
+     * short tasks were suspects, and a trial took a VM for 0.9 s. */
+    EARLY_MS = 200,
     SURVIVAL_MS = 1500,
     /* So many VMs of a rack that were last heard of within COMMON_CAUSE_MS,
      * and half of the rack's VMs, have gone for one reason; an idle VM is
@@ -40,8 +48,19 @@
     COMMON_CAUSE_VMS = 3,
     COMMON_CAUSE_MS = 1200,
     RECENT_CRASH_MS = 20000,
+    /* How long a crash limits the number of VMs that the pool acquires: until
+     * a task that goes on crashing VMs has crashed the next one. */
+    SIZING_CRASH_MS = 10000,
     /* Longest wait of a suspect for a VM without young runs. */
     QUIET_VM_WAIT_MS = 1000,
+    /* One of so many usable VMs is for trials while other tasks wait. */
+    VMS_PER_TRIAL_VM = 2,
+    /* A task counts as waiting for this long after a placement found no VM for
+     * it, so that the bound outlasts the gap between two tasks. */
+    WAIT_MEMORY_MS = 1000,
+    /* A suspect that has waited for longer may start on any VM, since those
+     * for trials may lack what it needs. */
+    TRIAL_WAIT_MS = 10000,
     /* Addends of placement_cost(), thousandths of a core, of a suspect for
      * each suspect and for each task on the VM; the first is above the cost of
      * another rack. */
@@ -64,6 +83,7 @@
         task->crashes = g_array_new(FALSE, FALSE, sizeof(Crash));
     }
     g_array_append_vals(task->crashes, crash, 1);
+    task->step->has_crashes = true;
 }
 
 void
@@ -114,22 +134,35 @@
     return false;
 }
 
+bool
+crashes_is_last(const Task *task, uint32_t further)
+{
+    return crashes_count(task) + further >= GIVE_UP_CRASHES &&
+           !task->step->spec->is_perpetual;
+}
+
 static bool
 is_given_up(const Task *task)
 {
     return (count_kind(task, CRASH_EARLY) >= GIVE_UP_EARLY_CRASHES &&
             count_kind(task, CRASH_OWN) > 0) ||
-           (crashes_count(task) >= GIVE_UP_CRASHES &&
-            !task->step->spec->is_perpetual);
+           crashes_is_last(task, 0);
 }
 
 /* ---- Crashes ------------------------------------------------------------ */
 
-/* Whether the task's run has not been shown alive for long. */
+/* Whether it is not shown that the task's run has been alive for long without
+ * a crash of its VM.  Once the VM has confirmed the start, each of its replies
+ * shows that it has not crashed. */
 static bool
 is_young(const Task *task)
 {
-    return task->last_alive_at - task->attached_at < EARLY_MS;
+    bool is_confirmed = task->state != TASK_STARTING && task->vm != NULL;
+    AqTime alive_at = task->last_alive_at;
+    if (is_confirmed && task->vm->clock_at > alive_at) {
+        alive_at = task->vm->clock_at;
+    }
+    return alive_at - task->attached_at < EARLY_MS;
 }
 
 unsigned
@@ -146,7 +179,8 @@
 CrashKind
 crashes_kind(const Task *task, unsigned young_count)
 {
-    if (!is_young(task)) {
+    if (!is_young(task) || task->state == TASK_STARTING) {
+        /* A start order without an answer may never have reached the VM. */
         return CRASH_LATE;
     }
     return young_count > 1 ? CRASH_EARLY : CRASH_OWN;
@@ -211,19 +245,49 @@
 }
 
 static void
-note_vm_crash(AqScheduler *s, const Vm *vm)
+note_vm_crash(AqScheduler *s, const Vm *vm, bool is_common)
 {
-    VmCrash crash = {.heard_at = vm->clock_at};
+    VmCrash crash = {.heard_at = vm->clock_at, .is_common = is_common};
     for (guint i = s->recent_crashes->len; i-- > 0;) {
         if (s->now - g_array_index(s->recent_crashes, VmCrash, i).heard_at >
             RECENT_CRASH_MS) {
             g_array_remove_index_fast(s->recent_crashes, i);
         }
     }
+    g_strlcpy(crash.vm, vm->report.id, sizeof(crash.vm));
     g_strlcpy(crash.rack, vm->report.rack, sizeof(crash.rack));
     g_array_append_val(s->recent_crashes, crash);
 }
 
+void
+crashes_note_stored(AqScheduler *s, const Crash *crash)
+{
+    /* When it was is not stored. */
+    VmCrash stored = {.heard_at = s->now};
+    for (guint i = 0; i < s->recent_crashes->len; i++) {
+        const VmCrash *known = &g_array_index(s->recent_crashes, VmCrash, i);
+        if (strcmp(known->vm, crash->vm) == 0) {
+            return;
+        }
+    }
+    if (crash->kind != CRASH_LATE) {
+        g_strlcpy(stored.vm, crash->vm, sizeof(stored.vm));
+        g_array_append_val(s->recent_crashes, stored);
+    }
+}
+
+size_t
+crashes_count_recent(const AqScheduler *s)
+{
+    size_t count = 0;
+    for (guint i = 0; i < s->recent_crashes->len; i++) {
+        const VmCrash *crash = &g_array_index(s->recent_crashes, VmCrash, i);
+        count +=
+            !crash->is_common && s->now - crash->heard_at <= SIZING_CRASH_MS;
+    }
+    return count;
+}
+
 /* Whether a perpetual task's run has lasted long enough. */
 static bool
 has_survived(const Task *task)
@@ -250,7 +314,7 @@
     }
     bool is_common = has_common_cause(s, vm);
     unsigned young_count = crashes_count_young(vm);
-    note_vm_crash(s, vm);
+    note_vm_crash(s, vm, is_common);
     AqList_ForEach(at, &vm->tasks)
     {
         Task *task = AqList_Entry(at, Task, link);
@@ -286,10 +350,82 @@
     return false;
 }
 
+void
+crashes_note_wait(AqScheduler *s, const Task *task)
+{
+    AqTime until = s->now + WAIT_MEMORY_MS;
+    if (crashes_is_suspect(task)) {
+        s->suspects_wait_until = until;
+    }
+    else {
+        s->others_wait_until = until;
+    }
+}
+
+/* Returns the usable VM that can begin a trial soonest; NULL: all are chosen
+ * already. */
+static Vm *
+find_trial_vm(const AqScheduler *s)
+{
+    Vm *best = NULL;
+    unsigned best_young = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        Vm *vm = AqList_Entry(at, Vm, link);
+        if (vm->is_for_trials || !vms_is_usable(s, vm)) {
+            continue;
+        }
+        /* A VM with a young suspect is closed to other tasks anyway. */
+        unsigned young = has_young_suspect(vm) ? 0 : crashes_count_young(vm);
+        if (best == NULL || young < best_young ||
+            (young == best_young && vm->task_count < best->task_count)) {
+            best = vm;
+            best_young = young;
+        }
+    }
+    return best;
+}
+
+void
+crashes_choose_trial_vms(AqScheduler *s)
+{
+    bool is_bounded =
+        s->suspects_wait_until > s->now && s->others_wait_until > s->now;
+    size_t usable = 0;
+    s->trial_vm_count = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        Vm *vm = AqList_Entry(at, Vm, link);
+        bool is_usable = vms_is_usable(s, vm);
+        usable += is_usable;
+        vm->is_for_trials = vm->is_for_trials && is_bounded && is_usable;
+        s->trial_vm_count += vm->is_for_trials;
+    }
+    /* The only VM serves all tasks in turn. */
+    size_t wanted = usable < 2 ? 0 : (usable - 1) / VMS_PER_TRIAL_VM + 1;
+    while (is_bounded && s->trial_vm_count < wanted) {
+        find_trial_vm(s)->is_for_trials = true;
+        s->trial_vm_count++;
+    }
+}
+
+/* Whether the task is a suspect that may only use VMs for trials.  Gangs need
+ * several VMs at once, and perpetual tasks must not be away for long. */
+static bool
+is_bound_to_trials(const AqScheduler *s, const Task *task)
+{
+    const AqStepSpec *spec = task->step->spec;
+    return s->trial_vm_count > 0 && crashes_is_suspect(task) &&
+           !spec->is_gang && !spec->is_perpetual &&
+           s->now - task->ready_at < TRIAL_WAIT_MS;
+}
+
 bool
 crashes_allow_vm(const AqScheduler *s, const Vm *vm, const Task *task)
 {
-    if (has_young_suspect(vm)) {
+    bool is_kept_free = vm->is_for_trials && !crashes_is_suspect(task);
+    if (has_young_suspect(vm) || is_kept_free ||
+        (!vm->is_for_trials && is_bound_to_trials(s, task))) {
         return false;
     }
     return !crashes_is_suspect(task) ||
@@ -331,6 +467,13 @@
     vm->suspect_count += task->counts_as_suspect;
 }
 
+void
+crashes_note_start_sent(const AqScheduler *s, Task *task)
+{
+    task->attached_at = s->now;
+    task->last_alive_at = s->now;
+}
+
 void
 crashes_note_adopted(Task *task)
 {
@@ -351,11 +494,8 @@
 void
 crashes_note_alive(AqScheduler *s, Task *task)
 {
-    bool was_young = is_young(task);
     task->last_alive_at = s->now;
-    if (task->counts_as_suspect && was_young && !is_young(task)) {
-        s->placement_due = true;
-    }
+    s->placement_due |= task->counts_as_suspect;
     if (has_survived(task) && crashes_count(task) > 0) {
         crashes_clear(task);
         scheduler_changed(s, task->step->occurrence->job);
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -114,7 +114,8 @@
     uint64_t start_seq;
     /* when the last run of the task came into AqScheduler.open_runs */
     AqTime open_run_since;
-    /* when the task was last assigned to a VM */
+    /* when the start order was last sent for the task's run; before, when the
+     * task was assigned to the VM */
     AqTime attached_at;
     /* when the VM last listed the current run; before, as attached_at */
     AqTime last_alive_at;
@@ -230,6 +231,8 @@
     uint32_t done;
     /* number of the step's tasks in state TASK_READY */
     uint32_t ready;
+    /* a VM has crashed under one of the step's tasks */
+    bool has_crashes;
     /* array of Ticket (the advice service's permissions to start tasks of the
      * step, each on one VM until it expires), or NULL; owned */
     GArray *tickets;
@@ -308,8 +311,10 @@
 
 /* A crash of a VM. */
 typedef struct {
-    char rack[64];
+    char vm[AQ_VM_ID_SIZE];
+    char rack[64];   /* "": not known */
     AqTime heard_at; /* when the VM was last heard of */
+    bool is_common;  /* other VMs of the rack crashed too */
 } VmCrash;
 
 /* The end of one run, which a VM has listed in a reply to a lease renewal.
@@ -359,6 +364,8 @@
     /* the VM's last list had ends of runs */
     bool lists_ends;
     bool is_cordoned;
+    /* only suspects start on the VM, while they and other tasks wait */
+    bool is_for_trials;
     /* The VM has been without tasks at some time since it was cordoned: the
      * order to move it or take it down may have been sent. */
     bool is_vacated;
@@ -547,6 +554,11 @@
     /* most free CPU on one usable VM, in thousandths of a core; valid only
      * while tasks are placed */
     int64_t largest_free_cpu_millis;
+    /* until when suspects, and tasks that are none, count as waiting */
+    AqTime suspects_wait_until;
+    AqTime others_wait_until;
+    /* number of VMs with is_for_trials */
+    size_t trial_vm_count;
     /* Core-milliseconds that the submitted jobs need: cores times expected
      * duration, summed over the tasks.  Perpetual tasks and recurring jobs do
      * not count.  The sum shrinks exponentially with the time constant
@@ -744,6 +756,12 @@
 /* Records that the VM has crashed with all runs that may be alive there; no
  * crash counts on a VM that was draining or that an order may have ended. */
 void crashes_record_vm(AqScheduler *s, const Vm *vm);
+/* Records a crash that an earlier owner stored with one of its tasks. */
+void crashes_note_stored(AqScheduler *s, const Crash *crash);
+/* Number of crashes of VMs in the last 10 s, without those of whole racks. */
+size_t crashes_count_recent(const AqScheduler *s);
+/* Whether the job fails if so many further VMs crash under the task. */
+bool crashes_is_last(const Task *task, uint32_t further);
 /* Whether the task may crash its VM.  It may then find no VM although other
  * tasks of its step do. */
 bool crashes_is_suspect(const Task *task);
@@ -752,11 +770,17 @@
 bool crashes_store_start(AqScheduler *s, Task *task);
 /* Whether the task may share the VM with what runs there. */
 bool crashes_allow_vm(const AqScheduler *s, const Vm *vm, const Task *task);
+/* Records that the ready task found no VM. */
+void crashes_note_wait(AqScheduler *s, const Task *task);
+/* Chooses the VMs that only suspects may use in this placement. */
+void crashes_choose_trial_vms(AqScheduler *s);
 /* Addend of the cost of running the task on the VM, thousandths of a core. */
 int64_t crashes_placement_cost(const Vm *vm, const Task *task);
 /* Counts the task among the suspects of its VM, or no longer. */
 void crashes_attach(const AqScheduler *s, Vm *vm, Task *task);
 void crashes_detach(AqScheduler *s, Task *task);
+/* Called when the start order of the task's run is sent, also again. */
+void crashes_note_start_sent(const AqScheduler *s, Task *task);
 /* Called when a run that was alive before becomes the task's current run: its
  * start was some time ago. */
 void crashes_note_adopted(Task *task);
@@ -855,7 +879,7 @@
 
 /* ---- progress.c */
 /* Appends the job's progress in its stored form to "out". */
-void progress_encode(const Job *job, AqBuffer *out);
+void progress_encode(const AqScheduler *s, const Job *job, AqBuffer *out);
 /* Sets the job's progress from its stored form "bytes"; false when these are
  * damaged. */
 bool progress_apply(AqScheduler *s, Job *job, const char *bytes, size_t size);
--- a/packages/scheduler/tests/test_crashing_task.c
+++ b/packages/scheduler/tests/test_crashing_task.c
@@ -10,7 +10,13 @@
 enum {
     SEEDS = 20,
     DOWN_MS = 3000,
+    /* above SIM_LEASE_MS */
+    LONG_DOWN_MS = 6000,
     RUN_MS = 800,
+    CRASHING_JOBS = 5,
+    /* 10 s of work for half of the pool */
+    BACKLOG_TASKS = 800,
+    BACKLOG_LIMIT_MS = 10000 + 2 * DOWN_MS,
     RACK_CRASHES = SIM_CRASHES_PER_TASK + SIM_STARTS_AFTER_CRASHES - 1
 };
 
@@ -283,6 +289,122 @@
     run_crashing(&step);
 }
 
+/* Makes one VM after another crash under a full load of young runs, so that
+ * many tasks are suspects, while a backlog of a job that nobody suspects
+ * waits. */
+static Sim *
+create_suspects(uint64_t seed)
+{
+    static const AqStepSpec step = {.task_count = 1};
+    Sim *sim = sim_create(seed);
+    char id[16];
+    for (unsigned i = 0; i < CRASHING_JOBS; i++) {
+        snprintf(id, sizeof(id), "a%u", i);
+        add_job(sim, id, &step);
+        sim_crash_vms_of(sim, id, DOWN_MS);
+        snprintf(id, sizeof(id), "c%u", i);
+        sim_add_chain(sim, id, 1, 60, 250, RUN_MS);
+        sim_run(sim, 50);
+    }
+    sim_add_chain(sim, "b1", 1, BACKLOG_TASKS, 1000, RUN_MS);
+    return sim;
+}
+
+/* Guards against jobs that nobody suspects and that wait while the trials of
+ * suspects take each VM of the pool, most of which is free (LOST), and against
+ * suspects that wait without end behind them. */
+static void
+test_trials_leave_room(void)
+{
+    Sim *sim = create_suspects(1);
+    sim_run(sim, BACKLOG_LIMIT_MS);
+    CU_ASSERT_EQUAL(sim_stage(sim, "b1"), AQ_STAGE_COMPLETED);
+    CU_ASSERT_TRUE(sim_run_until_finished(sim, 20000));
+    for (unsigned i = 0; i < CRASHING_JOBS; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "a%u", i);
+        CU_ASSERT_EQUAL(sim_stage(sim, id), AQ_STAGE_FAILED);
+        snprintf(id, sizeof(id), "c%u", i);
+        CU_ASSERT_EQUAL(sim_stage(sim, id), AQ_STAGE_COMPLETED);
+    }
+    sim_expect_no_violation(sim, 1);
+    sim_destroy(sim);
+}
+
+/* Guards against a pool that takes most VMs of the site after a takeover while
+ * its tasks crash them: the new owner did not know of the crashes. */
+static void
+test_crashes_limit_next_owner(void)
+{
+    AqSchedulerLoad load;
+    Sim *sim = create_suspects(1);
+    sim_run(sim, DOWN_MS + 1000);
+    AqScheduler_GetLoad(sim_scheduler(sim), sim_now(sim), &load);
+    CU_ASSERT_TRUE(load.recent_crashes > 0);
+    sim_kill_owner(sim);
+    sim_start_owner(sim, false);
+    sim_run(sim, 100);
+    AqScheduler_GetLoad(sim_scheduler(sim), sim_now(sim), &load);
+    CU_ASSERT_TRUE(load.recent_crashes > 0);
+    sim_run(sim, 60000);
+    AqScheduler_GetLoad(sim_scheduler(sim), sim_now(sim), &load);
+    CU_ASSERT_EQUAL(load.recent_crashes, 0);
+    sim_expect_no_violation(sim, 1);
+    sim_destroy(sim);
+}
+
+/* Guards against starts of a copied task beyond the platform's limit when
+ * owners hand the pool over before the first crash is seen: the next owner did
+ * not know that the current run was a copy, and copied it again. */
+static void
+test_copies_count_across_owners(void)
+{
+    static const AqStepSpec step = {.task_count = 1, .allows_copies = true};
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        Sim *sim = sim_create(seed);
+        add_job(sim, "a1", &step);
+        sim_crash_vms_of(sim, "a1", LONG_DOWN_MS);
+        for (unsigned i = 1; i <= SIM_CRASHES_PER_TASK; i++) {
+            while (sim_count_starts(sim, "a1") < 2 * i &&
+                   sim_now(sim) < LONG_DOWN_MS) {
+                sim_run(sim, 10);
+            }
+            sim_run(sim, 200);
+            sim_hand_over(sim);
+        }
+        CU_ASSERT_TRUE(sim_count_starts(sim, "a1") <= SIM_CRASHES_PER_TASK);
+        CU_ASSERT_TRUE(sim_run_until_finished(sim, 40000));
+        CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_FAILED);
+        sim_expect_no_violation(sim, seed);
+        sim_destroy(sim);
+    }
+}
+
+/* Guards against a job that is given up after one crash (LOST): a start order
+ * that a VM which was down already had not answered counted as another. */
+static void
+test_unanswered_start_is_no_proof(void)
+{
+    static const AqStepSpec step = {.task_count = 1};
+    Sim *sim = sim_create(1);
+    sim_run(sim, 500);
+    sim_crash_vm_for(sim, 0, DOWN_MS); /* the one that the job goes to */
+    add_job(sim, "a1", &step);
+    while (sim_count_starts(sim, "a1") < 1 && sim_now(sim) < 20000) {
+        sim_run(sim, 10);
+    }
+    const AqSchedulerCounters *counters =
+        AqScheduler_Counters(sim_scheduler(sim));
+    CU_ASSERT_EQUAL(counters->crashed_runs, 1);
+    sim_run(sim, 50);
+    sim_crash_vm_for(sim, sim_find_run(sim, "a1"), DOWN_MS);
+    CU_ASSERT_TRUE(sim_run_until_finished(sim, 20000));
+    CU_ASSERT_EQUAL(counters->crashed_runs, 2);
+    CU_ASSERT_EQUAL(sim_stage(sim, "a1"), AQ_STAGE_COMPLETED);
+    sim_expect_no_violation(sim, 1);
+    sim_destroy(sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -303,6 +425,10 @@
         {"task_with_late_crash_is_not_copied",
          test_task_with_late_crash_is_not_copied},
         {"ended_vm_is_no_crash", test_ended_vm_is_no_crash},
+        {"trials_leave_room", test_trials_leave_room},
+        {"crashes_limit_next_owner", test_crashes_limit_next_owner},
+        {"copies_count_across_owners", test_copies_count_across_owners},
+        {"unanswered_start_is_no_proof", test_unanswered_start_is_no_proof},
     };
     return sim_run_cases("crashing_task", cases,
                          sizeof(cases) / sizeof(cases[0]), argc, argv);
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -9,6 +9,9 @@
      * the progress of the tasks, and the next renewal extends the lease. */
     BUSY_RENEWAL_WAIT_MS = 400,
     IDLE_RENEWAL_WAIT_MS = 1000,
+    /* The same for a VM with a suspect, where nothing else starts until a list
+     * shows that the VM has not crashed. */
+    SUSPECT_RENEWAL_WAIT_MS = 100,
     /* Pause before the next renewal order, which extends the VM's lease, while
      * the scheduler has not confirmed all the ends of runs in the VM's last
      * reply: the VM would list these ends again immediately. */
@@ -269,6 +272,8 @@
         s->counters.copied++;
         replies_log_copy(s, task);
         open_runs_add_current(s, task, young_count);
+        /* The next owner must not copy the task again. */
+        scheduler_changed(s, task->step->occurrence->job);
         /* The task's run on this silent VM may continue beside the task's new
          * run.  Until the VM replies to a lease renewal, the resources of the
          * run on this VM count as foreign usage: that of runs which are not
@@ -444,6 +449,9 @@
     if (!vm->has_replied || vm->silent_since != AQ_TIME_NEVER) {
         return 0;
     }
+    if (vm->suspect_count > 0) {
+        return SUSPECT_RENEWAL_WAIT_MS;
+    }
     return vm->task_count > 0 ? BUSY_RENEWAL_WAIT_MS : IDLE_RENEWAL_WAIT_MS;
 }
 
