--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -342,6 +342,10 @@
 
 const AqSchedulerCounters *AqScheduler_Counters(const AqScheduler *scheduler);
 
+/* Places jobs without regard to shares of workspaces from now on.  For
+ * tests. */
+void AqScheduler_DisableShares(AqScheduler *scheduler);
+
 /* Checks the counts and states of the scheduler's tasks and VMs; false with an
  * error when one is inconsistent.  For tests. */
 bool AqScheduler_CheckConsistency(const AqScheduler *scheduler,
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "aq_log.h"
+#include "fair_order.h"
 #include "scheduler_internal.h"
 
 /* Placement of tasks on VMs.  A task goes to a VM that may run it and has
@@ -488,13 +489,22 @@
     }
     s->counters.ranked += count;
     qsort(jobs, count, sizeof(Job *), ranking_compare);
-    for (size_t i = 0; i < count && start_window_is_open(&s->start_window);
-         i++) {
-        place_job(s, jobs[i]);
+    FairOrder *order = fair_order_create(s, jobs, count);
+    Job *next;
+    while (start_window_is_open(&s->start_window) &&
+           (next = fair_order_next(order)) != NULL) {
+        place_job(s, next);
     }
+    fair_order_destroy(order);
     free(jobs);
 }
 
+void
+AqScheduler_DisableShares(AqScheduler *s)
+{
+    s->disables_shares = true;
+}
+
 /* ---- Tickets ------------------------------------------------------------ */
 
 static Step *
--- a/packages/scheduler/ranking.c
+++ b/packages/scheduler/ranking.c
@@ -140,3 +140,15 @@
     }
     return 0;
 }
+
+int
+ranking_priority(const Job *job)
+{
+    return job->bucket / BUCKET_COUNT;
+}
+
+bool
+ranking_is_very_late(const Job *job)
+{
+    return job->bucket % BUCKET_COUNT == BUCKET_VERY_LATE;
+}
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -19,6 +19,7 @@
  * superseded.c  runs that are stopped since another run replaces them
  * ranking.c     order in which jobs are placed
  * workspaces.c  what the jobs of each workspace use
+ * fair_order.c  turns of the workspaces while there is less room than work
  * crashes.c     tasks under which VMs have crashed
  * open_runs.c   runs of which it is not known whether they crashed their VM
  * unknown_runs.c  runs that VMs list before their tasks are known
@@ -63,6 +64,9 @@
     AqResources used;
     size_t task_count; /* number of these tasks */
     size_t job_count;  /* number of its jobs, finished ones included */
+    /* the workspace's place in the order of jobs; NULL unless that is being
+     * made; borrowed */
+    struct FairGroup *group;
 } Workspace;
 
 /* In the types below, times without another note are on the scheduler's clock,
@@ -242,6 +246,9 @@
 struct Job {
     /* the workspace that submitted the job; NULL: none; borrowed */
     Workspace *workspace;
+    /* where the use of the job's tasks is counted: the job's workspace, or
+     * AqScheduler.without_workspace; borrowed */
+    Workspace *account;
     /* links the job into scheduler->active while the job is unfinished */
     AqLink link;
     /* links the job into scheduler->dirty while a change of the job waits for
@@ -514,7 +521,8 @@
     /* name -> Workspace: those that the configuration lists or that have jobs;
      * owned */
     GHashTable *workspaces;
-    AqLink active; /* list of the unfinished jobs */
+    Workspace without_workspace; /* counts the jobs that have no workspace */
+    AqLink active;               /* list of the unfinished jobs */
     /* list of the jobs with changes that wait for a save, the job with the
      * oldest change first */
     AqLink dirty;
@@ -529,6 +537,7 @@
     /* version of the list of used VMs (VMs to which this pool owner may have
      * sent orders) */
     uint64_t used_vms_version;
+    bool disables_shares; /* see AqScheduler_DisableShares() */
     bool placement_due;
     /* when the scheduler next places tasks on VMs, unless placement_due
      * becomes true earlier */
@@ -806,6 +815,10 @@
 bool ranking_update(const AqScheduler *s, Job *job);
 /* Order of two Job pointers for qsort: the job to place first comes first. */
 int ranking_compare(const void *a, const void *b);
+/* Both as of the last ranking_update(): the priority of the job's queue, and
+ * whether the job's result has no value any more. */
+int ranking_priority(const Job *job);
+bool ranking_is_very_late(const Job *job);
 
 /* ---- workspaces.c */
 void workspaces_free(gpointer workspace);
--- a/packages/scheduler/tests/order_fixture.h
+++ b/packages/scheduler/tests/order_fixture.h
@@ -38,6 +38,9 @@
 void fixture_tick(Fixture *f, AqTime ms);
 /* Adds a job of one step. */
 void fixture_add_job(Fixture *f, const char *id, const AqStepSpec *step);
+/* The same of a workspace, NULL: of none, and of a queue. */
+void fixture_add_job_of(Fixture *f, const char *id, const char *workspace,
+                        const char *queue, const AqStepSpec *step);
 AqVmReport fixture_report(const char *id);
 /* Adds a VM on which tasks may start. */
 void fixture_add_vm(Fixture *f, const char *id);
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -95,6 +95,8 @@
  * current pool owner has stored its runs; the next one reads the cancelling
  * with the jobs. */
 void sim_hand_over_cancelling(Sim *sim, const char *id);
+/* Sets the workspaces of the configuration; borrowed. */
+void sim_set_workspaces(Sim *sim, AqWorkspaceConfig *workspaces, size_t count);
 /* Returns the scheduler of the current pool owner; borrowed. */
 AqScheduler *sim_scheduler(const Sim *sim);
 /* Sets whether the current pool owner is certain to hold its lease on the
@@ -158,8 +160,8 @@
 /* ---- Jobs --------------------------------------------------------------- */
 
 /* Stores a job and adds the job to the schedulers of all pool owners that may
- * still send orders.  Takes over what *spec owns; sets the job's queue, text
- * and time of submission. */
+ * still send orders.  Takes over what *spec owns; sets the job's text and
+ * time of submission, and the queue "queue" unless there is one. */
 void sim_add_job(Sim *sim, AqJobSpec *spec);
 /* Adds a job of "steps" steps with "tasks" tasks each; each step waits for the
  * step before it.  "duration_ms" is the declared duration of a task. */
--- a/packages/scheduler/workspaces.c
+++ b/packages/scheduler/workspaces.c
@@ -64,9 +64,11 @@
 void
 workspaces_add_job(AqScheduler *s, Job *job)
 {
+    job->account = &s->without_workspace;
     if (job->spec.workspace != NULL) {
         job->workspace = find_or_add(s, job->spec.workspace);
         job->workspace->job_count++;
+        job->account = job->workspace;
     }
 }
 
@@ -77,6 +79,7 @@
         job->workspace->job_count--;
         remove_if_unused(s, job->workspace);
         job->workspace = NULL;
+        job->account = &s->without_workspace;
     }
 }
 
@@ -84,10 +87,7 @@
 workspaces_count_task(const Task *task, int sign)
 {
     const AqStepSpec *spec = task->step->spec;
-    Workspace *workspace = task->step->occurrence->job->workspace;
-    if (workspace == NULL) {
-        return;
-    }
+    Workspace *workspace = task->step->occurrence->job->account;
     workspace->used.cpu_millis +=
         sign * (spec->is_filler ? 0 : spec->cpu_millis);
     workspace->used.memory_mb += sign * spec->memory_mb;
