--- a/packages/pool/node_metrics.c
+++ b/packages/pool/node_metrics.c
@@ -25,6 +25,30 @@
     metrics->pools_lost = AqMetrics_Counter(all, "aq_pools_lost_total", "");
 }
 
+/* The workspaces that wait longest; the others have no labels, so that a pool
+ * has few of them however many workspaces there are. */
+static void
+write_shares(const char *pool, AqScheduler *s, AqTime now, AqBuffer *out)
+{
+    enum {
+        MAX_WORKSPACES = 20
+    };
+    AqWorkspaceShare shares[MAX_WORKSPACES];
+    size_t count = AqScheduler_GetShares(s, now, shares, MAX_WORKSPACES);
+    for (size_t i = 0; i < count; i++) {
+        AqBuffer_Printf(
+            out, "aq_workspace_share{pool=\"%s\",workspace=\"%s\"} %.4f\n",
+            pool, shares[i].name, shares[i].share);
+        AqBuffer_Printf(
+            out, "aq_workspace_wait_ms{pool=\"%s\",workspace=\"%s\"} %lld\n",
+            pool, shares[i].name, (long long)shares[i].longest_wait_ms);
+        AqBuffer_Printf(
+            out,
+            "aq_workspace_ready_tasks{pool=\"%s\",workspace=\"%s\"} %zu\n",
+            pool, shares[i].name, shares[i].ready_tasks);
+    }
+}
+
 void
 node_metrics_write_pool(const char *pool, AqScheduler *s, AqTime now,
                         AqBuffer *out)
@@ -59,4 +83,5 @@
                     pool, (unsigned long long)counters->crashed_runs);
     AqBuffer_Printf(out, "aq_jobs_given_up_total{pool=\"%s\"} %llu\n", pool,
                     (unsigned long long)counters->given_up);
+    write_shares(pool, s, now, out);
 }
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -338,10 +338,30 @@
     /* orders that changed the speed limit (pace) of a filler, a task that uses
      * only CPU that others leave */
     uint64_t paced;
+    /* how often a task was assigned to a VM, members of gangs that then did
+     * not all fit included */
+    uint64_t assigned;
 } AqSchedulerCounters;
 
 const AqSchedulerCounters *AqScheduler_Counters(const AqScheduler *scheduler);
 
+/* What a workspace has of a pool, and how long it waits for more. */
+typedef struct {
+    const char *name; /* borrowed from the scheduler */
+    /* largest part, 0 to 1, of the pool's CPU, memory or GPUs that the
+     * workspace's tasks use */
+    double share;
+    double weight;
+    size_t ready_tasks;
+    /* how long the longest-waiting ready task has been ready to start */
+    AqTime longest_wait_ms;
+} AqWorkspaceShare;
+
+/* Fills in the workspaces with unfinished jobs, at most "most", those that
+ * wait longest first.  Returns their number. */
+size_t AqScheduler_GetShares(AqScheduler *scheduler, AqTime now,
+                             AqWorkspaceShare *shares, size_t most);
+
 /* Places jobs without regard to shares of workspaces from now on.  For
  * tests. */
 void AqScheduler_DisableShares(AqScheduler *scheduler);
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -229,6 +229,7 @@
 static void
 assign_task(AqScheduler *s, Vm *vm, Task *task, int64_t run)
 {
+    s->counters.assigned++;
     task->step->ready--;
     task->state = TASK_STARTING;
     task->run = run;
@@ -490,11 +491,15 @@
     s->counters.ranked += count;
     qsort(jobs, count, sizeof(Job *), ranking_compare);
     FairOrder *order = fair_order_create(s, jobs, count);
+    uint64_t earlier_starts = s->counters.assigned;
     Job *next;
     while (start_window_is_open(&s->start_window) &&
            (next = fair_order_next(order)) != NULL) {
         place_job(s, next);
     }
+    if (fair_order_is_contended(order)) {
+        workspace_waits_log(s, s->counters.assigned - earlier_starts);
+    }
     fair_order_destroy(order);
     free(jobs);
 }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -19,6 +19,7 @@
  * superseded.c  runs that are stopped since another run replaces them
  * ranking.c     order in which jobs are placed
  * workspaces.c  what the jobs of each workspace use
+ * workspace_waits.c  what workspaces have of the pool, and wait for
  * fair_order.c  turns of the workspaces while there is less room than work
  * crashes.c     tasks under which VMs have crashed
  * open_runs.c   runs of which it is not known whether they crashed their VM
@@ -538,6 +539,8 @@
      * sent orders) */
     uint64_t used_vms_version;
     bool disables_shares; /* see AqScheduler_DisableShares() */
+    /* when workspace_waits_log() next looks for waiting workspaces */
+    AqTime next_wait_log_at;
     bool placement_due;
     /* when the scheduler next places tasks on VMs, unless placement_due
      * becomes true earlier */
@@ -831,6 +834,11 @@
  * if it is -1. */
 void workspaces_count_task(const Task *task, int sign);
 
+/* ---- workspace_waits.c */
+/* Logs at times which workspace waits longest, after a placement in which
+ * shares counted and so many tasks were assigned to VMs. */
+void workspace_waits_log(AqScheduler *s, uint64_t starts);
+
 /* ---- placement.c */
 /* Orders the start of ready tasks if a placement of tasks is due. */
 void placement_run(AqScheduler *s);
--- a/packages/scheduler/tests/test_fair_order.c
+++ b/packages/scheduler/tests/test_fair_order.c
@@ -332,6 +332,43 @@
     }
 }
 
+/* An operator does not see which workspace waits, or sees more workspaces than
+ * metrics may have labels. */
+static void
+test_waits_shown(void)
+{
+    static AqWorkspaceConfig workspaces[] = {{.name = "h", .weight = 1},
+                                             {.name = "l", .weight = 2}};
+    static const AqStepSpec step = {.task_count = 1,
+                                    .cpu_millis = FIXTURE_VM_CPU_MILLIS / 4,
+                                    .estimate_ms = 1000};
+    AqWorkspaceShare shares[2];
+    Fixture f;
+    fixture_set_up_loaded(&f);
+    f.site.workspaces = workspaces;
+    f.site.workspace_count = 2;
+    AqScheduler_SetSite(f.s, &f.site);
+    fixture_add_vm(&f, "i-1");
+    fixture_add_job_of(&f, "h-1", "h", "queue", &step);
+    fixture_add_job_of(&f, "h-2", "h", "queue", &step);
+    fixture_add_job_of(&f, "h-3", "h", "queue", &step);
+    fixture_add_job_of(&f, "h-4", "h", "queue", &step);
+    fixture_tick(&f, 100);
+    fixture_add_job_of(&f, "l-1", "l", "queue", &step);
+    fixture_tick(&f, 200);
+    CU_ASSERT_EQUAL(AqScheduler_GetShares(f.s, f.now, shares, 2), 2);
+    CU_ASSERT_STRING_EQUAL(shares[0].name, "l");
+    CU_ASSERT_EQUAL(shares[0].ready_tasks, 1);
+    CU_ASSERT_EQUAL(shares[0].longest_wait_ms, 200);
+    CU_ASSERT_EQUAL(shares[0].weight, 2.0);
+    CU_ASSERT_EQUAL(shares[0].share, 0.0);
+    CU_ASSERT_STRING_EQUAL(shares[1].name, "h");
+    CU_ASSERT_EQUAL(shares[1].longest_wait_ms, 0);
+    CU_ASSERT_EQUAL(shares[1].share, 1.0);
+    CU_ASSERT_EQUAL(AqScheduler_GetShares(f.s, f.now, shares, 1), 1);
+    fixture_tear_down(&f);
+}
+
 /* ---- Load over time ----------------------------------------------------- */
 
 static double
@@ -429,6 +466,7 @@
     CU_pSuite suite = CU_add_suite("fair_order", NULL, NULL);
     CU_add_test(suite, "one_placement", test_one_placement);
     CU_add_test(suite, "no_workspaces", test_no_workspaces);
+    CU_add_test(suite, "waits_shown", test_waits_shown);
     CU_add_test(suite, "hot_workspace", test_hot_workspace);
     CU_add_test(suite, "alone", test_alone);
     CU_add_test(suite, "small_beside_wide", test_small_beside_wide);
