--- a/packages/pool/node_metrics.c
+++ b/packages/pool/node_metrics.c
@@ -25,6 +25,28 @@
     metrics->pools_lost = AqMetrics_Counter(all, "aq_pools_lost_total", "");
 }
 
+static void
+write_places(const char *pool, const AqSchedulerCounters *counters,
+             AqBuffer *out)
+{
+    const struct {
+        const char *place;
+        const char *wait;
+        uint64_t count;
+    } rows[] = {{"near", "none", counters->near_starts},
+                {"far", "none", counters->far_starts},
+                {"near", "ended", counters->near_after_wait},
+                {"far", "ended", counters->far_after_wait}};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        AqBuffer_Printf(
+            out,
+            "aq_placed_starts_total{pool=\"%s\",place=\"%s\",wait=\"%s\"} "
+            "%llu\n",
+            pool, rows[i].place, rows[i].wait,
+            (unsigned long long)rows[i].count);
+    }
+}
+
 void
 node_metrics_write_pool(const char *pool, AqScheduler *s, AqTime now,
                         AqBuffer *out)
@@ -57,6 +79,7 @@
                     pool, (unsigned long long)counters->stalled);
     AqBuffer_Printf(out, "aq_runs_total{pool=\"%s\",end=\"crashed\"} %llu\n",
                     pool, (unsigned long long)counters->crashed_runs);
+    write_places(pool, counters, out);
     AqBuffer_Printf(out, "aq_jobs_given_up_total{pool=\"%s\"} %llu\n", pool,
                     (unsigned long long)counters->given_up);
 }
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -526,6 +526,15 @@
 
 /* ---- Interface ---------------------------------------------------------- */
 
+/* 1 if the setting is empty or no number. */
+static double
+far_rack_factor(const AqSettings *settings)
+{
+    const char *text = settings->limits_far_rack_factor;
+    double factor = text != NULL ? strtod(text, NULL) : 1.0;
+    return factor > 1.0 ? factor : 1.0;
+}
+
 PoolOwner *
 pool_owner_create(NodeContext *node, Member *member,
                   const Ownership *ownership, const PoolOwnerOps *ops,
@@ -539,6 +548,8 @@
         .longest_lease_ms = node->settings->limits_longest_lease_ms,
         .earlier_owner_ms =
             ownership->previous_owner_may_be_active ? MEMBER_LEASE_MS : 0,
+        .far_rack_factor = far_rack_factor(node->settings),
+        .place_wait_ms = node->settings->limits_place_wait_ms,
     };
     if (config.lease_ms > node->settings->limits_longest_lease_ms) {
         config.lease_ms = node->settings->limits_longest_lease_ms;
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -62,6 +62,12 @@
     /* How long after the scheduler's creation an earlier owner of the pool may
      * still send orders; 0: the earlier owner is known to have ended. */
     AqTime earlier_owner_ms;
+    /* how many times as long a task takes away from the rack of its data, or a
+     * gang that prefers one rack on several; 1 or less: not known */
+    double far_rack_factor;
+    /* longest wait of a ready task for room at its place while there is room
+     * elsewhere; 0: it never waits */
+    AqTime place_wait_ms;
 } AqSchedulerConfig;
 
 /* Calls by which the scheduler sends its orders.  The caller reports the reply
@@ -338,6 +344,13 @@
     /* orders that changed the speed limit (pace) of a filler, a task that uses
      * only CPU that others leave */
     uint64_t paced;
+    /* Starts of tasks that have a place, the rack of their data or one rack
+     * for their gang: at that place or away from it, without a wait for room
+     * there or after one. */
+    uint64_t near_starts;
+    uint64_t far_starts;
+    uint64_t near_after_wait;
+    uint64_t far_after_wait;
 } AqSchedulerCounters;
 
 const AqSchedulerCounters *AqScheduler_Counters(const AqScheduler *scheduler);
--- a/packages/scheduler/load.c
+++ b/packages/scheduler/load.c
@@ -54,7 +54,8 @@
 }
 
 static void
-add_step_load(const Step *step, AqTime now, AqSchedulerLoad *load)
+add_step_load(const AqScheduler *s, const Step *step, AqTime now,
+              AqSchedulerLoad *load)
 {
     const AqStepSpec *spec = step->spec;
     int64_t cpu = spec->is_filler ? 0 : spec->cpu_millis;
@@ -72,7 +73,8 @@
     load->ready_cpu_millis += cpu * step->ready;
     for (uint32_t i = 0; i < spec->task_count; i++) {
         const Task *task = &step->tasks[i];
-        if (task->state == TASK_READY &&
+        /* A task that waits for its place needs no further VM. */
+        if (task->state == TASK_READY && !places_is_waiting(s, task) &&
             now - task->ready_at > load->longest_wait_ms) {
             load->longest_wait_ms = now - task->ready_at;
         }
@@ -98,7 +100,7 @@
             const Occurrence *occurrence =
                 AqList_Entry(each, Occurrence, link);
             for (size_t i = 0; i < job->spec.step_count; i++) {
-                add_step_load(&occurrence->steps[i], now, load);
+                add_step_load(s, &occurrence->steps[i], now, load);
             }
         }
     }
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -20,6 +20,9 @@
     /* addend of placement_cost(), thousandths of a core, for a VM in a rack
      * other than that of the task's data */
     OTHER_RACK_COST = 10000000,
+    /* addend of placement_cost(), thousandths of a core, for a VM in a rack
+     * for which other tasks wait; above any amount of free CPU of a VM */
+    WANTED_RACK_COST = 1000000,
     /* how many run numbers of each task are reserved for each owner of the
      * pool */
     RUNS_PER_OWNER = 100000,
@@ -141,6 +144,21 @@
     return check_vm(s, vm, task, needs_ticket(s, task->step));
 }
 
+uint32_t
+placement_task_limit(const Vm *vm, const Task *task)
+{
+    const AqStepSpec *spec = task->step->spec;
+    if (!has_label(vm, spec->required_label) ||
+        strcmp(vm->report.id, task->avoid) == 0) {
+        return 0;
+    }
+    if (spec->max_per_vm == 0) {
+        return UINT32_MAX;
+    }
+    uint32_t count = count_step_tasks(vm, task->step);
+    return count < spec->max_per_vm ? spec->max_per_vm - count : 0;
+}
+
 /* Returns the cost of running the task on the VM, in thousandths of a core:
  * the VM's free CPU plus addends for unwanted VMs and racks.  The VM with the
  * lowest cost is chosen. */
@@ -153,10 +171,15 @@
         cost += (int64_t)RACK_SPREAD_COST *
                 count_step_tasks_on_rack(s, vm->report.rack, task->step);
     }
-    if (spec->near_rack != NULL &&
-        strcmp(vm->report.rack, spec->near_rack) != 0) {
+    bool is_near = spec->near_rack != NULL &&
+                   strcmp(vm->report.rack, spec->near_rack) == 0;
+    if (spec->near_rack != NULL && !is_near) {
         cost += OTHER_RACK_COST;
     }
+    if (!is_near && !spec->is_perpetual &&
+        places_is_wanted(s, vm->report.rack)) {
+        cost += WANTED_RACK_COST;
+    }
     if (strcmp(vm->report.id, task->avoid) == 0) {
         cost += 2 * (int64_t)OTHER_RACK_COST;
     }
@@ -217,11 +240,11 @@
     start_window_sent(&s->start_window, s->now);
     AqLog_Event(AQ_LOG_INFO, "run_ordered",
                 "request=%s occurrence=%u step=%u task=%u run=%lld vm=%s "
-                "fence=%llu waited_ms=%lld",
+                "fence=%llu waited_ms=%lld place=%s",
                 order.task.job, order.task.occurrence, order.task.step,
                 order.task.index, (long long)order.run, target.vm,
                 (unsigned long long)s->config.fence,
-                (long long)(s->now - task->ready_at));
+                (long long)(s->now - task->ready_at), places_name(task));
     s->actions.start(s->context, &target, &order);
 }
 
@@ -246,6 +269,7 @@
 static void
 order_start(AqScheduler *s, Task *task)
 {
+    places_note_start(s, task);
     if (!crashes_store_start(s, task)) {
         placement_send_start(s, task);
     }
@@ -308,16 +332,25 @@
 }
 
 /* Chooses the VM for a run of the task, which no longer needs the room that
- * was reserved for it.  NULL: no VM has room. */
+ * was reserved for it.  NULL: no VM has room, or the task waits for room near
+ * its data. */
 static Vm *
-choose_vm_for_run(const AqScheduler *s, Task *task)
+choose_vm_for_run(AqScheduler *s, Task *task)
 {
+    const char *near_rack = task->step->spec->near_rack;
     bool tickets = needs_ticket(s, task->step);
     vms_end_reservation(task);
     Vm *vm = choose_vm(s, task, NULL, tickets, vms_is_usable);
     if (vm == NULL && task->step->spec->is_perpetual) {
         vm = choose_vm(s, task, NULL, tickets, vms_is_being_emptied);
     }
+    /* A ticket may be missing for the VMs near the data, which no end of a run
+     * brings. */
+    if (vm != NULL && near_rack != NULL && !tickets &&
+        strcmp(vm->report.rack, near_rack) != 0 &&
+        places_wait_for_data(s, task)) {
+        return NULL;
+    }
     return vm;
 }
 
@@ -345,7 +378,8 @@
         }
         Vm *vm = choose_vm_for_run(s, task);
         if (vm == NULL) {
-            is_full = is_full || !crashes_is_suspect(task);
+            is_full = is_full || !(crashes_is_suspect(task) ||
+                                   places_is_waiting(s, task));
             continue;
         }
         assign_task(s, vm, task, next_run(s, task->run));
@@ -419,6 +453,9 @@
                 return;
             }
         }
+        if (!needs_ticket(s, step) && places_wait_for_rack(s, step)) {
+            return;
+        }
     }
     place_gang_on(s, step, NULL);
 }
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -567,6 +567,8 @@
     s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     s->workspaces =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, workspaces_free);
+    s->racks = places_create();
+    s->rack_wanted_at = INT64_MIN / 2;
     s->vms_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     s->inherited_runs = g_array_new(FALSE, FALSE, sizeof(NamedRun));
     s->unknown_runs = g_array_new(FALSE, FALSE, sizeof(NamedRun));
@@ -597,6 +599,7 @@
         vms_free(AqList_Entry(at, Vm, link));
     }
     g_hash_table_destroy(s->vms_by_id);
+    g_hash_table_destroy(s->racks);
     g_array_free(s->inherited_runs, TRUE);
     g_array_free(s->unknown_runs, TRUE);
     g_array_free(s->open_runs, TRUE);
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -25,6 +25,8 @@
  * start_window.c  limit of start orders in flight
  * start_stall.c what a scheduler that starts no task waits for
  * placement.c   choice of a VM for each task
+ * places.c      racks for which tasks wait
+ * place_wait.c  whether such a wait pays
  * perpetual.c   moves of perpetual tasks off a VM, speed limits of fillers
  * progress.c    stored progress record of a job
  * saves.c       saves of job records, then confirmation of ends of runs */
@@ -154,6 +156,14 @@
     AqTime ready_at;
     /* earliest time to start the task's next run */
     AqTime not_before;
+    /* Of a task that waits for room at its place, or of the first task of such
+     * a gang: since when, until when the last decision to wait holds, and the
+     * wait that was expected at first, ms; 0: it does not wait. */
+    AqTime place_wait_since;
+    AqTime place_wait_until;
+    AqTime place_wait_expected_ms;
+    /* a run was started after such a wait; later runs do not wait */
+    bool has_waited_for_place;
     /* when this scheduler received the VM's confirmation that the task's
      * current run has started, on the scheduler's clock; 0: not known */
     AqTime started_at;
@@ -559,6 +569,9 @@
     double mean_declared_ms;
     double mean_actual_ms;
     StartWindow start_window;
+    GHashTable *racks; /* places.c; owned */
+    /* when a task last waited for a rack */
+    AqTime rack_wanted_at;
     /* when a VM last confirmed a start, or no task was ready or starting,
      * whichever is later */
     AqTime no_start_since;
@@ -690,6 +703,26 @@
 /* Adds the work of a new job to the offered load. */
 void load_add_job(AqScheduler *s, const AqJobSpec *spec);
 
+/* ---- places.c */
+/* Returns the table of racks, AqScheduler.racks. */
+GHashTable *places_create(void);
+/* Whether the task, for which there is now room only away from its data,
+ * waits for room in the rack of its data. */
+bool places_wait_for_data(AqScheduler *s, Task *task);
+/* Whether the gang, for which no rack has room now, waits for one. */
+bool places_wait_for_rack(AqScheduler *s, Step *step);
+/* Whether the task is ready and waits for room at its place although there is
+ * room elsewhere. */
+bool places_is_waiting(const AqScheduler *s, const Task *task);
+/* Whether a task waited for this rack in the last placements. */
+bool places_is_wanted(const AqScheduler *s, const char *rack);
+/* Returns "near" or "far" for a task that is on a VM and has a place, else
+ * "any"; static storage. */
+const char *places_name(const Task *task);
+/* Counts the start of a task that has a place, and logs the end of its wait.
+ * Called when all tasks of a gang are assigned to their VMs. */
+void places_note_start(AqScheduler *s, Task *task);
+
 /* ---- replies.c */
 /* Orders the stop of the task's run.  While a start order for the task is
  * pending, the stop is deferred until the VM has replied to the start
@@ -826,6 +859,9 @@
 Vm *placement_find_move_target(const AqScheduler *s, const Task *task);
 /* Whether the VM, if it may get tasks, may run the task and has room for
  * it. */
+/* Number of further tasks of the task's step that the VM may run if it has
+ * room for them; 0 if the VM does not suit the task. */
+uint32_t placement_task_limit(const Vm *vm, const Task *task);
 PlacementResult placement_check(const AqScheduler *s, const Vm *vm,
                                 const Task *task);
 /* Sends the start order of a task that is assigned to a VM. */
--- a/packages/scheduler/start_stall.c
+++ b/packages/scheduler/start_stall.c
@@ -27,14 +27,31 @@
     return s->is_recovered || job->is_new;
 }
 
+/* Whether the step has a ready task that does not wait for room at its place
+ * while there is room elsewhere. */
 static bool
-has_ready_step(const Job *job)
+has_due_task(const AqScheduler *s, const Step *step)
+{
+    if (step->ready == 0 || s->config.place_wait_ms == 0) {
+        return step->ready > 0;
+    }
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *task = &step->tasks[i];
+        if (task->state == TASK_READY && !places_is_waiting(s, task)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+has_ready_step(const AqScheduler *s, const Job *job)
 {
     AqList_ForEach(at, &job->occurrences)
     {
         const Occurrence *occurrence = AqList_Entry(at, Occurrence, link);
         for (size_t i = 0; i < job->spec.step_count; i++) {
-            if (occurrence->steps[i].ready > 0) {
+            if (has_due_task(s, &occurrence->steps[i])) {
                 return true;
             }
         }
@@ -47,7 +64,7 @@
 {
     AqList_ForEach(at, &s->active)
     {
-        if (has_ready_step(AqList_Entry(at, Job, link))) {
+        if (has_ready_step(s, AqList_Entry(at, Job, link))) {
             return true;
         }
     }
--- a/packages/scheduler/tests/order_fixture.h
+++ b/packages/scheduler/tests/order_fixture.h
@@ -34,6 +34,9 @@
 void fixture_set_up(Fixture *f, AqTime earlier_owner_ms);
 /* A scheduler of a pool that had no owner before. */
 void fixture_set_up_loaded(Fixture *f);
+/* The same with these figures of AqSchedulerConfig. */
+void fixture_set_up_places(Fixture *f, double far_rack_factor,
+                           AqTime place_wait_ms);
 void fixture_tear_down(Fixture *f);
 void fixture_tick(Fixture *f, AqTime ms);
 /* Adds a job of one step. */
--- a/packages/settings/Include/aq_settings.h
+++ b/packages/settings/Include/aq_settings.h
@@ -65,6 +65,8 @@
     char *carriers_listen;
     int64_t limits_longest_lease_ms;
     int64_t limits_machine_pause_ms;
+    char *limits_far_rack_factor;
+    int64_t limits_place_wait_ms;
     int64_t stop_grace_s;
 } AqSettings;
 
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -119,6 +119,12 @@
            HOUR_MS,
            "shortest time between the orders of two entry VMs for "
            "one VM, ms"),
+    TEXT("limits", "far_rack_factor", limits_far_rack_factor, "", NULL, 0, 16,
+         "how many times as long a task takes away from the rack of its data, "
+         "such as 1.5; empty: not known, no task waits for its rack"),
+    NUMBER("limits", "place_wait_ms", limits_place_wait_ms, 1000, 0, 1500,
+           "longest wait of a task for room in the rack of its data or gang "
+           "while there is room elsewhere, ms; 0: it does not wait"),
 };
 
 enum {
