--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -159,16 +159,6 @@
     return count < spec->max_per_vm ? spec->max_per_vm - count : 0;
 }
 
-/* Addend of placement_cost() for the time that a run takes longer on a slow
- * VM, for each duration of the run.  A VM in another rack costs as much for
- * the time that the run takes longer there. */
-static double
-slow_vm_cost(const AqScheduler *s)
-{
-    double factor = s->config.far_rack_factor;
-    return OTHER_RACK_COST / (factor > 1.0 ? factor - 1.0 : 1.0);
-}
-
 /* Returns the cost of running the task on the VM, in thousandths of a core:
  * the VM's free CPU plus addends for unwanted VMs and racks.  The VM with the
  * lowest cost is chosen. */
@@ -190,7 +180,6 @@
         places_is_wanted(s, vm->report.rack)) {
         cost += WANTED_RACK_COST;
     }
-    cost += (int64_t)((vm_speed_slowness(s, vm) - 1.0) * slow_vm_cost(s));
     if (strcmp(vm->report.id, task->avoid) == 0) {
         cost += 2 * (int64_t)OTHER_RACK_COST;
     }
--- a/packages/scheduler/places.c
+++ b/packages/scheduler/places.c
@@ -56,8 +56,8 @@
 
 /* ---- Room of a rack ----------------------------------------------------- */
 
-bool
-places_is_far(const Task *task)
+static bool
+is_far(const Task *task)
 {
     const char *rack = task->step->spec->near_rack;
     return rack != NULL && strcmp(task->vm->report.rack, rack) != 0;
@@ -74,8 +74,7 @@
     if (spec->is_perpetual) {
         return AQ_TIME_NEVER;
     }
-    double factor = vm_speed_slowness(s, task->vm) *
-                    (places_is_far(task) ? s->config.far_rack_factor : 1.0);
+    double factor = is_far(task) ? s->config.far_rack_factor : 1.0;
     AqTime whole = (AqTime)(factor * (double)scheduler_estimate(s, spec));
     AqTime left = whole;
     if (task->state == TASK_RUNNING && task->percent > 0) {
@@ -272,7 +271,7 @@
 runs_elsewhere(const Step *step)
 {
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        if (step->tasks[i].vm != NULL && places_is_far(&step->tasks[i])) {
+        if (step->tasks[i].vm != NULL && is_far(&step->tasks[i])) {
             return true;
         }
     }
@@ -364,7 +363,7 @@
 {
     const Step *step = task->step;
     if (!step->spec->is_gang || !step->spec->prefers_one_rack) {
-        return places_is_far(task);
+        return is_far(task);
     }
     for (uint32_t i = 1; i < step->spec->task_count; i++) {
         if (strcmp(step->tasks[i].vm->report.rack,
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -43,9 +43,9 @@
 }
 
 void
-replies_log_copy(const AqScheduler *s, const Task *task, const char *reason)
+replies_log_copy(const AqScheduler *s, const Task *task)
 {
-    log_task(AQ_LOG_INFO, "run_copied", task, task->vm, s, reason);
+    log_task(AQ_LOG_INFO, "run_copied", task, task->vm, s, "vm_silent");
 }
 
 /* ---- Stops -------------------------------------------------------------- */
@@ -337,7 +337,6 @@
     log_task(AQ_LOG_INFO, "run_ended", task, vm, s, names[end->kind]);
     if (end->kind == AQ_END_DONE) {
         vms_record_result(s, vm, task, false);
-        vm_speed_note_end(s, vm, task);
         if (task->vm != NULL && (task->vm != vm || task->run != end->run)) {
             stop_superseded_run(s, task);
         }
@@ -559,14 +558,8 @@
     task->last_listed_renewal = vm->renewal_count;
     set_checkpoint(task, row->checkpoint);
     update_presence(s, task, row);
-    vm_speed_note_progress(s, vm, task, row->percent);
     stop_if_stalled(s, vm, task, row);
     crashes_note_alive(s, task);
-    if (vm_speed_should_copy(s, vm, task)) {
-        replies_log_copy(s, task, "vm_slow");
-        task->is_copied = true;
-        vms_copy_task(s, vm, task);
-    }
 }
 
 /* Makes those of the VM's tasks ready for new runs whose runs are missing from
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -25,7 +25,6 @@
  * start_window.c  limit of start orders in flight
  * start_stall.c what a scheduler that starts no task waits for
  * placement.c   choice of a VM for each task
- * vm_speed.c    how fast each VM runs tasks
  * places.c      racks for which tasks wait
  * place_wait.c  whether such a wait pays
  * perpetual.c   moves of perpetual tasks off a VM, speed limits of fillers
@@ -136,8 +135,6 @@
     /* the job's record names the current run and its VM, in case it crashes
      * the VM and this owner of the pool does not learn of it */
     bool is_start_stored;
-    /* a run of the task was copied since its VM is slow */
-    bool is_copied;
     /* the task counts in suspect_count of its VM */
     bool counts_as_suspect;
     /* when the last start order for the run was sent */
@@ -241,10 +238,6 @@
     uint32_t done;
     /* number of the step's tasks in state TASK_READY */
     uint32_t ready;
-    /* number of the step's runs that ended "done" as fast as most, and their
-     * mean duration, ms */
-    uint32_t end_count;
-    double mean_end_ms;
     /* array of Ticket (the advice service's permissions to start tasks of the
      * step, each on one VM until it expires), or NULL; owned */
     GArray *tickets;
@@ -422,10 +415,6 @@
      * there or the VM refused orders */
     AqTime quarantined_until;
     unsigned consecutive_failures;
-    /* how many times as long as elsewhere runs took on the VM, at slowness_at;
-     * 0: not known */
-    double slowness;
-    AqTime slowness_at;
     int64_t used_cpu;
     /* part of used_cpu that perpetual tasks take, in thousandths of a core */
     int64_t perpetual_cpu;
@@ -663,9 +652,6 @@
 void vms_on_reply(AqScheduler *s, Vm *vm, const AqOrderReply *reply);
 /* Records that an order to the VM ended without a reply. */
 void vms_on_no_reply(AqScheduler *s, Vm *vm);
-/* Makes the task, which allows copies, ready for a new run while its run on
- * this VM may continue. */
-void vms_copy_task(AqScheduler *s, Vm *vm, Task *task);
 /* Extends the VM's lease for an order that is sent now.  Returns the new end
  * of the lease, on the VM's clock. */
 AqTime vms_grant_lease(AqScheduler *s, Vm *vm);
@@ -717,24 +703,7 @@
 /* Adds the work of a new job to the offered load. */
 void load_add_job(AqScheduler *s, const AqJobSpec *spec);
 
-/* ---- vm_speed.c */
-/* How many times as long runs are expected to take on the VM as on others; 1
- * for a VM that is not slow. */
-double vm_speed_slowness(const AqScheduler *s, const Vm *vm);
-/* Called with the newly reported percent of the task's run on the VM, before
- * task->percent and progress_at change. */
-void vm_speed_note_progress(AqScheduler *s, Vm *vm, const Task *task,
-                            int64_t percent);
-/* Called when a run of the task on the VM is done, before the task is. */
-void vm_speed_note_end(AqScheduler *s, Vm *vm, const Task *task);
-/* Whether the rest of the task's run on the slow VM takes longer than a new
- * run elsewhere, for which there is room, and the task allows a copy. */
-bool vm_speed_should_copy(const AqScheduler *s, const Vm *vm,
-                          const Task *task);
-
 /* ---- places.c */
-/* Whether the task, which is on a VM, is away from its data. */
-bool places_is_far(const Task *task);
 /* Returns the table of racks, AqScheduler.racks. */
 GHashTable *places_create(void);
 /* Whether the task, for which there is now room only away from its data,
@@ -767,9 +736,9 @@
  * an end of that run. */
 void replies_log_lost(const AqScheduler *s, const Task *task,
                       const char *reason);
-/* Logs that the task is made ready although its run on a VM may continue. */
-void replies_log_copy(const AqScheduler *s, const Task *task,
-                      const char *reason);
+/* Logs that the task is made ready although its run on a silent VM may
+ * continue. */
+void replies_log_copy(const AqScheduler *s, const Task *task);
 /* Makes a run that the VM lists the task's current run.  The run was started
  * by an earlier pool owner, or by a start order of this pool owner that had no
  * reply. */
--- a/packages/scheduler/vm_restart.c
+++ b/packages/scheduler/vm_restart.c
@@ -25,7 +25,6 @@
     vm->blocked_until = 0;
     vm->quarantined_until = 0;
     vm->consecutive_failures = 0;
-    vm->slowness = 0;
     vm->foreign_cpu = 0;
     vm->foreign_memory = 0;
     vm->foreign_since = 0;
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -250,20 +250,6 @@
     }
 }
 
-void
-vms_copy_task(AqScheduler *s, Vm *vm, Task *task)
-{
-    const AqStepSpec *spec = task->step->spec;
-    s->counters.copied++;
-    /* Until the VM's next reply to a lease renewal, the resources of the run
-     * there count as foreign usage: that of runs which are not the current run
-     * of any task of this scheduler. */
-    vm->foreign_cpu += spec->cpu_millis;
-    vm->foreign_memory += spec->memory_mb;
-    g_strlcpy(task->avoid, vm->report.id, sizeof(task->avoid));
-    scheduler_requeue_task(s, task);
-}
-
 /* Makes those running tasks of the silent VM whose steps allow copies ready
  * for new runs, without waiting for the VM's lease to expire.  The tasks' runs
  * on the silent VM may continue beside the new runs. */
@@ -280,9 +266,17 @@
             /* A task that crashed the silent VM would crash the next one. */
             continue;
         }
-        replies_log_copy(s, task, "vm_silent");
+        s->counters.copied++;
+        replies_log_copy(s, task);
         open_runs_add_current(s, task, young_count);
-        vms_copy_task(s, vm, task);
+        /* The task's run on this silent VM may continue beside the task's new
+         * run.  Until the VM replies to a lease renewal, the resources of the
+         * run on this VM count as foreign usage: that of runs which are not
+         * the current run of any task of this scheduler. */
+        vm->foreign_cpu += spec->cpu_millis;
+        vm->foreign_memory += spec->memory_mb;
+        g_strlcpy(task->avoid, vm->report.id, sizeof(task->avoid));
+        scheduler_requeue_task(s, task);
     }
 }
 
