--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "aq_buffer.h"
+#include "aq_cap_shares.h"
 #include "aq_clock.h"
 #include "aq_job_spec.h"
 #include "aq_site_config.h"
@@ -64,6 +65,18 @@
     AqTime earlier_owner_ms;
 } AqSchedulerConfig;
 
+/* Use of a pool by a workspace. */
+typedef struct {
+    const char *name; /* borrowed */
+    size_t jobs;
+    AqResources used; /* by its tasks that are on VMs */
+    AqResources cap;  /* over all pools; each resource 0: no limit */
+    /* what it may use in this pool of the resources that "cap" limits */
+    AqResources limit;
+    size_t held_back_tasks; /* number of ready tasks that only this limits */
+    uint64_t capped_count;  /* how often the limit began to hold tasks back */
+} AqWorkspaceView;
+
 /* Calls by which the scheduler sends its orders.  The caller reports the reply
  * to each order with the AqScheduler_On* function of that order.  "pace"
  * limits the speed of a run. */
@@ -117,6 +130,26 @@
 size_t AqScheduler_CountWaiting(const AqScheduler *scheduler,
                                 const char *queue);
 
+/* ---- Workspaces ---------------------------------------------------------- */
+
+/* Calls "visit" for each workspace that has a cap. */
+void AqScheduler_EachCapDemand(AqScheduler *scheduler,
+                               void (*visit)(void *context,
+                                             const AqCapDemand *demand),
+                               void *context);
+/* Sets what the workspace may use in this pool of the resources that its cap
+ * limits; nothing until the first call. */
+void AqScheduler_SetCapLimit(AqScheduler *scheduler, const char *workspace,
+                             const AqResources *limit);
+/* Calls "visit" for each workspace that has jobs or is configured. */
+void AqScheduler_EachWorkspace(const AqScheduler *scheduler,
+                               void (*visit)(void *context,
+                                             const AqWorkspaceView *view),
+                               void *context);
+/* Whether the scheduler knows all live runs that earlier owners of the pool
+ * may have started. */
+bool AqScheduler_IsRecovered(const AqScheduler *scheduler);
+
 /* ---- VMs ---------------------------------------------------------------- */
 
 /* Adds the reported VM, or updates the report of a known VM.  The store has an
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -201,6 +201,7 @@
 {
     AqOrderTarget target;
     const char *ticket = find_ticket(s, task->step, task->vm);
+    const char *workspace = task->step->occurrence->job->spec.workspace;
     AqStartOrder order = {
         .run = task->run,
         .text = task->step->occurrence->job->spec.text,
@@ -217,11 +218,13 @@
     start_window_sent(&s->start_window, s->now);
     AqLog_Event(AQ_LOG_INFO, "run_ordered",
                 "request=%s occurrence=%u step=%u task=%u run=%lld vm=%s "
-                "fence=%llu waited_ms=%lld",
+                "fence=%llu waited_ms=%lld%s%s",
                 order.task.job, order.task.occurrence, order.task.step,
                 order.task.index, (long long)order.run, target.vm,
                 (unsigned long long)s->config.fence,
-                (long long)(s->now - task->ready_at));
+                (long long)(s->now - task->ready_at),
+                workspace != NULL ? " workspace=" : "",
+                workspace != NULL ? workspace : "");
     s->actions.start(s->context, &target, &order);
 }
 
@@ -246,6 +249,7 @@
 static void
 order_start(AqScheduler *s, Task *task)
 {
+    workspace_caps_note_start(task);
     if (!crashes_store_start(s, task)) {
         placement_send_start(s, task);
     }
@@ -340,7 +344,8 @@
         if (!is_startable(s, task) || (is_full && task->reserved_vm == NULL)) {
             continue;
         }
-        if (!start_window_is_open(&s->start_window)) {
+        if (!start_window_is_open(&s->start_window) ||
+            !workspace_caps_allow(s, step, 1)) {
             break;
         }
         Vm *vm = choose_vm_for_run(s, task);
@@ -409,6 +414,9 @@
             return;
         }
     }
+    if (!workspace_caps_allow(s, step, step->spec->task_count)) {
+        return;
+    }
     if (step->spec->prefers_one_rack) {
         AqList_ForEach(at, &s->vms)
         {
@@ -476,6 +484,7 @@
     }
     s->earliest_placement_at = s->now + MIN_PLACEMENT_GAP_MS;
     update_largest_free(s);
+    workspace_caps_begin(s);
     size_t count = 0;
     Job **jobs = malloc((AqList_Length(&s->active) + 1) * sizeof(Job *));
     AqList_ForEach(at, &s->active)
--- a/packages/scheduler/replies.c
+++ b/packages/scheduler/replies.c
@@ -109,12 +109,16 @@
                                 .cpu_millis =
                                     spec->is_filler ? 1 : spec->cpu_millis + 1,
                                 .memory_mb = spec->memory_mb,
+                                .gpus = spec->gpus,
                                 .stopped_at = AQ_TIME_NEVER,
                                 .start_expires_at = vms_start_expiry(s)};
+    const char *workspace = task->step->occurrence->job->spec.workspace;
+    superseded.workspace = g_intern_string(workspace);
     scheduler_name_task(task, &superseded.task);
     g_array_append_val(vm->superseded, superseded);
     vm->foreign_cpu += superseded.cpu_millis;
     vm->foreign_memory += superseded.memory_mb;
+    workspace_caps_add_foreign(vm, workspace, spec);
     replies_stop_stray(s, vm, &superseded.task, task->run);
     vms_detach(s, task);
 }
@@ -514,6 +518,7 @@
      * while it lists the run. */
     vm->foreign_cpu += spec->is_filler ? 1 : spec->cpu_millis + 1;
     vm->foreign_memory += spec->memory_mb;
+    workspace_caps_add_foreign(vm, job->spec.workspace, spec);
 }
 
 /* Applies one run that the VM lists as alive in its reply to a lease renewal:
@@ -616,6 +621,7 @@
     vm->renewal_count++;
     vm->foreign_cpu = 0;
     vm->foreign_memory = 0;
+    g_array_set_size(vm->foreign_uses, 0);
     vm->lists_ends = reply->ended_count > 0;
     unknown_runs_clear(s, id);
     open_runs_note_reply(s, vm);
--- a/packages/scheduler/scheduler_check.c
+++ b/packages/scheduler/scheduler_check.c
@@ -86,6 +86,56 @@
     return true;
 }
 
+/* Sums up what the workspace's tasks on VMs use. */
+static AqResources
+sum_workspace(const AqScheduler *s, const Workspace *workspace, size_t *count)
+{
+    AqResources sum = {0};
+    *count = 0;
+    AqList_ForEach(at, &s->vms)
+    {
+        const Vm *vm = AqList_Entry(at, Vm, link);
+        AqList_ForEach(each, &vm->tasks)
+        {
+            const Task *task = AqList_Entry(each, Task, link);
+            const AqStepSpec *spec = task->step->spec;
+            if (task->step->occurrence->job->workspace == workspace) {
+                sum.cpu_millis += spec->is_filler ? 0 : spec->cpu_millis;
+                sum.memory_mb += spec->memory_mb;
+                sum.gpus += spec->gpus;
+                (*count)++;
+            }
+        }
+    }
+    return sum;
+}
+
+static bool
+check_workspaces(const AqScheduler *s, AqError *error)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->workspaces);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Workspace *workspace = value;
+        size_t count;
+        AqResources sum = sum_workspace(s, workspace, &count);
+        if (sum.cpu_millis != workspace->used.cpu_millis ||
+            sum.memory_mb != workspace->used.memory_mb ||
+            sum.gpus != workspace->used.gpus ||
+            count != workspace->task_count) {
+            return AqError_Set(
+                error, AQ_ERR_INVALID,
+                "workspace %s counts %zu tasks with %lld thousandths of a "
+                "core, not %zu with %lld",
+                workspace->name, workspace->task_count,
+                (long long)workspace->used.cpu_millis, count,
+                (long long)sum.cpu_millis);
+        }
+    }
+    return true;
+}
+
 bool
 AqScheduler_CheckConsistency(const AqScheduler *s, AqError *error)
 {
@@ -109,5 +159,5 @@
             return false;
         }
     }
-    return true;
+    return check_workspaces(s, error);
 }
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "aq_cap_shares.h"
 #include "aq_list.h"
 #include "aq_scheduler.h"
 #include "start_window.h"
@@ -19,6 +20,7 @@
  * superseded.c  runs that are stopped since another run replaces them
  * ranking.c     order in which jobs are placed
  * workspaces.c  what the jobs of each workspace use
+ * workspace_caps.c  tasks that the caps of workspaces hold back
  * crashes.c     tasks under which VMs have crashed
  * open_runs.c   runs of which it is not known whether they crashed their VM
  * unknown_runs.c  runs that VMs list before their tasks are known
@@ -63,8 +65,31 @@
     AqResources used;
     size_t task_count; /* number of these tasks */
     size_t job_count;  /* number of its jobs, finished ones included */
+    /* What the workspace may use in the pool of the resources that its cap
+     * limits: the part of the cap that the pool holds.  0 until
+     * AqScheduler_SetCapLimit(). */
+    AqResources limit;
+    /* what its runs use that are not the current run of any task, as counted
+     * last */
+    AqResources foreign;
+    /* Tasks that only the limit held back in the last placement, what they
+     * need, and the need of the first of them, or of its gang. */
+    size_t held_back_tasks;
+    AqResources held_back;
+    AqResources unit;
+    /* since when tasks are held back and none has started, Unix ms; 0: none is
+     * held back */
+    int64_t waiting_since;
+    uint64_t capped_count; /* how often the limit began to hold tasks back */
+    AqTime capped_log_due;
 } Workspace;
 
+/* What a run uses that is not the current run of any task. */
+typedef struct {
+    const char *workspace; /* interned */
+    AqResources amounts;
+} ForeignUse;
+
 /* In the types below, times without another note are on the scheduler's clock,
  * that of "now" in its functions.  CPU amounts are in thousandths of a core,
  * memory amounts in MB. */
@@ -324,6 +349,8 @@
     int64_t run;
     int64_t cpu_millis; /* at least 1, so that the VM does not count as idle */
     int64_t memory_mb;
+    int64_t gpus;
+    const char *workspace; /* interned; NULL: none */
     /* when the VM confirmed the stop; AQ_TIME_NEVER: not yet */
     AqTime stopped_at;
     /* from when on the VM refuses the run's start order, whose lease has
@@ -418,6 +445,9 @@
      * current run of any task of this scheduler (foreign usage) */
     int64_t foreign_cpu;
     int64_t foreign_memory;
+    /* of ForeignUse: the part of the foreign usage that workspaces have;
+     * owned */
+    GArray *foreign_uses;
     GArray *superseded; /* of SupersededRun; owned */
     /* since when the VM has listed runs, or ends of runs, of jobs that this
      * scheduler does not know; 0: it lists none */
@@ -464,6 +494,7 @@
     PLACEMENT_NO_TICKET,
     /* the task, or one that has just started on the VM, may crash its VM */
     PLACEMENT_SUSPECT,
+    PLACEMENT_CAPPED, /* the cap of the task's workspace holds it back */
     PLACEMENT_RESULTS
 } PlacementResult;
 
@@ -818,6 +849,21 @@
  * if it is -1. */
 void workspaces_count_task(const Task *task, int sign);
 
+/* ---- workspace_caps.c */
+/* Adds a run of a task with this specification, which is not the current run
+ * of any task, to the VM's foreign usage; "workspace" NULL: it has none. */
+void workspace_caps_add_foreign(Vm *vm, const char *workspace,
+                                const AqStepSpec *spec);
+/* Prepares a placement of tasks. */
+void workspace_caps_begin(AqScheduler *s);
+/* Whether "count" tasks of the step may start within the cap of their
+ * workspace. */
+bool workspace_caps_has_room(const Step *step, uint32_t count);
+/* The same; if not, notes that the step's ready tasks are held back. */
+bool workspace_caps_allow(AqScheduler *s, const Step *step, uint32_t count);
+/* Notes that a start of the task is ordered. */
+void workspace_caps_note_start(const Task *task);
+
 /* ---- placement.c */
 /* Orders the start of ready tasks if a placement of tasks is due. */
 void placement_run(AqScheduler *s);
--- a/packages/scheduler/start_stall.c
+++ b/packages/scheduler/start_stall.c
@@ -17,7 +17,7 @@
 
 static const char *const placement_names[PLACEMENT_RESULTS] = {
     "startable",  "blocked",   "no_room", "label",
-    "step_limit", "no_ticket", "suspect"};
+    "step_limit", "no_ticket", "suspect", "capped"};
 
 /* ---- Ready tasks -------------------------------------------------------- */
 
@@ -177,8 +177,14 @@
             found[placement_check(s, vm, task)] = true;
         }
     }
+    uint32_t count =
+        task->step->spec->is_gang ? task->step->spec->task_count : 1;
+    if (found[PLACEMENT_POSSIBLE] &&
+        !workspace_caps_has_room(task->step, count)) {
+        return PLACEMENT_CAPPED;
+    }
     size_t nearest = 0;
-    while (nearest + 1 < PLACEMENT_RESULTS && !found[order[nearest]]) {
+    while (nearest + 1 < G_N_ELEMENTS(order) && !found[order[nearest]]) {
         nearest++;
     }
     return order[nearest];
--- a/packages/scheduler/superseded.c
+++ b/packages/scheduler/superseded.c
@@ -69,5 +69,9 @@
         }
         vm->foreign_cpu += superseded->cpu_millis;
         vm->foreign_memory += superseded->memory_mb;
+        AqStepSpec spec = {.cpu_millis = superseded->cpu_millis,
+                           .memory_mb = superseded->memory_mb,
+                           .gpus = superseded->gpus};
+        workspace_caps_add_foreign(vm, superseded->workspace, &spec);
     }
 }
--- a/packages/scheduler/tests/order_fixture.c
+++ b/packages/scheduler/tests/order_fixture.c
@@ -72,6 +72,18 @@
     AqScheduler_SetSite(f->s, &f->site);
 }
 
+void
+fixture_set_cap(Fixture *f, const char *name, int64_t cpu_millis)
+{
+    f->workspace = name;
+    f->workspace_config =
+        (AqWorkspaceConfig){.name = (char *)name, .weight = 1};
+    f->workspace_config.cap.cpu_millis = cpu_millis;
+    f->site.workspaces = &f->workspace_config;
+    f->site.workspace_count = 1;
+    AqScheduler_SetSite(f->s, &f->site);
+}
+
 void
 fixture_tick(Fixture *f, AqTime ms)
 {
@@ -90,6 +102,7 @@
     AqJobSpec spec = {.step_count = 1};
     g_strlcpy(spec.id, id, sizeof(spec.id));
     spec.queue = strdup("queue");
+    spec.workspace = f->workspace != NULL ? strdup(f->workspace) : NULL;
     spec.text = strdup("text");
     spec.steps = calloc(1, sizeof(*spec.steps));
     spec.steps[0] = *step;
--- a/packages/scheduler/tests/order_fixture.h
+++ b/packages/scheduler/tests/order_fixture.h
@@ -25,6 +25,8 @@
     AqTime quiet_at; /* no earlier owner is active any more */
     AqSiteConfig site;
     AqQueueConfig queue;
+    AqWorkspaceConfig workspace_config;
+    const char *workspace;  /* of the jobs that are added; NULL: none */
     GArray *starts;         /* of FixtureStart: all start orders */
     GArray *stops;          /* of FixtureStart: all stop orders */
     AqRenewalOrder renewal; /* the last renewal order */
@@ -34,6 +36,9 @@
 void fixture_set_up(Fixture *f, AqTime earlier_owner_ms);
 /* A scheduler of a pool that had no owner before. */
 void fixture_set_up_loaded(Fixture *f);
+/* Configures a workspace with a cap on CPU, to which the jobs belong that are
+ * added from now on; "name" is borrowed. */
+void fixture_set_cap(Fixture *f, const char *name, int64_t cpu_millis);
 void fixture_tear_down(Fixture *f);
 void fixture_tick(Fixture *f, AqTime ms);
 /* Adds a job of one step. */
--- a/packages/scheduler/vms.c
+++ b/packages/scheduler/vms.c
@@ -69,6 +69,7 @@
     vm->renewal_due = s->now;
     vm->pending_ends = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
     vm->superseded = g_array_new(FALSE, FALSE, sizeof(SupersededRun));
+    vm->foreign_uses = g_array_new(FALSE, FALSE, sizeof(ForeignUse));
     vm->used_since_version = ++s->used_vms_version;
     AqList_Init(&vm->tasks);
     AqList_Init(&vm->reservations);
@@ -83,6 +84,7 @@
     AqList_Remove(&vm->link);
     g_array_free(vm->pending_ends, TRUE);
     g_array_free(vm->superseded, TRUE);
+    g_array_free(vm->foreign_uses, TRUE);
     free(vm);
 }
 
@@ -275,6 +277,8 @@
          * the current run of any task of this scheduler. */
         vm->foreign_cpu += spec->cpu_millis;
         vm->foreign_memory += spec->memory_mb;
+        workspace_caps_add_foreign(
+            vm, task->step->occurrence->job->spec.workspace, spec);
         g_strlcpy(task->avoid, vm->report.id, sizeof(task->avoid));
         scheduler_requeue_task(s, task);
     }
