--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -501,6 +501,8 @@
         AqScheduler_ConfirmOwnership(owner->scheduler, confirmed_at);
         update_quiet_index(owner, confirmed_at);
     }
+    AqTime caps_due =
+        cap_escrow_round(owner->caps, now, !owner->is_finishing);
     AqTime due =
         AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(), may_order);
     if (AqScheduler_AwaitsConfirmation(owner->scheduler)) {
@@ -521,7 +523,7 @@
         due = owner->save_due;
     }
     check_finished(owner);
-    return due;
+    return caps_due < due ? caps_due : due;
 }
 
 /* ---- Interface ---------------------------------------------------------- */
@@ -562,6 +564,8 @@
         owner_writer_create(node, ownership->pool, ownership->fence);
     owner->scheduler = AqScheduler_Create(&config, &pool_owner_actions, owner,
                                           pool_owner_now(owner));
+    owner->caps = cap_escrow_create(node, ownership->pool, owner->writer,
+                                    owner->scheduler);
     AqScheduler_SetSite(owner->scheduler, &node->site);
     AqScheduler_Tick(owner->scheduler, pool_owner_now(owner),
                      AqClock_ReadWall(), false);
@@ -578,6 +582,7 @@
     AqTimer_Stop(&owner->load_timer);
     prefix_view_destroy(owner->jobs);
     owner->jobs = NULL;
+    cap_escrow_destroy(owner->caps);
     /* Counts one more call, so that the owner isn't freed while
      * owner_writer_drop() calls the "done" callbacks of the queued writes. */
     owner->calls_in_flight++;
@@ -641,7 +646,8 @@
 {
     return owner->load_state == LOADED &&
            !AqScheduler_HasUnfinishedJobs(owner->scheduler) &&
-           !AqScheduler_HasUnsaved(owner->scheduler);
+           !AqScheduler_HasUnsaved(owner->scheduler) &&
+           cap_escrow_is_settled(owner->caps);
 }
 
 bool
--- a/packages/pool/pool_owner_private.h
+++ b/packages/pool/pool_owner_private.h
@@ -1,6 +1,7 @@
 #ifndef POOL_OWNER_PRIVATE_H
 #define POOL_OWNER_PRIVATE_H
 
+#include "cap_escrow.h"
 #include "owner_writer.h"
 #include "pool_owner.h"
 #include "prefix_view.h"
@@ -39,6 +40,7 @@
     char *last_progress_key;
     PrefixView *jobs;
     OwnerWriter *writer;
+    CapEscrow *caps;
     AqTime save_due;
     AqTime save_sent;
     AqTime gained_at;
--- a/packages/pool/store_keys.h
+++ b/packages/pool/store_keys.h
@@ -33,7 +33,10 @@
  * aq/machine/MACHINE   the machine coordinator: its last claim of the VM
  *                      (fenced_order.h): node id and wall clock in ms
  * aq/wave/N            the owner of any pool: VMs of wave N whose
- *                      maintenance is in progress or done */
+ *                      maintenance is in progress or done
+ * aq/caps/parts        the owner of any pool, which changes only the parts of
+ *                      its pool: the part of each workspace's cap that each
+ *                      pool holds (aq_cap_shares.h) */
 
 #define KEYS_NODES "aq/node/"
 #define KEYS_MEMBERS "aq/node/member/"
@@ -52,6 +55,7 @@
     KEY_MACHINE_RESPONSES,
     KEY_MACHINE,
     KEY_WAVE,
+    KEY_CAPS, /* name: "parts"; "": prefix */
     /* Prefix of the keys of a pool's jobs and of their cancellation marks. */
     KEY_JOBS,
     /* Prefix of the keys of the progress records of a pool's jobs. */
