--- a/packages/pool/cap_escrow.c
+++ b/packages/pool/cap_escrow.c
@@ -67,6 +67,7 @@
     AqTime write_due;
     AqTime later_due;
     AqCapRecord *written; /* the record of the write in flight; NULL: none */
+    uint64_t sent_index;  /* the revision that this write replaces */
     AqTime watch_due;     /* until then the next write waits for the watch */
     /* The record, or what is known of a write, has changed since the last
      * round. */
@@ -303,10 +304,20 @@
     AqCapRecord *written = escrow->written;
     escrow->written = NULL;
     mark_changed(escrow);
+    bool is_overtaken = escrow->index != escrow->sent_index;
+    if (status == AQ_STORE_OK && is_overtaken && !escrow->is_damaged) {
+        /* The watch has already reported this write, or a later one of another
+         * owner. */
+        AqCapRecord_Destroy(written);
+        return;
+    }
     if (status == AQ_STORE_OK) {
-        /* The watch reports the record's revision. */
         set_record(escrow, written);
-        escrow->watch_due = escrow->now + WATCH_LATE_MS;
+        escrow->is_damaged = is_overtaken;
+        if (!is_overtaken) {
+            /* The watch reports the record's revision. */
+            escrow->watch_due = escrow->now + WATCH_LATE_MS;
+        }
         return;
     }
     AqCapRecord_Destroy(written);
@@ -390,6 +401,7 @@
     AqStoreExpect expect = {record_key(), escrow->index};
     AqBuffer_Init(&bytes);
     escrow->written = make_record(escrow);
+    escrow->sent_index = escrow->index;
     AqCapRecord_Encode(escrow->written, &bytes);
     AqStorePut put = {expect.key, AqBuffer_Text(&bytes), bytes.size, 0};
     escrow->has_changed = true;
@@ -491,6 +503,7 @@
         }
         else if (escrow->is_damaged) {
             divide_cap(&account->demand.cap, pool_count, &account->inherited);
+            lower_to(&account->inherited, &account->demand.cap);
         }
     }
     return has_any;
--- a/packages/pool/tests/fake_store.h
+++ b/packages/pool/tests/fake_store.h
@@ -51,6 +51,9 @@
 /* Writes a key at once, as another process would; returns the store revision
  * of this write. */
 uint64_t fake_store_put(FakeStore *fake, const char *key, const char *value);
+/* The same for a value of any bytes. */
+uint64_t fake_store_put_bytes(FakeStore *fake, const char *key,
+                              const char *bytes, size_t size);
 void fake_store_remove(FakeStore *fake, const char *key);
 /* Ends the lease that was granted last, and removes the keys that were written
  * under this lease. */
--- a/packages/pool/tests/test_cap_escrow.c
+++ b/packages/pool/tests/test_cap_escrow.c
@@ -265,6 +265,52 @@
     tear_down(&f);
 }
 
+/* Guards against a write that undoes another owner's: the reply to a write
+ * arrives after the watch has reported the other owner's next one. */
+static void
+test_reply_after_next_write(void)
+{
+    Fixture f;
+    AqBuffer bytes;
+    AqError error;
+    size_t size;
+    char *key = g_strdup(key_of(KEY_CAPS, "parts"));
+    set_up(&f, CAP);
+    run(&f);
+    f.workspace.cap.cpu_millis = CAP / 4;
+    AqScheduler_SetSite(f.owners[0].scheduler, &f.node.site);
+    for (unsigned round = 0; round < ROUNDS; round++) {
+        round_of(&f, 0);
+        AqLoop_RunOnce(f.node.loop, 2);
+    }
+    CU_ASSERT_TRUE_FATAL(fake_store_reply_until_put(f.fake, key));
+    fake_store_hold_reply(f.fake);
+    const char *text = fake_store_bytes(f.fake, key, &size);
+    AqCapRecord *record = AqCapRecord_Decode(text, size, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(record);
+    AqCapPart part = {.held = {.cpu_millis = 1234},
+                      .want = {.cpu_millis = 1234}};
+    AqCapRecord_Set(record, "w", pool_names[1], &part);
+    AqBuffer_Init(&bytes);
+    AqCapRecord_Encode(record, &bytes);
+    fake_store_put_bytes(f.fake, key, AqBuffer_Text(&bytes), bytes.size);
+    AqCapRecord_Destroy(record);
+    AqBuffer_Clear(&bytes);
+    fake_store_reply_all(f.fake);
+    fake_store_release_reply(f.fake);
+    f.workspace.cap.cpu_millis = CAP;
+    AqScheduler_SetSite(f.owners[0].scheduler, &f.node.site);
+    for (unsigned round = 0; round < ROUNDS; round++) {
+        round_of(&f, 0);
+        fake_store_reply_all(f.fake);
+        AqLoop_RunOnce(f.node.loop, 2);
+    }
+    CU_ASSERT_EQUAL(held_by(&f, 0), BASE);
+    CU_ASSERT_EQUAL(held_by(&f, 1), 1234);
+    g_free(key);
+    tear_down(&f);
+}
+
 /* Guards against owners that stand still, or start beyond the cap, after the
  * record was damaged or removed: they write it again from what they know. */
 static void
@@ -328,6 +374,7 @@
     CU_ADD_TEST(suite, test_store_down);
     CU_ADD_TEST(suite, test_unanswered_write);
     CU_ADD_TEST(suite, test_owner_is_replaced);
+    CU_ADD_TEST(suite, test_reply_after_next_write);
     CU_ADD_TEST(suite, test_damaged_record_is_repaired);
     CU_ADD_TEST(suite, test_configuration_changes);
     CU_basic_set_mode(CU_BRM_VERBOSE);
