--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -225,6 +225,7 @@
 {
     AqOrderTarget target;
     const char *ticket = find_ticket(s, task->step, task->vm);
+    const char *workspace = task->step->occurrence->job->spec.workspace;
     AqStartOrder order = {
         .run = task->run,
         .text = task->step->occurrence->job->spec.text,
@@ -242,11 +243,13 @@
     start_window_sent(&s->start_window, s->now);
     AqLog_Event(AQ_LOG_INFO, "run_ordered",
                 "request=%s occurrence=%u step=%u task=%u run=%lld vm=%s "
-                "fence=%llu waited_ms=%lld place=%s",
+                "fence=%llu waited_ms=%lld place=%s%s%s",
                 order.task.job, order.task.occurrence, order.task.step,
                 order.task.index, (long long)order.run, target.vm,
                 (unsigned long long)s->config.fence,
-                (long long)(s->now - task->ready_at), places_name(task));
+                (long long)(s->now - task->ready_at), places_name(task),
+                workspace != NULL ? " workspace=" : "",
+                workspace != NULL ? workspace : "");
     s->actions.start(s->context, &target, &order);
 }
 
@@ -273,6 +276,7 @@
 order_start(AqScheduler *s, Task *task)
 {
     places_note_start(s, task);
+    workspace_caps_note_start(task);
     if (!crashes_store_start(s, task)) {
         placement_send_start(s, task);
     }
@@ -379,7 +383,8 @@
                                        !crashes_is_suspect(task))) {
             continue;
         }
-        if (!start_window_is_open(&s->start_window)) {
+        if (!start_window_is_open(&s->start_window) ||
+            !workspace_caps_allow(s, step, 1)) {
             break;
         }
         Vm *vm = choose_vm_for_run(s, task);
@@ -452,6 +457,9 @@
             return;
         }
     }
+    if (!workspace_caps_allow(s, step, step->spec->task_count)) {
+        return;
+    }
     if (step->spec->prefers_one_rack) {
         AqList_ForEach(at, &s->vms)
         {
@@ -523,6 +531,7 @@
     s->earliest_placement_at = s->now + MIN_PLACEMENT_GAP_MS;
     update_largest_free(s);
     crashes_choose_trial_vms(s);
+    workspace_caps_begin(s);
     size_t count = 0;
     Job **jobs = malloc((AqList_Length(&s->active) + 1) * sizeof(Job *));
     AqList_ForEach(at, &s->active)
--- a/packages/scheduler/tests/order_fixture.c
+++ b/packages/scheduler/tests/order_fixture.c
@@ -77,6 +77,18 @@
     set_up(f, (AqSchedulerConfig){.earlier_owner_ms = earlier_owner_ms});
 }
 
+void
+fixture_set_cap(Fixture *f, const char *name, int64_t cpu_millis)
+{
+    f->workspace = name;
+    f->workspace_config =
+        (AqWorkspaceConfig){.name = (char *)name, .weight = 1};
+    f->workspace_config.cap.cpu_millis = cpu_millis;
+    f->site.workspaces = &f->workspace_config;
+    f->site.workspace_count = 1;
+    AqScheduler_SetSite(f->s, &f->site);
+}
+
 void
 fixture_tick(Fixture *f, AqTime ms)
 {
@@ -102,6 +114,7 @@
     AqJobSpec spec = {.step_count = 1};
     g_strlcpy(spec.id, id, sizeof(spec.id));
     spec.queue = strdup(queue);
+    workspace = workspace != NULL ? workspace : f->workspace;
     spec.workspace = workspace != NULL ? strdup(workspace) : NULL;
     spec.text = strdup("text");
     spec.steps = calloc(1, sizeof(*spec.steps));
