--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -501,8 +501,7 @@
         AqScheduler_ConfirmOwnership(owner->scheduler, confirmed_at);
         update_quiet_index(owner, confirmed_at);
     }
-    AqTime caps_due =
-        cap_escrow_round(owner->caps, now, !owner->is_finishing);
+    AqTime caps_due = cap_escrow_round(owner->caps, now, !owner->is_finishing);
     AqTime due =
         AqScheduler_Tick(owner->scheduler, now, AqClock_ReadWall(), may_order);
     if (AqScheduler_AwaitsConfirmation(owner->scheduler)) {
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -130,7 +130,8 @@
 size_t AqScheduler_CountWaiting(const AqScheduler *scheduler,
                                 const char *queue);
 
-/* ---- Workspaces ---------------------------------------------------------- */
+/* ---- Workspaces ----------------------------------------------------------
+ */
 
 /* Calls "visit" for each workspace that has a cap. */
 void AqScheduler_EachCapDemand(AqScheduler *scheduler,
