--- a/packages/scheduler/ranking.c
+++ b/packages/scheduler/ranking.c
@@ -21,6 +21,10 @@
     VERY_LATE_FACTOR = 3
 };
 
+/* Most core-milliseconds that are told apart, since a caller may declare any
+ * duration. */
+#define MAX_WORK 1e15
+
 /* Estimated duration, ms, of the occurrence's longest chain of dependent
  * steps: of all steps if "whole", otherwise of the steps that are not done. */
 static AqTime
@@ -48,14 +52,15 @@
 
 /* Returns the core-milliseconds that the occurrence still needs: cores times
  * declared duration, summed over the tasks that are not done. */
-static int64_t
+static double
 work_left(const Occurrence *occurrence)
 {
-    int64_t work = 0;
+    double work = 0;
     for (size_t i = 0; i < occurrence->job->spec.step_count; i++) {
         const Step *step = &occurrence->steps[i];
-        work += (int64_t)(step->spec->task_count - step->done) *
-                step->spec->cpu_millis * step->spec->estimate_ms / 1000;
+        work += (double)(step->spec->task_count - step->done) *
+                (double)step->spec->cpu_millis *
+                (double)step->spec->estimate_ms / 1000;
     }
     return work;
 }
@@ -86,7 +91,7 @@
     AqTime chain = 0;
     AqTime left = 0;
     AqTime since = job->submitted_at;
-    job->remaining_work = 0;
+    double work = 0;
     AqList_ForEach(at, &job->occurrences)
     {
         const Occurrence *occurrence = AqList_Entry(at, Occurrence, link);
@@ -101,8 +106,9 @@
         AqTime rest = longest_chain(s, occurrence, false);
         chain = whole > chain ? whole : chain;
         left = rest > left ? rest : left;
-        job->remaining_work += work_left(occurrence);
+        work += work_left(occurrence);
     }
+    job->remaining_work = (int64_t)(work < MAX_WORK ? work : MAX_WORK);
     double stretch = queue != NULL ? queue->stretch : 1.0;
     AqTime target = queue != NULL ? queue->target_ms : 0;
     AqTime objective = (AqTime)((double)chain * stretch) + target;
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -12,6 +12,8 @@
     /* The duration of a finished task has the weight 1 / DURATION_MEAN_DIVISOR
      * in the moving averages of durations. */
     DURATION_MEAN_DIVISOR = 32,
+    /* Bound of estimates, since a caller may declare any duration. */
+    MAX_ESTIMATE_MS = 1000000000,
     /* Most occurrences of a job that are open at a time.  Occurrences that are
      * due every few seconds overlap in far smaller numbers. */
     MAX_OPEN_OCCURRENCES = 64
@@ -411,8 +413,9 @@
 AqTime
 scheduler_estimate(const AqScheduler *s, const AqStepSpec *spec)
 {
-    return (AqTime)((double)spec->estimate_ms * s->mean_actual_ms /
-                    s->mean_declared_ms);
+    double estimate =
+        (double)spec->estimate_ms * s->mean_actual_ms / s->mean_declared_ms;
+    return (AqTime)(estimate < MAX_ESTIMATE_MS ? estimate : MAX_ESTIMATE_MS);
 }
 
 static void
