--- a/packages/pool/job_api_private.h
+++ b/packages/pool/job_api_private.h
@@ -7,7 +7,8 @@
 #include "load_views.h"
 
 /* Parts of the job API that its sources share:
- * job_api.c         dispatch, submissions, states and waiting jobs
+ * job_api.c         dispatch, submissions and states
+ * job_api_waiting.c  counts of waiting jobs
  * job_api_admission.c  submissions to overloaded pools
  * job_api_cancel.c  cancellations */
 
@@ -70,6 +71,12 @@
  * job_api_store(), perhaps later. */
 void job_api_admit(Request *request, const AqJobSpec *spec);
 
+/* ---- job_api_waiting.c */
+/* Starts an attempt to count the waiting jobs of the request's queue. */
+void job_api_try_waiting(void *context);
+/* Frees a value of JobApi.reports. */
+void job_api_free_report(void *value);
+
 /* ---- job_api_cancel.c */
 /* Starts an attempt of a cancellation. */
 void job_api_try_cancel(void *context);
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "aq_load_view.h"
 #include "aq_log.h"
 #include "pool_owner_private.h"
 #include "store_keys.h"
@@ -14,7 +13,6 @@
      * the next; the changes in between are stored in one write. */
     SAVE_INTERVAL_MS = 60,
     SAVE_RETRY_MS = 150,
-    REPORT_INTERVAL_MS = 800,
     LOAD_RETRY_MS = 150,
     /* Longest time for which the handover of a pool waits until the unsaved
      * progress of the pool's jobs is stored. */
@@ -237,9 +235,9 @@
 
 /* ---- Storing ------------------------------------------------------------ */
 
-static void
-commit_as_owner(PoolOwner *owner, const AqStorePut *puts, size_t count,
-                OwnerWriteDone done)
+void
+pool_owner_commit(PoolOwner *owner, const AqStorePut *puts, size_t count,
+                  OwnerWriteDone done)
 {
     owner->calls_in_flight++;
     owner_writer_commit(owner->writer, NULL, 0, puts, count, done, owner);
@@ -303,7 +301,7 @@
     }
     owner->is_saving = true;
     owner->save_sent = pool_owner_now(owner);
-    commit_as_owner(owner, puts, owner->save_count, on_saved);
+    pool_owner_commit(owner, puts, owner->save_count, on_saved);
     g_ptr_array_free(keys, TRUE);
 }
 
@@ -342,71 +340,10 @@
                       AqBuffer_Text(&bytes), bytes.size, 0};
     owner->is_writing_used_vms = true;
     owner->used_vms_sent_version = version;
-    commit_as_owner(owner, &put, 1, on_used_vms_written);
+    pool_owner_commit(owner, &put, 1, on_used_vms_written);
     AqBuffer_Clear(&bytes);
 }
 
-/* ---- Report ------------------------------------------------------------- */
-
-static void
-on_reported(void *context, AqStoreStatus status)
-{
-    PoolOwner *owner = context;
-    if (!pool_owner_end_call(owner)) {
-        return;
-    }
-    owner->is_reporting = false;
-    if (status != AQ_STORE_OK) {
-        free(owner->last_report);
-        owner->last_report = NULL;
-    }
-    if (status == AQ_STORE_ABSENT) {
-        pool_owner_report_superseded(owner, "report_conflict");
-    }
-}
-
-/* Appends the pool's load to its report in a lasting overload. */
-static void
-append_load(PoolOwner *owner, AqBuffer *text)
-{
-    AqLoadView view;
-    if (AqScheduler_GetLoadView(owner->scheduler, owner->arriving_cpu_millis,
-                                AqClock_ReadWall(), &view)) {
-        AqLoadView_Encode(&view, text);
-    }
-}
-
-static void
-write_report(PoolOwner *owner)
-{
-    const AqSiteConfig *site = &owner->node->site;
-    AqBuffer text;
-    if (owner->is_reporting || owner->report_due > pool_owner_now(owner)) {
-        return;
-    }
-    owner->report_due = pool_owner_now(owner) + REPORT_INTERVAL_MS;
-    AqBuffer_Init(&text);
-    for (size_t i = 0; i < site->queue_count; i++) {
-        if (strcmp(site->queues[i].pool, owner->ownership.pool) == 0) {
-            AqBuffer_Printf(&text, "%s %zu\n", site->queues[i].name,
-                            AqScheduler_CountWaiting(owner->scheduler,
-                                                     site->queues[i].name));
-        }
-    }
-    append_load(owner, &text);
-    if (owner->last_report == NULL ||
-        strcmp(owner->last_report, AqBuffer_Text(&text)) != 0) {
-        free(owner->last_report);
-        owner->last_report = strdup(AqBuffer_Text(&text));
-        AqStorePut put = {key_of(KEY_REPORT, owner->ownership.pool),
-                          owner->last_report, strlen(owner->last_report),
-                          member_lease(owner->member)};
-        owner->is_reporting = true;
-        commit_as_owner(owner, &put, 1, on_reported);
-    }
-    AqBuffer_Clear(&text);
-}
-
 /* ---- Rounds ------------------------------------------------------------- */
 
 /* Logs what the pool waits for while it starts no task. */
@@ -524,7 +461,7 @@
     save_progress(owner);
     if (!owner->is_finishing) {
         write_used_vms(owner);
-        write_report(owner);
+        pool_owner_write_report(owner);
     }
     else if (!AqScheduler_HasUnsaved(owner->scheduler)) {
         /* Only a list that is written after all progress hands over. */
--- a/packages/pool/pool_owner_private.h
+++ b/packages/pool/pool_owner_private.h
@@ -7,7 +7,8 @@
 #include "prefix_view.h"
 
 /* Shared by the files that implement PoolOwner:
- * pool_owner.c         loading, storing, the report, rounds
+ * pool_owner.c         loading, storing, rounds
+ * pool_owner_report.c  the report of waiting jobs and load
  * pool_owner_orders.c  calls to VMs and to the advice service */
 
 enum {
@@ -84,6 +85,13 @@
 /* Tells the node that another owner has the pool. */
 void pool_owner_report_superseded(PoolOwner *owner, const char *reason);
 
+/* Writes the keys if the owner still has the pool; "done" gets the owner,
+ * whose pool_owner_end_call() it calls. */
+void pool_owner_commit(PoolOwner *owner, const AqStorePut *puts, size_t count,
+                       OwnerWriteDone done);
+/* Writes the report if it has changed and is due. */
+void pool_owner_write_report(PoolOwner *owner);
+
 /* The scheduler's calls; their context is the PoolOwner. */
 extern const AqSchedulerActions pool_owner_actions;
 
