--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -88,10 +88,11 @@
     correct_refusal(request->job_api->node, request->exchange, &response);
     AqLog_Event(
         response.status >= 400 ? AQ_LOG_WARNING : AQ_LOG_INFO, "answered",
-        "request=%s queue=%s method=%s status=%d reason=%s tries=%u "
-        "took_ms=%lld config=%lld",
-        request->id, request->queue, AqExchange_Method(request->exchange),
-        response.status, reason, request->attempts,
+        "request=%s queue=%s pool=%s located=%d method=%s status=%d reason=%s "
+        "tries=%u took_ms=%lld config=%lld",
+        request->id, request->queue, request->pool, request->is_located,
+        AqExchange_Method(request->exchange), response.status, reason,
+        request->attempts,
         (long long)(job_api_now(request->job_api) - request->arrived_at),
         (long long)request->job_api->node->site.version);
     count_response(request, response.status);
@@ -209,6 +210,36 @@
     }
 }
 
+/* ---- Location of jobs --------------------------------------------------- */
+
+void
+job_api_locate(Request *request, const AqStoreItem *item)
+{
+    char pool[sizeof(request->pool)];
+    key_text(item, pool, sizeof(pool));
+    if (strcmp(pool, request->pool) != 0) {
+        AqLog_Event(AQ_LOG_INFO, "job_located",
+                    "request=%s queue=%s pool=%s queue_pool=%s index=%llu "
+                    "config=%lld",
+                    request->id, request->queue, pool, request->pool,
+                    (unsigned long long)item->index,
+                    (long long)request->job_api->node->site.version);
+    }
+    g_strlcpy(request->pool, pool, sizeof(request->pool));
+    request->is_located = true;
+}
+
+const AqStoreItem *
+job_api_find_item(const AqStoreReply *reply, const char *key)
+{
+    for (size_t i = 0; i < reply->count; i++) {
+        if (strcmp(reply->items[i].key, key) == 0) {
+            return &reply->items[i];
+        }
+    }
+    return NULL;
+}
+
 /* ---- Submission --------------------------------------------------------- */
 
 static void
@@ -224,11 +255,17 @@
     case AQ_STORE_OK:
         job_api_finish(request, 200, "{}", "stored");
         break;
-    case AQ_STORE_CONFLICT:
-        /* The job is in the store already, or was cancelled before its
-         * submission arrived. */
+    case AQ_STORE_CONFLICT: {
+        /* The job is in the store already, in whichever pool, or was cancelled
+         * before its submission arrived. */
+        const AqStoreItem *item =
+            job_api_find_item(reply, key_of(KEY_JOB_POOL, request->id));
+        if (item != NULL) {
+            job_api_locate(request, item);
+        }
         job_api_finish(request, 200, "{}", "known");
         break;
+    }
     case AQ_STORE_UNAVAILABLE:
         /* This write had no effect; an earlier write for the same request that
          * got no reply may still take effect. */
@@ -257,12 +294,17 @@
     AqStore *store = request->job_api->node->store;
     AqStoreExpect expects[] = {
         {key_of_job(request->pool, request->id), 0},
+        /* Jobs and marks of earlier versions have no KEY_JOB_POOL key. */
         {key_of_cancel(request->pool, request->id), 0},
+        {key_of(KEY_JOB_POOL, request->id), 0},
+    };
+    AqStorePut puts[] = {
+        {expects[0].key, AqBuffer_Text(&request->encoded_job),
+         request->encoded_job.size, 0},
+        {expects[2].key, request->pool, strlen(request->pool), 0},
     };
-    AqStorePut put = {expects[0].key, AqBuffer_Text(&request->encoded_job),
-                      request->encoded_job.size, 0};
     AqStoreCommit commit = {
-        .expects = expects, .expect_count = 2, .puts = &put, .put_count = 1};
+        .expects = expects, .expect_count = 3, .puts = puts, .put_count = 2};
     request->attempts++;
     recent_submissions_begin_write(&request->job_api->node->recent_submissions,
                                    AqExchange_Path(request->exchange),
@@ -318,17 +360,42 @@
     AqBuffer_Clear(&body);
 }
 
+static void
+on_pool_read(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    job_api_record_status(request, reply);
+    if (reply->status == AQ_STORE_OK && reply->count == 1) {
+        /* Also if it is the same pool: the job may have been stored since its
+         * key was read. */
+        job_api_locate(request, &reply->items[0]);
+        try_state(request);
+    }
+    else if (reply->status == AQ_STORE_ABSENT) {
+        job_api_finish(request, 410, "{\"error\":\"there is no such job\"}",
+                       "absent");
+    }
+    else {
+        job_api_forward_or_retry(request);
+    }
+}
+
 static void
 on_job_read(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    AqStore *store = request->job_api->node->store;
     job_api_record_status(request, reply);
     if (reply->status == AQ_STORE_OK) {
         finish_state(request, AQ_JOB_QUEUED);
     }
+    else if (reply->status == AQ_STORE_ABSENT && !request->is_located) {
+        store->ops->get(store, key_of(KEY_JOB_POOL, request->id), on_pool_read,
+                        request);
+    }
     else if (reply->status == AQ_STORE_ABSENT) {
         job_api_finish(request, 410, "{\"error\":\"there is no such job\"}",
-                       "absent");
+                       "cancelled_before");
     }
     else {
         job_api_forward_or_retry(request);
--- a/packages/pool/job_api_admission.c
+++ b/packages/pool/job_api_admission.c
@@ -7,23 +7,48 @@
 #include "store_keys.h"
 
 /* Another node may have accepted the job although its response did not reach
- * the caller.  A refusal tells the caller that the job never runs, so that the
- * job's key is read before it. */
-static void
-on_job_read(void *context, const AqStoreReply *reply)
+ * the caller, perhaps when the queue had another pool.  A refusal tells the
+ * caller that the job never runs, so that the keys of the job and of its pool
+ * are read before it. */
+
+/* Handles a reply to the read of one of these keys.  Returns whether the key
+ * is absent; otherwise the request has gone on. */
+static bool
+check_absent(Request *request, const AqStoreReply *reply)
 {
-    Request *request = context;
     job_api_record_status(request, reply);
+    if (reply->status == AQ_STORE_ABSENT) {
+        return true;
+    }
     if (reply->status == AQ_STORE_OK) {
         job_api_finish(request, 200, "{}", "known");
     }
-    else if (reply->status == AQ_STORE_ABSENT) {
-        job_api_finish(request, 429, response_overload, "load");
-    }
     else {
         request->retry_after_s = 0;
         job_api_store(request);
     }
+    return false;
+}
+
+static void
+on_pool_read(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    if (check_absent(request, reply)) {
+        job_api_finish(request, 429, response_overload, "load");
+    }
+}
+
+/* A job that an earlier version stored may have no KEY_JOB_POOL key yet. */
+static void
+on_job_read(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    AqStore *store = request->job_api->node->store;
+    if (check_absent(request, reply)) {
+        store->ops->get(store, key_of(KEY_JOB_POOL, request->id), on_pool_read,
+                        request);
+    }
 }
 
 static void
--- a/packages/pool/job_api_cancel.c
+++ b/packages/pool/job_api_cancel.c
@@ -70,26 +70,67 @@
     return is_other;
 }
 
+static void
+cancel_job(Request *request, const AqStoreItem *job)
+{
+    if (is_of_other_workspace(request, job)) {
+        job_api_finish(request, 410, "{\"error\":\"there is no such job\"}",
+                       "other_workspace");
+    }
+    else {
+        mark_cancelled(request, job->index);
+    }
+}
+
+static void
+finish_cancelled_before(Request *request)
+{
+    job_api_finish(request, 410, "{\"error\":\"there is no such job\"}",
+                   "cancelled_before");
+}
+
+/* Handles the reply to the read of a job in the pool that its KEY_JOB_POOL key
+ * names.  Without a job, that pool has an earlier cancellation mark. */
+static void
+on_located_job_read(void *context, const AqStoreReply *reply)
+{
+    Request *request = context;
+    job_api_record_status(request, reply);
+    if (reply->status == AQ_STORE_OK && reply->count == 1) {
+        cancel_job(request, &reply->items[0]);
+    }
+    else if (reply->status == AQ_STORE_ABSENT) {
+        finish_cancelled_before(request);
+    }
+    else {
+        retry_cancel(request, reply);
+    }
+}
+
 /* Handles the reply to a write of a job's cancellation mark that took effect
  * only if the job was not in the store. */
 static void
 on_cancelled_before_job(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    AqStore *store = request->job_api->node->store;
     job_api_record_status(request, reply);
+    const AqStoreItem *job =
+        job_api_find_item(reply, key_of_job(request->pool, request->id));
+    const AqStoreItem *pool =
+        job_api_find_item(reply, key_of(KEY_JOB_POOL, request->id));
     if (reply->status == AQ_STORE_OK) {
         /* The cancellation mark stays in the store: a submission of the job
          * that arrives later finds the mark, and the job never runs. */
-        job_api_finish(request, 410, "{\"error\":\"there is no such job\"}",
-                       "cancelled_before");
+        finish_cancelled_before(request);
     }
-    else if (reply->status == AQ_STORE_CONFLICT && reply->count > 0 &&
-             is_of_other_workspace(request, &reply->items[0])) {
-        job_api_finish(request, 410, "{\"error\":\"there is no such job\"}",
-                       "other_workspace");
+    else if (reply->status == AQ_STORE_CONFLICT && job != NULL) {
+        cancel_job(request, job);
     }
-    else if (reply->status == AQ_STORE_CONFLICT && reply->count > 0) {
-        mark_cancelled(request, reply->items[0].index);
+    else if (reply->status == AQ_STORE_CONFLICT && pool != NULL) {
+        job_api_locate(request, pool);
+        store->ops->get(store, key_of_job(request->pool, request->id),
+                        on_located_job_read, request);
     }
     else {
         retry_cancel(request, reply);
@@ -101,10 +142,16 @@
 {
     Request *request = context;
     AqStore *store = request->job_api->node->store;
-    AqStoreExpect expect = {key_of_job(request->pool, request->id), 0};
-    AqStorePut put = {key_of_cancel(request->pool, request->id), "1", 1, 0};
+    AqStoreExpect expects[] = {
+        {key_of_job(request->pool, request->id), 0},
+        {key_of(KEY_JOB_POOL, request->id), 0},
+    };
+    AqStorePut puts[] = {
+        {key_of_cancel(request->pool, request->id), "1", 1, 0},
+        {expects[1].key, request->pool, strlen(request->pool), 0},
+    };
     AqStoreCommit commit = {
-        .expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
+        .expects = expects, .expect_count = 2, .puts = puts, .put_count = 2};
     request->attempts++;
     store->ops->commit(store, &commit, on_cancelled_before_job, request);
 }
--- a/packages/pool/job_api_private.h
+++ b/packages/pool/job_api_private.h
@@ -26,7 +26,10 @@
 struct Request {
     JobApi *job_api;
     AqExchange *exchange;
+    /* Pool of the request's queue in the configuration in force, or, once it
+     * is located, the pool that has the job. */
     char pool[64];
+    bool is_located;
     char queue[128];
     char id[AQ_JOB_ID_SIZE];
     /* name of the workspace whose key the request has; NULL: the queue needs
@@ -62,6 +65,12 @@
 /* Notes what a reply of the store tells of the store's health. */
 void job_api_record_status(const Request *request, const AqStoreReply *reply);
 
+/* Sets the request's pool to the one that a job's KEY_JOB_POOL key names. */
+void job_api_locate(Request *request, const AqStoreItem *item);
+/* Returns the item with the key, or NULL if the reply has none. */
+const AqStoreItem *job_api_find_item(const AqStoreReply *reply,
+                                     const char *key);
+
 /* Starts the first attempt to store a submission. */
 void job_api_store(Request *request);
 
--- a/packages/pool/pool_owner.c
+++ b/packages/pool/pool_owner.c
@@ -36,6 +36,7 @@
     AqScheduler_Destroy(owner->scheduler);
     g_hash_table_destroy(owner->progress_records);
     g_hash_table_destroy(owner->cancelled);
+    g_ptr_array_free(owner->upgrades, TRUE);
     free(owner->last_progress_key);
     free(owner->last_report);
     free(owner);
@@ -153,6 +154,7 @@
                     AqLog_Quote(error.message));
         return;
     }
+    pool_owner_add_upgrade(owner, item);
     AqLog_Event(AQ_LOG_DEBUG, "job_seen", "request=%s index=%llu", id,
                 (unsigned long long)item->index);
     if (g_hash_table_contains(owner->cancelled, id)) {
@@ -462,6 +464,7 @@
     if (!owner->is_finishing) {
         write_used_vms(owner);
         pool_owner_write_report(owner);
+        pool_owner_upgrade_jobs(owner);
     }
     else if (!AqScheduler_HasUnsaved(owner->scheduler)) {
         /* Only a list that is written after all progress hands over. */
@@ -512,6 +515,7 @@
     owner->context = context;
     owner->ownership = *ownership;
     owner->last_progress_key = strdup("");
+    owner->upgrades = pool_owner_create_upgrades();
     owner->gained_at = pool_owner_now(owner);
     owner->quiet_index = ownership->previous_owner_may_be_active
                              ? UINT64_MAX
--- a/packages/pool/pool_owner_private.h
+++ b/packages/pool/pool_owner_private.h
@@ -9,6 +9,7 @@
 /* Shared by the files that implement PoolOwner:
  * pool_owner.c         loading, storing, rounds
  * pool_owner_report.c  the report of waiting jobs and load
+ * pool_owner_upgrade.c  stored jobs of earlier versions
  * pool_owner_orders.c  calls to VMs and to the advice service */
 
 enum {
@@ -42,6 +43,10 @@
     PrefixView *jobs;
     OwnerWriter *writer;
     CapEscrow *caps;
+    GPtrArray *upgrades; /* of Upgrade: jobs whose records are rewritten */
+    /* how many of these, from the first one on, a write rewrites now */
+    unsigned upgrades_in_flight;
+    AqTime upgrade_due;
     AqTime save_due;
     AqTime save_sent;
     AqTime gained_at;
@@ -92,6 +97,14 @@
 /* Writes the report if it has changed and is due. */
 void pool_owner_write_report(PoolOwner *owner);
 
+/* Returns a new array for PoolOwner.upgrades. */
+GPtrArray *pool_owner_create_upgrades(void);
+/* Takes note of a stored job that the scheduler has; no effect if this version
+ * stored it. */
+void pool_owner_add_upgrade(PoolOwner *owner, const AqStoreItem *item);
+/* Rewrites the records of some jobs of earlier versions if that is due. */
+void pool_owner_upgrade_jobs(PoolOwner *owner);
+
 /* The scheduler's calls; their context is the PoolOwner. */
 extern const AqSchedulerActions pool_owner_actions;
 
--- a/packages/pool/store_keys.c
+++ b/packages/pool/store_keys.c
@@ -32,6 +32,7 @@
         [KEY_MACHINE_RESPONSES] = "aq/answer/%s",
         [KEY_WAVE] = "aq/wave/%s",
         [KEY_CAPS] = "aq/caps/%s",
+        [KEY_JOB_POOL] = "aq/pool-of/%s",
         [KEY_JOBS] = "aq/job/%s/",
         [KEY_PROGRESS] = "aq/progress/%s/",
     };
--- a/packages/pool/store_keys.h
+++ b/packages/pool/store_keys.h
@@ -25,6 +25,10 @@
  * aq/job/POOL/ID.c     any node: mark that the job is cancelled, possibly
  *                      written before the job
  * aq/progress/POOL/ID  the owner: the job's stage, done tasks and failures
+ * aq/pool-of/ID        the node that accepted the job or its cancellation,
+ *                      with the job or the mark: the name of POOL, in which
+ *                      the job stays when a later configuration sends its
+ *                      queue to another pool
  * aq/report/POOL       the owner, under its lease: waiting jobs of each queue
  * aq/ask/POOL          the owner: machine requests of the pool, which are
  *                      requests for orders for VMs
@@ -55,7 +59,8 @@
     KEY_MACHINE_RESPONSES,
     KEY_MACHINE,
     KEY_WAVE,
-    KEY_CAPS, /* name: "parts"; "": prefix */
+    KEY_CAPS,     /* name: "parts"; "": prefix */
+    KEY_JOB_POOL, /* name: id of the job */
     /* Prefix of the keys of a pool's jobs and of their cancellation marks. */
     KEY_JOBS,
     /* Prefix of the keys of the progress records of a pool's jobs. */
@@ -63,8 +68,8 @@
 } KeyKind;
 
 /* Returns a store key of the given kind; "name" is the name of the pool, the
- * id of the node or VM, or the number of the wave.  The result points into one
- * of eight static buffers, which are reused in turn. */
+ * id of the node, VM or job, or the number of the wave.  The result points
+ * into one of eight static buffers, which are reused in turn. */
 const char *key_of(KeyKind kind, const char *name);
 /* These return the store keys of a job, of its cancellation mark and of its
  * progress record.  Each result points into one of the eight static buffers of
--- a/packages/pool/tests/job_api_fixture.c
+++ b/packages/pool/tests/job_api_fixture.c
@@ -154,3 +154,19 @@
         AqLoop_RunOnce(fixture->node.loop, ROUND_MS);
     }
 }
+
+int
+call(Fixture *fixture, const char *method, const char *key)
+{
+    unsigned response_count = fixture->response_count;
+    char header[64];
+    snprintf(header, sizeof(header), "%s: %s", AqPlatform_KeyHeader,
+             key != NULL ? key : "");
+    fixture->headers[0] = key != NULL ? header : NULL;
+    send_request(fixture, method);
+    while (fixture->response_count == response_count) {
+        run(fixture);
+        fake_store_reply_all(fixture->fake);
+    }
+    return fixture->status;
+}
--- a/packages/pool/tests/job_api_fixture.h
+++ b/packages/pool/tests/job_api_fixture.h
@@ -51,6 +51,10 @@
 void send_to(Fixture *fixture, const char *method, const char *path);
 /* Sends a request for the job ab12. */
 void send_request(Fixture *fixture, const char *method);
+/* Sends a request for the job ab12, with the key of a workspace unless that is
+ * NULL, and executes store calls until the caller has its response; returns
+ * the response's status. */
+int call(Fixture *fixture, const char *method, const char *key);
 /* Runs the loop until the job API calls the store or the caller has a
  * response. */
 void run(Fixture *fixture);
--- a/packages/pool/tests/test_job_api_admission.c
+++ b/packages/pool/tests/test_job_api_admission.c
@@ -135,6 +135,10 @@
     CU_ASSERT_EQUAL(fixture.status, 200);
     send_and_serve(&fixture, "/q/a1");
     CU_ASSERT_EQUAL(fixture.status, 200);
+    fake_store_put(fixture.fake, key_of(KEY_JOB_POOL, "cd34"),
+                   "earlier pool of the queue");
+    send_and_serve(&fixture, "/q/cd34");
+    CU_ASSERT_EQUAL(fixture.status, 200);
     tear_down(&fixture);
 }
 
--- a/packages/scheduler/Include/aq_job_spec.h
+++ b/packages/scheduler/Include/aq_job_spec.h
@@ -88,6 +88,10 @@
     uint32_t occurrences;
     /* when the job was submitted, Unix ms */
     int64_t submitted_ms;
+    /* The store has a record that names the job's pool.  False for a job that
+     * was decoded from the stored form of an earlier version, which wrote
+     * none; AqJobSpec_Encode() always writes true. */
+    bool has_pool_record;
 } AqJobSpec;
 
 /* Frees what *spec owns and zeroes *spec. */
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -11,9 +11,9 @@
      * of another version is refused as damaged */
     SPEC_FORMAT = 1,
     /* number of elements of the msgpack array that stores one AqJobSpec, and
-     * least number that is read: the last one, the workspace, was added
-     * later */
-    SPEC_FIELDS = 10,
+     * least number that is read: earlier versions wrote no workspace, or
+     * nothing after it */
+    SPEC_FIELDS = 11,
     MIN_SPEC_FIELDS = 9,
     /* number of elements of the msgpack array that stores one AqStepSpec */
     STEP_FIELDS = 14,
@@ -152,6 +152,7 @@
         pack_step(&packer, &spec->steps[i]);
     }
     record_pack_text(&packer, spec->workspace);
+    msgpack_pack_true(&packer); /* has_pool_record */
 }
 
 static bool
@@ -219,6 +220,25 @@
     return true;
 }
 
+/* Reads the elements that later versions have added, as far as there are
+ * any. */
+static bool
+unpack_later_fields(const msgpack_object *root, AqJobSpec *spec)
+{
+    const msgpack_object *at = root->via.array.ptr;
+    uint32_t size = root->via.array.size;
+    if (size > 9 && !record_text(&at[9], &spec->workspace)) {
+        return false;
+    }
+    if (size > 10) {
+        if (at[10].type != MSGPACK_OBJECT_BOOLEAN) {
+            return false;
+        }
+        spec->has_pool_record = at[10].via.boolean;
+    }
+    return true;
+}
+
 static bool
 unpack_spec(const msgpack_object *root, AqJobSpec *spec)
 {
@@ -259,8 +279,7 @@
             return false;
         }
     }
-    return root->via.array.size < SPEC_FIELDS ||
-           record_text(&at[9], &spec->workspace);
+    return unpack_later_fields(root, spec);
 }
 
 bool
