--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -319,7 +319,7 @@
 }
 
 static void
-submit(Request *request)
+submit(Request *request, const AqQueueConfig *queue)
 {
     AqError error;
     AqJobSpec spec;
@@ -335,6 +335,8 @@
     spec.workspace =
         request->workspace != NULL ? strdup(request->workspace) : NULL;
     spec.submitted_ms = AqClock_ReadWall();
+    spec.has_terms = true;
+    AqJobTerms_Set(&spec.terms, queue);
     if (!AqJobSpec_Check(&spec, &error)) {
         AqLog_Event(AQ_LOG_WARNING, "job_refused", "request=%s error=%s",
                     request->id, AqLog_Quote(error.message));
@@ -487,12 +489,12 @@
 }
 
 static void
-dispatch(Request *request)
+dispatch(Request *request, const AqQueueConfig *queue)
 {
     const char *method = AqExchange_Method(request->exchange);
     bool has_id = request->id[0] != '\0';
     if (strcmp(method, "POST") == 0 && has_id) {
-        submit(request);
+        submit(request, queue);
     }
     else if (strcmp(method, "GET") == 0) {
         request->try = has_id ? try_state : job_api_try_waiting;
@@ -590,7 +592,7 @@
         refuse_key(job_api, exchange, queue, id);
         return;
     }
-    dispatch(new_request(job_api, exchange, queue, workspace, id));
+    dispatch(new_request(job_api, exchange, queue, workspace, id), queue);
 }
 
 JobApi *
--- a/packages/pool/pool_owner_upgrade.c
+++ b/packages/pool/pool_owner_upgrade.c
@@ -46,6 +46,12 @@
         return;
     }
     if (!spec.has_pool_record) {
+        const AqQueueConfig *queue =
+            AqSiteConfig_FindQueue(&owner->node->site, spec.queue);
+        if (queue != NULL && strcmp(queue->pool, owner->ownership.pool) == 0) {
+            AqJobTerms_Set(&spec.terms, queue);
+            spec.has_terms = true;
+        }
         Upgrade *upgrade = calloc(1, sizeof(*upgrade));
         memcpy(upgrade->id, spec.id, sizeof(upgrade->id));
         AqBuffer_Init(&upgrade->record);
--- a/packages/pool/tests/test_old_records.c
+++ b/packages/pool/tests/test_old_records.c
@@ -5,6 +5,7 @@
 
 #include "aq_job_spec.h"
 #include "aq_log.h"
+#include "aq_platform.h"
 #include "site_sim.h"
 #include "store_keys.h"
 
@@ -100,6 +101,38 @@
     sim_destroy(sim);
 }
 
+/* Guards against a job of the version before that fails without end, since its
+ * queue is gone before or after the owner has read the job, also when the next
+ * owner finds the rewritten record. */
+static void
+test_limit_of_old_jobs(void)
+{
+    static const char config[] =
+        "{\"version\":9,\"routes\":["
+        "{\"name\":\"q1\",\"host\":\"h\",\"prefix\":\"/q1/\","
+        "\"service\":\"p1\",\"max_attempts\":4}],"
+        "\"services\":[{\"name\":\"p0\"},{\"name\":\"p1\"}]}";
+    for (int is_read_before = 0; is_read_before < 2; is_read_before++) {
+        Sim *sim = sim_create(1);
+        sim_run(sim, 2500);
+        if (is_read_before) {
+            put_old_job(sim, "ab12", "1000 0 1000");
+            sim_run(sim, 1500);
+        }
+        sim_store_put(sim, AqPlatform_ConfigKey, config, strlen(config));
+        sim_run(sim, 1000);
+        if (!is_read_before) {
+            put_old_job(sim, "ab12", "1000 0 1000");
+            sim_run(sim, 500);
+        }
+        sim_kill_node(sim, (unsigned)sim_owner(sim, 0), 100);
+        sim_run(sim, 20000);
+        CU_ASSERT_EQUAL(sim->start_count, 4);
+        expect_sound(sim);
+        sim_destroy(sim);
+    }
+}
+
 int
 main(void)
 {
@@ -107,6 +140,7 @@
     CU_initialize_registry();
     CU_pSuite suite = CU_add_suite("old_records", NULL, NULL);
     CU_ADD_TEST(suite, test_pool_of_old_jobs);
+    CU_ADD_TEST(suite, test_limit_of_old_jobs);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
--- a/packages/scheduler/Include/aq_job_spec.h
+++ b/packages/scheduler/Include/aq_job_spec.h
@@ -6,7 +6,9 @@
 #include <stdint.h>
 
 #include "aq_buffer.h"
+#include "aq_clock.h"
 #include "aq_error.h"
+#include "aq_site_config.h"
 
 /* A job as a caller submitted it: steps, each of a number of equal tasks.  A
  * recurring job executes all its steps several times; each such occurrence is
@@ -69,6 +71,20 @@
     bool limits_missing;
 } AqStepSpec;
 
+/* What a job's queue lays down for the job.  The fields are those of
+ * AqQueueConfig with the same names. */
+typedef struct {
+    uint32_t max_attempts;
+    bool needs_tickets;
+    int priority;
+    /* stored in thousandths, at most 1,000,000 */
+    double stretch;
+    AqTime target_ms;
+} AqJobTerms;
+
+/* Sets *terms to those of the queue. */
+void AqJobTerms_Set(AqJobTerms *terms, const AqQueueConfig *queue);
+
 typedef struct {
     char id[AQ_JOB_ID_SIZE];
     /* name of the queue that accepted the job; owned */
@@ -92,6 +108,10 @@
      * was decoded from the stored form of an earlier version, which wrote
      * none; AqJobSpec_Encode() always writes true. */
     bool has_pool_record;
+    /* The queue's terms when the job was accepted are known.  False for a job
+     * of an earlier version, which did not store them. */
+    bool has_terms;
+    AqJobTerms terms;
 } AqJobSpec;
 
 /* Frees what *spec owns and zeroes *spec. */
--- a/packages/scheduler/Include/aq_site_config.h
+++ b/packages/scheduler/Include/aq_site_config.h
@@ -106,6 +106,11 @@
 const AqQueueConfig *AqSiteConfig_FindQueue(const AqSiteConfig *config,
                                             const char *name);
 
+/* The same if the queue's pool is "pool", otherwise NULL. */
+const AqQueueConfig *AqSiteConfig_FindQueueOfPool(const AqSiteConfig *config,
+                                                  const char *name,
+                                                  const char *pool);
+
 /* Returns the workspace named "name", or NULL when the site has none.
  * Borrowed. */
 const AqWorkspaceConfig *AqSiteConfig_FindWorkspace(const AqSiteConfig *config,
--- a/packages/scheduler/job_spec.c
+++ b/packages/scheduler/job_spec.c
@@ -1,5 +1,7 @@
 #include "aq_job_spec.h"
 
+#include <limits.h>
+#include <math.h>
 #include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,11 +14,15 @@
     SPEC_FORMAT = 1,
     /* number of elements of the msgpack array that stores one AqJobSpec, and
      * least number that is read: earlier versions wrote no workspace, or
-     * nothing after it */
-    SPEC_FIELDS = 11,
+     * nothing after it.  Earlier versions refuse records with values of types
+     * that scan_value() of theirs does not know, such as floats. */
+    SPEC_FIELDS = 12,
     MIN_SPEC_FIELDS = 9,
     /* number of elements of the msgpack array that stores one AqStepSpec */
     STEP_FIELDS = 14,
+    /* number of elements of the msgpack array that stores one AqJobTerms */
+    TERMS_FIELDS = 5,
+    MAX_STRETCH = 1000000,
     FLAG_GANG = 1,
     FLAG_ONE_RACK = 2,
     FLAG_CHECKPOINTS = 4,
@@ -26,6 +32,16 @@
     FLAG_LIMITS_MISSING = 64
 };
 
+void
+AqJobTerms_Set(AqJobTerms *terms, const AqQueueConfig *queue)
+{
+    *terms = (AqJobTerms){.max_attempts = queue->max_attempts,
+                          .needs_tickets = queue->needs_tickets,
+                          .priority = queue->priority,
+                          .stretch = queue->stretch,
+                          .target_ms = queue->target_ms};
+}
+
 static void
 clear_step(AqStepSpec *step)
 {
@@ -133,6 +149,19 @@
     msgpack_pack_int64(pk, 0);
 }
 
+static void
+pack_terms(msgpack_packer *pk, const AqJobTerms *terms)
+{
+    double stretch = terms->stretch > 0 ? terms->stretch : 0;
+    stretch = stretch < MAX_STRETCH ? stretch : MAX_STRETCH;
+    msgpack_pack_array(pk, TERMS_FIELDS);
+    msgpack_pack_uint32(pk, terms->max_attempts);
+    msgpack_pack_int(pk, terms->needs_tickets);
+    msgpack_pack_int(pk, terms->priority);
+    msgpack_pack_int64(pk, llround(stretch * 1000));
+    msgpack_pack_int64(pk, terms->target_ms);
+}
+
 void
 AqJobSpec_Encode(const AqJobSpec *spec, AqBuffer *out)
 {
@@ -153,6 +182,12 @@
     }
     record_pack_text(&packer, spec->workspace);
     msgpack_pack_true(&packer); /* has_pool_record */
+    if (spec->has_terms) {
+        pack_terms(&packer, &spec->terms);
+    }
+    else {
+        msgpack_pack_nil(&packer);
+    }
 }
 
 static bool
@@ -220,6 +255,33 @@
     return true;
 }
 
+static bool
+unpack_terms(const msgpack_object *object, AqJobTerms *terms)
+{
+    int64_t max_attempts;
+    int64_t needs_tickets;
+    int64_t priority;
+    int64_t stretch_permille;
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size < TERMS_FIELDS) {
+        return false;
+    }
+    const msgpack_object *at = object->via.array.ptr;
+    if (!record_int(&at[0], 0, UINT32_MAX, &max_attempts) ||
+        !record_int(&at[1], 0, 1, &needs_tickets) ||
+        !record_int(&at[2], INT_MIN, INT_MAX, &priority) ||
+        !record_int(&at[3], 0, MAX_STRETCH * INT64_C(1000),
+                    &stretch_permille) ||
+        !record_int(&at[4], INT64_MIN, INT64_MAX, &terms->target_ms)) {
+        return false;
+    }
+    terms->max_attempts = (uint32_t)max_attempts;
+    terms->needs_tickets = needs_tickets != 0;
+    terms->priority = (int)priority;
+    terms->stretch = (double)stretch_permille / 1000;
+    return true;
+}
+
 /* Reads the elements that later versions have added, as far as there are
  * any. */
 static bool
@@ -236,7 +298,8 @@
         }
         spec->has_pool_record = at[10].via.boolean;
     }
-    return true;
+    spec->has_terms = size > 11 && at[11].type != MSGPACK_OBJECT_NIL;
+    return !spec->has_terms || unpack_terms(&at[11], &spec->terms);
 }
 
 static bool
--- a/packages/scheduler/load.c
+++ b/packages/scheduler/load.c
@@ -45,8 +45,9 @@
 }
 
 void
-load_add_job(AqScheduler *s, const AqJobSpec *spec)
+load_add_job(AqScheduler *s, const Job *job)
 {
+    const AqJobSpec *spec = &job->spec;
     double sum = 0;
     load_decay(s);
     for (size_t i = 0; i < spec->step_count; i++) {
@@ -59,8 +60,7 @@
             sum += work;
         }
     }
-    const AqQueueConfig *queue = AqSiteConfig_FindQueue(s->site, spec->queue);
-    size_t priority = AqLoadView_Priority(queue != NULL ? queue->priority : 0);
+    size_t priority = AqLoadView_Priority(job->terms.priority);
     size_t class =
         AqLoadView_Class(sum < INT64_MAX ? (int64_t)sum : INT64_MAX);
     s->offered_by_class[priority][class] += sum;
--- a/packages/scheduler/placement.c
+++ b/packages/scheduler/placement.c
@@ -103,10 +103,9 @@
 }
 
 static bool
-needs_ticket(const AqScheduler *s, const Step *step)
+needs_ticket(const Step *step)
 {
-    const AqQueueConfig *queue = scheduler_queue(s, step->occurrence->job);
-    return queue != NULL && queue->needs_tickets;
+    return step->occurrence->job->terms.needs_tickets;
 }
 
 /* The same as placement_check(); "tickets": whether the VM needs a ticket for
@@ -142,7 +141,7 @@
 PlacementResult
 placement_check(const AqScheduler *s, const Vm *vm, const Task *task)
 {
-    return check_vm(s, vm, task, needs_ticket(s, task->step));
+    return check_vm(s, vm, task, needs_ticket(task->step));
 }
 
 uint32_t
@@ -345,7 +344,7 @@
 choose_vm_for_run(AqScheduler *s, Task *task)
 {
     const char *near_rack = task->step->spec->near_rack;
-    bool tickets = needs_ticket(s, task->step);
+    bool tickets = needs_ticket(task->step);
     vms_end_reservation(task);
     Vm *vm = choose_vm(s, task, NULL, tickets, vms_is_usable);
     if (vm == NULL && task->step->spec->is_perpetual) {
@@ -421,8 +420,7 @@
     for (; placed < count; placed++) {
         Task *task = &step->tasks[placed];
         vms_end_reservation(task);
-        Vm *vm =
-            choose_vm(s, task, rack, needs_ticket(s, step), vms_is_usable);
+        Vm *vm = choose_vm(s, task, rack, needs_ticket(step), vms_is_usable);
         if (vm == NULL) {
             break;
         }
@@ -470,7 +468,7 @@
                 return;
             }
         }
-        if (!needs_ticket(s, step) && places_wait_for_rack(s, step)) {
+        if (!needs_ticket(step) && places_wait_for_rack(s, step)) {
             return;
         }
     }
@@ -488,7 +486,7 @@
             if (step->ready == 0) {
                 continue;
             }
-            if (needs_ticket(s, step)) {
+            if (needs_ticket(step)) {
                 request_tickets(s, step);
             }
             if (step->spec->is_gang) {
--- a/packages/scheduler/ranking.c
+++ b/packages/scheduler/ranking.c
@@ -5,7 +5,7 @@
  * The queue's priority comes first.  Within a priority, jobs with perpetual
  * tasks precede all others, because their users are waiting and starts of such
  * tasks are rare.  Next are the jobs that can still meet their objective, the
- * completion time of AqQueueConfig.stretch and target_ms: the job with the
+ * completion time of AqJobTerms.stretch and target_ms: the job with the
  * least remaining work first, so that the most jobs meet their objective.
  * Late jobs follow in the same order.  Last are the very late jobs, oldest
  * first, since a faster completion has no value for them any more. */
@@ -85,7 +85,7 @@
 bool
 ranking_update(const AqScheduler *s, Job *job)
 {
-    const AqQueueConfig *queue = scheduler_queue(s, job);
+    const AqJobTerms *terms = &job->terms;
     bool has_ready = false;
     bool is_perpetual_task = false;
     AqTime chain = 0;
@@ -109,9 +109,8 @@
         work += work_left(occurrence);
     }
     job->remaining_work = (int64_t)(work < MAX_WORK ? work : MAX_WORK);
-    double stretch = queue != NULL ? queue->stretch : 1.0;
-    AqTime target = queue != NULL ? queue->target_ms : 0;
-    AqTime objective = (AqTime)((double)chain * stretch) + target;
+    AqTime objective =
+        (AqTime)((double)chain * terms->stretch) + terms->target_ms;
     job->slack = since + objective - s->now - left;
     if (is_perpetual_task) {
         job->bucket = BUCKET_PERPETUAL;
@@ -125,7 +124,7 @@
     else {
         job->bucket = BUCKET_VERY_LATE;
     }
-    job->bucket += BUCKET_COUNT * (queue != NULL ? queue->priority : 0);
+    job->bucket += BUCKET_COUNT * terms->priority;
     return has_ready;
 }
 
--- a/packages/scheduler/scheduler.c
+++ b/packages/scheduler/scheduler.c
@@ -33,13 +33,6 @@
     return job->stage >= AQ_STAGE_COMPLETED;
 }
 
-const AqQueueConfig *
-scheduler_queue(const AqScheduler *s, const Job *job)
-{
-    return s->site != NULL ? AqSiteConfig_FindQueue(s->site, job->spec.queue)
-                           : NULL;
-}
-
 static Occurrence *
 find_occurrence(const Job *job, uint32_t number)
 {
@@ -318,6 +311,7 @@
     AqList_Init(&job->dirty_link);
     AqList_Init(&job->occurrences);
     workspaces_add_job(s, job);
+    job_terms_update(s, job);
     int64_t age = s->wall - job->spec.submitted_ms;
     job->submitted_at = now - (age > 0 ? age : 0);
     if (record != NULL && !progress_apply(s, job, record, size)) {
@@ -333,7 +327,7 @@
         return true;
     }
     if (s->is_loaded) {
-        load_add_job(s, &job->spec);
+        load_add_job(s, job);
     }
     job->is_new = is_new;
     AqList_Append(&s->active, &job->link);
@@ -347,6 +341,10 @@
     }
     unknown_runs_adopt(s, job);
     finish_if_done(s, job);
+    if (job_terms_are_exhausted(job)) {
+        /* An earlier version went on with a job whose queue was gone. */
+        scheduler_fail_job(s, job);
+    }
     s->placement_due = true;
     return true;
 }
@@ -523,7 +521,6 @@
         MAX_RESTART_PAUSE_MS = 1000
     };
     Job *job = task->step->occurrence->job;
-    const AqQueueConfig *queue = scheduler_queue(s, job);
     AqTime pause = RESTART_PAUSE_MS;
     if (is_failure_known(task, run)) {
         return;
@@ -531,8 +528,7 @@
     s->counters.failed++;
     scheduler_add_failure(task, run);
     scheduler_changed(s, job);
-    if (!task->step->spec->is_perpetual && queue != NULL &&
-        queue->max_attempts > 0 && task->failures >= queue->max_attempts) {
+    if (!job_terms_allow_run(task)) {
         scheduler_fail_job(s, job);
         return;
     }
@@ -647,5 +643,15 @@
 {
     s->site = site;
     workspaces_set_site(s);
+    AqList_ForEachSafe(at, after, &s->active)
+    {
+        Job *job = AqList_Entry(at, Job, link);
+        uint32_t max_attempts = job->terms.max_attempts;
+        job_terms_update(s, job);
+        if (job->terms.max_attempts != max_attempts &&
+            job_terms_are_exhausted(job)) {
+            scheduler_fail_job(s, job);
+        }
+    }
     s->placement_due = true;
 }
--- a/packages/scheduler/scheduler_functions.h
+++ b/packages/scheduler/scheduler_functions.h
@@ -27,9 +27,6 @@
  * while the VM of that run is silent and the step allows copies. */
 void scheduler_requeue_task(AqScheduler *s, Task *task);
 bool scheduler_is_finished(const Job *job);
-/* Returns the job's queue; NULL when the site configuration has no queue of
- * that name. */
-const AqQueueConfig *scheduler_queue(const AqScheduler *s, const Job *job);
 Occurrence *scheduler_add_occurrence(AqScheduler *s, Job *job,
                                      uint32_t number);
 /* Makes the occurrence's blocked tasks ready if all steps that must be done
@@ -123,11 +120,20 @@
 AqOrderReply vm_restart_filter_reply(AqScheduler *s, Vm *vm,
                                      const AqOrderReply *reply, bool is_list);
 
+/* ---- job_terms.c */
+/* Sets job->terms; completes job->spec.terms from the configuration in force
+ * if they are not known yet. */
+void job_terms_update(const AqScheduler *s, Job *job);
+/* Whether the job's limit of failed runs allows another run of the task. */
+bool job_terms_allow_run(const Task *task);
+/* Whether a task of the job that is not done may not run any more. */
+bool job_terms_are_exhausted(const Job *job);
+
 /* ---- load.c */
 /* Brings the sums of offered work up to the present time. */
 void load_decay(AqScheduler *s);
 /* Adds the work of a new job to the offered load. */
-void load_add_job(AqScheduler *s, const AqJobSpec *spec);
+void load_add_job(AqScheduler *s, const Job *job);
 
 /* ---- places.c */
 /* Returns the table of racks, AqScheduler.racks. */
--- a/packages/scheduler/scheduler_internal.h
+++ b/packages/scheduler/scheduler_internal.h
@@ -11,6 +11,7 @@
 
 /* Types and functions shared by the sources of the scheduler:
  * scheduler.c   jobs, steps and the tick
+ * job_terms.c   what applies to a job of its queue
  * load.c        the reported load
  * load_view.c   what the owner publishes of a lasting overload
  * scheduler_check.c  whether counts agree with the tasks
@@ -296,6 +297,9 @@
      * a save */
     AqLink dirty_link;
     AqJobSpec spec; /* the job's specification; owned */
+    /* what applies now: spec.terms, except for what follows the configuration
+     * in force; set by job_terms_update() */
+    AqJobTerms terms;
     AqJobStage stage;
     /* stage in the job's last stored record */
     AqJobStage stored_stage;
--- a/packages/scheduler/site_config.c
+++ b/packages/scheduler/site_config.c
@@ -213,6 +213,14 @@
     return NULL;
 }
 
+const AqQueueConfig *
+AqSiteConfig_FindQueueOfPool(const AqSiteConfig *config, const char *name,
+                             const char *pool)
+{
+    const AqQueueConfig *queue = AqSiteConfig_FindQueue(config, name);
+    return queue != NULL && strcmp(queue->pool, pool) == 0 ? queue : NULL;
+}
+
 const AqPoolConfig *
 AqSiteConfig_FindPool(const AqSiteConfig *config, const char *name)
 {
--- a/packages/scheduler/tests/order_fixture.h
+++ b/packages/scheduler/tests/order_fixture.h
@@ -30,6 +30,7 @@
     GArray *starts;         /* of FixtureStart: all start orders */
     GArray *stops;          /* of FixtureStart: all stop orders */
     AqRenewalOrder renewal; /* the last renewal order */
+    unsigned ticket_requests;
 } Fixture;
 
 /* "earlier_owner_ms": AqSchedulerConfig.earlier_owner_ms. */
--- a/packages/scheduler/tests/sim.c
+++ b/packages/scheduler/tests/sim.c
@@ -293,6 +293,8 @@
     AqTime settled_at;
     AqSiteConfig site;
     AqQueueConfig queue;
+    AqJobTerms accepted; /* terms under which jobs are accepted */
+    bool are_jobs_old;   /* stored jobs lack these terms */
     char violation[256]; /* first violated invariant; "" for none */
 };
 
@@ -1636,6 +1638,8 @@
     spec->queue = spec->queue != NULL ? spec->queue : strdup("queue");
     spec->text = strdup("text");
     spec->submitted_ms = sim->now;
+    spec->has_terms = !sim->are_jobs_old;
+    spec->terms = sim->accepted;
     stored->actual_duration_percent = 100;
     stored->stored_at = sim->now;
     AqBuffer_Init(&stored->spec);
@@ -1787,6 +1791,7 @@
         .stretch = 1.6,
         .max_attempts = MAX_ATTEMPTS,
     };
+    AqJobTerms_Set(&sim->accepted, &sim->queue);
     sim->site.queues = &sim->queue;
     sim->site.queue_count = 1;
     for (unsigned i = 0; i < SIM_VMS; i++) {
@@ -1804,6 +1809,27 @@
     AqScheduler_SetSite(sim->owner->scheduler, &sim->site);
 }
 
+void
+sim_set_queue(Sim *sim, const AqQueueConfig *queue)
+{
+    if (queue != NULL) {
+        sim->queue = *queue;
+    }
+    sim->site.queue_count = queue != NULL;
+    for (guint i = 0; i < sim->owners->len; i++) {
+        const SimOwner *owner = g_ptr_array_index(sim->owners, i);
+        if (!owner->has_exited) {
+            AqScheduler_SetSite(owner->scheduler, &sim->site);
+        }
+    }
+}
+
+void
+sim_store_old_jobs(Sim *sim)
+{
+    sim->are_jobs_old = true;
+}
+
 void
 sim_set_faults(Sim *sim, const SimFaults *faults)
 {
--- a/packages/scheduler/tests/sim.h
+++ b/packages/scheduler/tests/sim.h
@@ -97,6 +97,10 @@
 void sim_hand_over_cancelling(Sim *sim, const char *id);
 /* Sets the workspaces of the configuration; borrowed. */
 void sim_set_workspaces(Sim *sim, AqWorkspaceConfig *workspaces, size_t count);
+/* Replaces the configuration's only queue, "queue" of the pool "pool", whose
+ * terms the jobs are accepted under all the while; NULL: by none.  The strings
+ * of the queue are borrowed. */
+void sim_set_queue(Sim *sim, const AqQueueConfig *queue);
 /* Returns the scheduler of the current pool owner; borrowed. */
 AqScheduler *sim_scheduler(const Sim *sim);
 /* Sets whether the current pool owner is certain to hold its lease on the
@@ -163,6 +167,9 @@
  * still send orders.  Takes over what *spec owns; sets the job's text and
  * time of submission, and the queue "queue" unless there is one. */
 void sim_add_job(Sim *sim, AqJobSpec *spec);
+/* From now on the stored jobs lack the queue's terms, as those of the version
+ * before. */
+void sim_store_old_jobs(Sim *sim);
 /* Adds a job of "steps" steps with "tasks" tasks each; each step waits for the
  * step before it.  "duration_ms" is the declared duration of a task. */
 void sim_add_chain(Sim *sim, const char *id, unsigned steps, unsigned tasks,
--- a/packages/scheduler/tests/test_records.c
+++ b/packages/scheduler/tests/test_records.c
@@ -23,6 +23,12 @@
     spec->interval_ms = 500;
     spec->occurrences = 3;
     spec->submitted_ms = 1700000000001;
+    spec->has_terms = true;
+    spec->terms = (AqJobTerms){.max_attempts = 3,
+                               .needs_tickets = true,
+                               .priority = 2,
+                               .stretch = 1.625,
+                               .target_ms = 600};
     spec->step_count = 2;
     spec->steps = calloc(2, sizeof(*spec->steps));
     spec->steps[0] = (AqStepSpec){.task_count = 4,
@@ -72,6 +78,12 @@
     CU_ASSERT_TRUE(copy.steps[1].is_perpetual && copy.steps[1].is_filler);
     CU_ASSERT_TRUE(copy.steps[1].limits_missing);
     CU_ASSERT_EQUAL(copy.steps[1].after[0], 0);
+    CU_ASSERT_TRUE(copy.has_pool_record && copy.has_terms);
+    CU_ASSERT_EQUAL(copy.terms.max_attempts, 3);
+    CU_ASSERT_TRUE(copy.terms.needs_tickets);
+    CU_ASSERT_EQUAL(copy.terms.priority, 2);
+    CU_ASSERT_EQUAL(copy.terms.stretch, 1.625);
+    CU_ASSERT_EQUAL(copy.terms.target_ms, 600);
     AqJobSpec_Clear(&spec);
     AqJobSpec_Clear(&copy);
     AqBuffer_Clear(&first);
--- a/packages/scheduler/tests/test_scheduler_random.c
+++ b/packages/scheduler/tests/test_scheduler_random.c
@@ -7,11 +7,12 @@
 
 /* Runs the simulated pool with random jobs and faults: lost replies, delayed
  * orders, failing runs and saves, crashed, restarted and silent VMs, killed
- * owners, hand-overs, and previous owners that do not notice that they were
- * replaced. Guards against violations of the invariants that the simulation
- * checks: a task does not run twice at a time or after a confirmed end, steps
- * start in order, and the limits on failed runs and on CPU are kept.  Guards
- * also against jobs that do not finish once the faults have ended.
+ * owners, hand-overs, previous owners that do not notice that they were
+ * replaced, and queues that are dropped or changed. Guards against violations
+ * of the invariants that the simulation checks: a task does not run twice at a
+ * time or after a confirmed end, steps start in order, and the limits on
+ * failed runs and on CPU are kept.  Guards also against jobs that do not
+ * finish once the faults have ended.
  *
  * "test_scheduler_random FIRST_SEED COUNT" runs other seeds. */
 
@@ -50,15 +51,36 @@
     }
 }
 
+/* In a fifth of the calls, replaces the queue: by none, by one of another
+ * pool, by one with other terms, or by the first one again. */
+static void
+change_queue(Sim *sim, AqRandom *random)
+{
+    static const AqQueueConfig queues[] = {
+        {.name = "queue", .pool = "other", .max_attempts = 9, .stretch = 1.6},
+        {.name = "queue", .pool = "pool", .max_attempts = 9, .priority = 1},
+        {.name = "queue", .pool = "pool", .max_attempts = 1, .stretch = 3},
+        {.name = "queue", .pool = "pool", .max_attempts = 2, .stretch = 1.6}};
+    enum {
+        QUEUES = sizeof(queues) / sizeof(queues[0])
+    };
+    size_t number = AqRandom_Below(random, 5 * (QUEUES + 1));
+    if (number <= QUEUES) {
+        sim_set_queue(sim, number < QUEUES ? &queues[number] : NULL);
+    }
+}
+
 /* Returns whether all jobs of the simulation with this seed finish without a
  * violated invariant. */
 static bool
 run_seed(uint64_t seed)
 {
     AqRandom random;
+    AqRandom queue_random; /* does not change the faults of a seed */
     SimFaults faults;
     SimFaults none = {0};
     AqRandom_Seed(&random, seed * 7919 + 1);
+    AqRandom_Seed(&queue_random, seed * 104729 + 1);
     faults = (SimFaults){
         .lost_replies_permille = (unsigned)AqRandom_Below(&random, 60),
         .delayed_orders_permille = (unsigned)AqRandom_Below(&random, 40),
@@ -76,6 +98,7 @@
                       100 + (AqTime)AqRandom_Below(&random, 1500));
         sim_run(sim, (AqTime)AqRandom_Below(&random, 500));
         inject_fault(sim, &random);
+        change_queue(sim, &queue_random);
     }
     sim_set_faults(sim, &none);
     bool is_finished = sim_run_until_finished(sim, 90000);
