--- a/packages/pool/job_api.c
+++ b/packages/pool/job_api.c
@@ -603,8 +603,9 @@
     job_api->ops = *ops;
     job_api->context = context;
     job_api->load_views = load_views_create(node);
-    job_api->reports = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                             job_api_free_report);
+    job_api->reports =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    job_api->reports_read_at = AQ_TIME_NEVER;
     return job_api;
 }
 
--- a/packages/pool/job_api_private.h
+++ b/packages/pool/job_api_private.h
@@ -18,7 +18,10 @@
     NodeContext *node;
     JobApiOps ops;
     void *context;
-    GHashTable *reports; /* pool name -> Report */
+    /* Pool name -> text of its owner's report of waiting jobs, of all pools,
+     * as last read from the store. */
+    GHashTable *reports;
+    AqTime reports_read_at; /* AQ_TIME_NEVER: not read yet */
     LoadViews *load_views;
 };
 
@@ -83,8 +86,6 @@
 /* ---- job_api_waiting.c */
 /* Starts an attempt to count the waiting jobs of the request's queue. */
 void job_api_try_waiting(void *context);
-/* Frees a value of JobApi.reports. */
-void job_api_free_report(void *value);
 
 /* ---- job_api_cancel.c */
 /* Starts an attempt of a cancellation. */
--- a/packages/pool/job_api_waiting.c
+++ b/packages/pool/job_api_waiting.c
@@ -8,20 +8,14 @@
 /* Counts of the waiting jobs of a queue, from the reports of pool owners. */
 
 enum {
-    /* Age up to which a pool's cached report of waiting jobs is used. */
+    /* Age up to which the cached reports of waiting jobs are used. */
     REPORT_MAX_AGE_MS = 400
 };
 
 static const char response_no_owner[] =
     "{\"error\":\"no node counts the queue's jobs now; come back later\"}";
 
-/* A cached copy of the counts of waiting jobs in a pool's queues, as the
- * pool's owner wrote them to the store. */
-typedef struct {
-    char *text;
-    AqTime read_at;
-} Report;
-
+/* Returns the number that the report gives for the queue. */
 static int64_t
 find_waiting(const char *report, const char *queue)
 {
@@ -36,58 +30,66 @@
     return 0;
 }
 
+/* Responds with the sum over all pools: a job stays in the pool that the queue
+ * had when it accepted the job.  Without a report of the queue's present pool
+ * most of its jobs may not be counted. */
 static void
-finish_waiting(Request *request, const char *report)
+finish_waiting(Request *request)
 {
+    GHashTable *reports = request->job_api->reports;
+    GHashTableIter iter;
+    gpointer report;
+    int64_t count = 0;
     AqBuffer body;
+    if (!g_hash_table_contains(reports, request->pool)) {
+        job_api_finish(request, 503, response_no_owner, "no_owner");
+        return;
+    }
+    g_hash_table_iter_init(&iter, reports);
+    while (g_hash_table_iter_next(&iter, NULL, &report)) {
+        count += find_waiting(report, request->queue);
+    }
     AqBuffer_Init(&body);
-    AqPlatform_EncodeWaiting(find_waiting(report, request->queue), &body);
+    AqPlatform_EncodeWaiting(count, &body);
     job_api_finish(request, 200, AqBuffer_Text(&body), "report");
     AqBuffer_Clear(&body);
 }
 
-void
-job_api_free_report(void *value)
-{
-    Report *report = value;
-    free(report->text);
-    free(report);
-}
-
 static void
-on_report(void *context, const AqStoreReply *reply)
+on_reports(void *context, const AqStoreReply *reply)
 {
     Request *request = context;
+    JobApi *job_api = request->job_api;
+    const char *prefix = key_of(KEY_REPORT, "");
     job_api_record_status(request, reply);
-    if (reply->status == AQ_STORE_OK && reply->count == 1) {
-        Report *report = calloc(1, sizeof(*report));
-        report->text = strndup(reply->items[0].value, reply->items[0].size);
-        report->read_at = job_api_now(request->job_api);
-        g_hash_table_replace(request->job_api->reports,
-                             g_strdup(request->pool), report);
-        finish_waiting(request, report->text);
-    }
-    else if (reply->status == AQ_STORE_ABSENT) {
-        job_api_finish(request, 503, response_no_owner, "no_owner");
-    }
-    else {
+    if (reply->status != AQ_STORE_OK || !reply->is_complete) {
         job_api_forward_or_retry(request);
+        return;
+    }
+    g_hash_table_remove_all(job_api->reports);
+    for (size_t i = 0; i < reply->count; i++) {
+        const AqStoreItem *item = &reply->items[i];
+        g_hash_table_replace(job_api->reports,
+                             g_strdup(item->key + strlen(prefix)),
+                             g_strndup(item->value, item->size));
     }
+    job_api->reports_read_at = job_api_now(job_api);
+    finish_waiting(request);
 }
 
 void
 job_api_try_waiting(void *context)
 {
     Request *request = context;
-    AqStore *store = request->job_api->node->store;
-    const Report *cached =
-        g_hash_table_lookup(request->job_api->reports, request->pool);
+    const JobApi *job_api = request->job_api;
+    AqStore *store = job_api->node->store;
     request->attempts++;
-    if (cached != NULL &&
-        job_api_now(request->job_api) - cached->read_at < REPORT_MAX_AGE_MS) {
-        finish_waiting(request, cached->text);
+    if (job_api->reports_read_at != AQ_TIME_NEVER &&
+        job_api_now(job_api) - job_api->reports_read_at < REPORT_MAX_AGE_MS &&
+        g_hash_table_contains(job_api->reports, request->pool)) {
+        finish_waiting(request);
         return;
     }
-    store->ops->get(store, key_of(KEY_REPORT, request->pool), on_report,
-                    request);
+    store->ops->list_after(store, key_of(KEY_REPORT, ""), "", false,
+                           on_reports, request);
 }
--- a/packages/pool/pool_owner_report.c
+++ b/packages/pool/pool_owner_report.c
@@ -29,6 +29,12 @@
     }
 }
 
+static void
+append_waiting(void *text, const char *queue, size_t count)
+{
+    AqBuffer_Printf(text, "%s %zu\n", queue, count);
+}
+
 /* Appends the pool's load to its report in a lasting overload. */
 static void
 append_load(PoolOwner *owner, AqBuffer *text)
@@ -43,20 +49,13 @@
 void
 pool_owner_write_report(PoolOwner *owner)
 {
-    const AqSiteConfig *site = &owner->node->site;
     AqBuffer text;
     if (owner->is_reporting || owner->report_due > pool_owner_now(owner)) {
         return;
     }
     owner->report_due = pool_owner_now(owner) + REPORT_INTERVAL_MS;
     AqBuffer_Init(&text);
-    for (size_t i = 0; i < site->queue_count; i++) {
-        if (strcmp(site->queues[i].pool, owner->ownership.pool) == 0) {
-            AqBuffer_Printf(&text, "%s %zu\n", site->queues[i].name,
-                            AqScheduler_CountWaiting(owner->scheduler,
-                                                     site->queues[i].name));
-        }
-    }
+    AqScheduler_EachWaiting(owner->scheduler, append_waiting, &text);
     append_load(owner, &text);
     if (owner->last_report == NULL ||
         strcmp(owner->last_report, AqBuffer_Text(&text)) != 0) {
--- a/packages/pool/store_keys.h
+++ b/packages/pool/store_keys.h
@@ -30,6 +30,7 @@
  *                      the job stays when a later configuration sends its
  *                      queue to another pool
  * aq/report/POOL       the owner, under its lease: waiting jobs of each queue
+ *                      that has some in the pool, and the load
  * aq/ask/POOL          the owner: machine requests of the pool, which are
  *                      requests for orders for VMs
  * aq/answer/POOL       the machine coordinator: machine requests of the pool
--- a/packages/pool/tests/job_api_fixture.c
+++ b/packages/pool/tests/job_api_fixture.c
@@ -104,6 +104,9 @@
     const char *seconds =
         has_status ? AqHttpReply_Header(reply, "Retry-After") : NULL;
     fixture->status = has_status ? reply->status : 0;
+    snprintf(fixture->response, sizeof(fixture->response), "%.*s",
+             has_status ? (int)reply->size : 0,
+             has_status && reply->size > 0 ? reply->body : "");
     fixture->retry_after_s = seconds != NULL ? atoi(seconds) : 0;
 }
 
--- a/packages/pool/tests/job_api_fixture.h
+++ b/packages/pool/tests/job_api_fixture.h
@@ -35,6 +35,8 @@
     unsigned response_count;
     /* HTTP status of the last response that the caller received; 0: none. */
     int status;
+    /* Body of that response, truncated; "": none. */
+    char response[64];
     /* Body of the submissions. */
     const char *body;
     /* Retry-After of the last response, s; 0: none. */
--- a/packages/pool/tests/test_job_route.c
+++ b/packages/pool/tests/test_job_route.c
@@ -133,6 +133,27 @@
     }
 }
 
+/* Guards against a count of waiting jobs without those that wait in the pool
+ * that the queue had before. */
+static void
+test_waiting_jobs_of_both_pools(void)
+{
+    Fixture fixture;
+    set_up(&fixture);
+    fake_store_put(fixture.fake, key_of(KEY_REPORT, "p"), "q 7\nqq 100\n");
+    fake_store_put(fixture.fake, key_of(KEY_REPORT, "other"), "a 5\nq 2\n");
+    fake_store_put(fixture.fake, key_of(KEY_REPORT, "third"), "");
+    set_pool(&fixture, "other");
+    fixture.response_count = 0;
+    send_to(&fixture, "GET", "/q/");
+    run(&fixture);
+    fake_store_reply(fixture.fake);
+    run_to_response(&fixture);
+    CU_ASSERT_EQUAL(fixture.status, 200);
+    CU_ASSERT_STRING_EQUAL(fixture.response, "{\"waiting\":9}");
+    tear_down(&fixture);
+}
+
 int
 main(void)
 {
@@ -142,6 +163,7 @@
     CU_ADD_TEST(suite, test_job_is_found_in_its_pool);
     CU_ADD_TEST(suite, test_write_without_reply);
     CU_ADD_TEST(suite, test_cancel_beside_store_faults);
+    CU_ADD_TEST(suite, test_waiting_jobs_of_both_pools);
     CU_basic_set_mode(CU_BRM_VERBOSE);
     CU_basic_run_tests();
     unsigned failures = CU_get_number_of_failures();
--- a/packages/scheduler/Include/aq_scheduler.h
+++ b/packages/scheduler/Include/aq_scheduler.h
@@ -131,10 +131,13 @@
  * when the record is damaged. */
 bool AqScheduler_ReadStage(const char *record, size_t size, AqJobStage *stage,
                            AqError *error);
-/* Returns how many jobs of the queue are not recurring and have started no
- * task yet. */
-size_t AqScheduler_CountWaiting(const AqScheduler *scheduler,
-                                const char *queue);
+/* Calls "visit" for each queue with jobs that are not recurring and have
+ * started no task yet, in order of name; also for queues that the
+ * configuration in force does not have or sends to another pool. */
+void AqScheduler_EachWaiting(const AqScheduler *scheduler,
+                             void (*visit)(void *context, const char *queue,
+                                           size_t count),
+                             void *context);
 
 /* ---- Workspaces ----------------------------------------------------------
  */
--- a/packages/scheduler/load.c
+++ b/packages/scheduler/load.c
@@ -129,15 +129,29 @@
     }
 }
 
-size_t
-AqScheduler_CountWaiting(const AqScheduler *s, const char *queue)
+void
+AqScheduler_EachWaiting(const AqScheduler *s,
+                        void (*visit)(void *context, const char *queue,
+                                      size_t count),
+                        void *context)
 {
-    size_t count = 0;
+    GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
     AqList_ForEach(at, &s->active)
     {
         const Job *job = AqList_Entry(at, Job, link);
-        count += !job->has_started && job->spec.occurrences == 0 &&
-                 strcmp(job->spec.queue, queue) == 0;
+        if (!job->has_started && job->spec.occurrences == 0) {
+            size_t count =
+                GPOINTER_TO_SIZE(g_hash_table_lookup(counts, job->spec.queue));
+            g_hash_table_replace(counts, job->spec.queue,
+                                 GSIZE_TO_POINTER(count + 1));
+        }
+    }
+    GList *queues =
+        g_list_sort(g_hash_table_get_keys(counts), (GCompareFunc)strcmp);
+    for (const GList *at = queues; at != NULL; at = at->next) {
+        visit(context, at->data,
+              GPOINTER_TO_SIZE(g_hash_table_lookup(counts, at->data)));
     }
-    return count;
+    g_list_free(queues);
+    g_hash_table_destroy(counts);
 }
--- a/packages/scheduler/tests/test_job_terms.c
+++ b/packages/scheduler/tests/test_job_terms.c
@@ -239,6 +239,32 @@
     }
 }
 
+static void
+append_count(void *text, const char *queue, size_t count)
+{
+    char line[64];
+    snprintf(line, sizeof(line), "%s %zu,", queue, count);
+    strcat(text, line);
+}
+
+/* Guards against waiting jobs that are in no report, since the configuration
+ * sends their queue nowhere or to another pool. */
+static void
+test_waiting_jobs_are_counted(void)
+{
+    char counts[64] = "";
+    Fixture f;
+    fixture_set_up_loaded(&f);
+    fixture_add_job_of(&f, "a1", NULL, "queue", &one_task);
+    fixture_add_job_of(&f, "b1", NULL, "low", &one_task);
+    fixture_add_job_of(&f, "a2", NULL, "queue", &one_task);
+    f.queue.pool = "other";
+    AqScheduler_SetSite(f.s, &f.site);
+    AqScheduler_EachWaiting(f.s, append_count, counts);
+    CU_ASSERT_STRING_EQUAL(counts, "low 1,queue 2,");
+    fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -249,6 +275,7 @@
          test_exhausted_job_fails_when_loaded},
         {"tickets_outlive_the_queue", test_tickets_outlive_the_queue},
         {"order_of_jobs", test_order_of_jobs},
+        {"waiting_jobs_are_counted", test_waiting_jobs_are_counted},
     };
     return sim_run_cases("job_terms", cases, sizeof(cases) / sizeof(cases[0]),
                          argc, argv);
