--- a/packages/pool/pool_owner_upgrade.c
+++ b/packages/pool/pool_owner_upgrade.c
@@ -46,9 +46,9 @@
         return;
     }
     if (!spec.has_pool_record) {
-        const AqQueueConfig *queue =
-            AqSiteConfig_FindQueue(&owner->node->site, spec.queue);
-        if (queue != NULL && strcmp(queue->pool, owner->ownership.pool) == 0) {
+        const AqQueueConfig *queue = AqSiteConfig_FindQueueOfPool(
+            &owner->node->site, spec.queue, owner->ownership.pool);
+        if (queue != NULL) {
             AqJobTerms_Set(&spec.terms, queue);
             spec.has_terms = true;
         }
